--- /dev/null
+++ b/cataloger/config.go
@@ -0,0 +1,198 @@
+package cataloger
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/jackdawgate/jackdawgate/timer"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind uint8
+
+// The kinds of requests.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota + 1
+	// NonIdempotent requests run at most once for each attempt of a caller.
+	NonIdempotent
+	// Stream requests are answered by events with increasing numbers. They are
+	// not idempotent unless their route is Resumable.
+	Stream
+	// Batch requests submit jobs of many items.
+	Batch
+)
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says which requests go where, and how.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Shares has at least one service. Weights are positive.
+	Shares      []Share
+	Timeout     timer.Millis
+	Objective   timer.Millis
+	GapBound    timer.Millis
+	Priority    int
+	MaxAttempts int
+	Public      bool
+	Resumable   bool
+	// RunObjective, Retention and MaxQueued are for Batch routes: how long after
+	// its submission a job is due, after which an item may be given up, and how
+	// many tokens of a workspace may wait (zero: any number).
+	RunObjective timer.Millis
+	Retention    timer.Millis
+	MaxQueued    int64
+}
+
+// Repeatable says that a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Batch || (r.Kind == Stream && r.Resumable)
+}
+
+// Pick returns the service for a request whose random number is in [0, 1).
+func (r *Route) Pick(random float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := random * float64(total)
+	for _, s := range r.Shares {
+		if at -= float64(s.Weight); at < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Service is a group of backend servers that can stand in for one another.
+type Service struct {
+	Name           string
+	MaxConnections int
+	// Slots is how many requests a server runs at once; zero when not stated.
+	Slots int
+}
+
+// Workspace is a customer of the fleet.
+type Workspace struct {
+	Name     string
+	Priority int
+	// Rate is in requests a second over all hosts; zero means no limit.
+	Rate  float64
+	Burst float64
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout timer.Millis
+	IdleTimeout   timer.Millis
+}
+
+// Config is one version of what operators decided. It is immutable.
+type Config struct {
+	Version    int64
+	Limits     Limits
+	routes     map[string][]*Route
+	services   map[string]Service
+	workspaces map[string]*Workspace
+	keys       map[string]*Workspace
+	listed     []*Workspace
+	open       bool
+}
+
+// ConfigParts are what a Config is made of. Keys map a key to the name of its
+// workspace.
+type ConfigParts struct {
+	Version    int64
+	Limits     Limits
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Keys       map[string]string
+}
+
+// NewConfig returns the Config of parts, which must not be changed afterwards.
+func NewConfig(p ConfigParts) *Config {
+	c := &Config{
+		Version: p.Version, Limits: p.Limits,
+		routes:     make(map[string][]*Route),
+		services:   make(map[string]Service),
+		workspaces: make(map[string]*Workspace),
+		keys:       make(map[string]*Workspace),
+		open:       len(p.Workspaces) == 0,
+	}
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		c.routes[r.Host] = append(c.routes[r.Host], r)
+	}
+	for _, list := range c.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, s := range p.Services {
+		c.services[s.Name] = s
+	}
+	for i := range p.Workspaces {
+		w := &p.Workspaces[i]
+		c.workspaces[w.Name] = w
+		c.listed = append(c.listed, w)
+	}
+	for key, name := range p.Keys {
+		if w, ok := c.workspaces[name]; ok {
+			c.keys[key] = w
+		}
+	}
+	return c
+}
+
+// Match returns the route with the longest prefix that begins path.
+func (c *Config) Match(host, path string) (*Route, bool) {
+	for _, r := range c.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// RouteNamed returns the route with this name.
+func (c *Config) RouteNamed(name string) (*Route, bool) {
+	for _, list := range c.routes {
+		for _, r := range list {
+			if r.Name == name {
+				return r, true
+			}
+		}
+	}
+	return nil, false
+}
+
+// HasHost says whether any route has this host.
+func (c *Config) HasHost(host string) bool { return len(c.routes[host]) > 0 }
+
+// Holder returns the workspace that holds key.
+func (c *Config) Holder(key string) (*Workspace, bool) {
+	w, ok := c.keys[key]
+	return w, ok
+}
+
+// Workspaces lists all workspaces.
+func (c *Config) Workspaces() []*Workspace { return c.listed }
+
+// Open says that the configuration knows no workspaces, so that no request
+// needs a key.
+func (c *Config) Open() bool { return c.open }
+
+// Service returns the service with this name.
+func (c *Config) Service(name string) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -61,22 +61,32 @@
 // Parse checks the contents of a settings file; file names it in faults.
 func Parse(file string, data []byte) (Settings, error) {
 	var s Settings
+	err := parseInto(file, data, &s, func(c *check) { c.together(s) })
+	if err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// parseInto reads data into target, a pointer to a struct of sections. together
+// checks settings that depend on one another.
+func parseInto(file string, data []byte, target any, together func(c *check)) error {
 	parsed, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: true, KeyValueDelimiters: "="}, data)
 	if err != nil {
-		return s, &FaultsError{Faults: []Fault{{File: file, Problem: err.Error()}}}
+		return &FaultsError{Faults: []Fault{{File: file, Problem: err.Error()}}}
 	}
-	c := &check{file: file, lines: indexLines(data), parsed: parsed}
+	c := &check{file: file, lines: indexLines(data), parsed: parsed, options: options(target)}
 	c.unreadable()
 	c.unknown()
-	for _, o := range options(&s) {
+	for _, o := range c.options {
 		c.set(o)
 	}
-	c.together(s)
+	together(c)
 	if len(c.faults) > 0 {
 		slices.SortStableFunc(c.faults, func(a, b Fault) int { return a.Line - b.Line })
-		return Settings{}, &FaultsError{Faults: c.faults}
+		return &FaultsError{Faults: c.faults}
 	}
-	return s, nil
+	return nil
 }
 
 // Option is one setting as the reference page shows it.
@@ -90,7 +100,7 @@
 // Options lists all settings in the order of the struct.
 func Options() []Option { return options(&Settings{}) }
 
-func options(s *Settings) []Option {
+func options(s any) []Option {
 	var out []Option
 	for f, section := range reflect.ValueOf(s).Elem().Fields() {
 		for g, v := range section.Fields() {
@@ -114,7 +124,9 @@
 	file   string
 	lines  lineIndex
 	parsed *ini.File
-	faults []Fault
+	// options are all that the file may set.
+	options []Option
+	faults  []Fault
 }
 
 func (c *check) add(section, key, problem, allowed string) {
@@ -136,7 +148,7 @@
 // unknown reports sections and keys that no option has.
 func (c *check) unknown() {
 	known := make(map[string][]string)
-	for _, o := range Options() {
+	for _, o := range c.options {
 		known[o.Section] = append(known[o.Section], o.Key)
 	}
 	sections := make([]string, 0, len(known))
--- /dev/null
+++ b/checker/member.go
@@ -0,0 +1,70 @@
+package checker
+
+import (
+	"os"
+
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
+)
+
+// MemberSettings are all options of a host that keeps what must last in a
+// platform's store. They are written like Settings.
+type MemberSettings struct {
+	Host   MemberHost   `section:"host"`
+	Listen MemberListen `section:"listen"`
+	Store  MemberStore  `section:"store"`
+	Bounds MemberBounds `section:"bounds"`
+	Disk   MemberDisk   `section:"disk"`
+}
+
+// MemberHost says what the host is.
+type MemberHost struct {
+	Name       string `key:"name" check:"name" doc:"Name of the host, unique in the fleet. It stays the same when its process starts again."`
+	DataCentre string `key:"data-centre" check:"name" doc:"Data centre of the host."`
+	Region     string `key:"region" default:"default" check:"name" doc:"Region of the data centre."`
+	MemoryMB   int    `key:"memory-mb" default:"0" check:"any" doc:"Memory that the process may use, in MB; 0 for no limit."`
+}
+
+// MemberListen says where the host listens. Empty addresses are not served.
+type MemberListen struct {
+	Callers   string `key:"callers" default:"" check:"optional-address" doc:"IP address and port for callers."`
+	Ready     string `key:"ready" default:"" check:"optional-address" doc:"IP address and port at which the platform asks whether the host is ready."`
+	Directory string `key:"directory" default:"" check:"optional-address" doc:"IP address and port at which callers ask where to connect."`
+	Peers     string `key:"peers" check:"address" doc:"IP address and port for other hosts, of streams and of datagrams."`
+	Metrics   string `key:"metrics" default:"" check:"optional-address" doc:"IP address and port at which metrics are read."`
+}
+
+// MemberStore says how to reach the platform's store.
+type MemberStore struct {
+	Address  string       `key:"address" check:"address" doc:"IP address and port of the store's HTTP API."`
+	LeaseTTL timer.Millis `key:"lease-ttl" default:"3s" check:"positive" doc:"How long the host's entry outlives its last renewal."`
+}
+
+// MemberBounds are what operators hold the fleet to.
+type MemberBounds struct {
+	Revoke timer.Millis `key:"revoke" default:"5s" check:"positive" doc:"Within which a withdrawn key stops working on every host."`
+	Grace  timer.Millis `key:"grace" default:"8s" check:"positive" doc:"How long the process may run after it was told to stop."`
+	Keep   timer.Millis `key:"keep" default:"120s" check:"positive" doc:"How long after its submission a batch job and its results can be read."`
+}
+
+// MemberDisk says where batch jobs are kept.
+type MemberDisk struct {
+	Folder string `key:"folder" default:"" check:"any" doc:"Folder for batch jobs; empty on hosts without a disk."`
+	Losses int    `key:"losses" default:"1" check:"any" doc:"How many disks may be lost at once without losing a batch job."`
+}
+
+// MemberOptions lists all settings of MemberSettings in the order of the struct.
+func MemberOptions() []Option { return options(&MemberSettings{}) }
+
+// LoadMember reads and checks the file at path.
+func LoadMember(path string) (MemberSettings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return MemberSettings{}, eris.Wrap(err, "read settings")
+	}
+	var s MemberSettings
+	if err := parseInto(path, data, &s, func(*check) {}); err != nil {
+		return MemberSettings{}, err
+	}
+	return s, nil
+}
--- a/checker/reference.go
+++ b/checker/reference.go
@@ -9,11 +9,18 @@
 func Reference() string {
 	var b strings.Builder
 	b.WriteString("# Settings\n\nOne INI file per host. `jackdawgate settings check FILE` checks it.\n")
+	writeOptions(&b, Options())
+	b.WriteString("\n# Settings of a host on a platform's store\n\nOne INI file per host, for `jackdawgated`; on the platform it is made from `deploy/host.ini`.\n")
+	writeOptions(&b, MemberOptions())
+	return b.String()
+}
+
+func writeOptions(b *strings.Builder, list []Option) {
 	section := ""
-	for _, o := range Options() {
+	for _, o := range list {
 		if o.Section != section {
 			section = o.Section
-			fmt.Fprintf(&b, "\n## [%s]\n\n| key | default | allowed | meaning |\n|---|---|---|---|\n", section)
+			fmt.Fprintf(b, "\n## [%s]\n\n| key | default | allowed | meaning |\n|---|---|---|---|\n", section)
 		}
 		fallback := "`" + o.Default + "`"
 		switch {
@@ -22,7 +29,6 @@
 		case o.Default == "":
 			fallback = "empty"
 		}
-		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", o.Key, fallback, describe(o.Check), o.Doc)
+		fmt.Fprintf(b, "| `%s` | %s | %s | %s |\n", o.Key, fallback, describe(o.Check), o.Doc)
 	}
-	return b.String()
 }
--- /dev/null
+++ b/cmd/jackdawgated/main.go
@@ -0,0 +1,24 @@
+// Command jackdawgated runs one host of the serving system on a platform's
+// store: "entry" takes callers' requests, "bulk" keeps and runs batch jobs.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jackdawgate/jackdawgate/commander"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	e := commander.Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
+	p := commander.Program{
+		Name: "jackdawgated", Short: "one host of the serving system on a platform's store",
+		Commands: []commander.Command{&entryCommand{}, &bulkCommand{}},
+	}
+	code := p.Main(ctx, e, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/conveyor/answer.go
@@ -0,0 +1,57 @@
+package conveyor
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/jackdawgate/jackdawgate/timer"
+)
+
+// Answer is an answer whose body is still to be read, by one goroutine.
+type Answer struct {
+	Status int
+	Header http.Header
+
+	response   *http.Response
+	connection *connection
+	conveyor   *Conveyor
+	unhook     func() bool
+	ended      bool
+}
+
+// Length is the length of the body in bytes, or -1 when it is not stated.
+func (a *Answer) Length() int64 { return a.response.ContentLength }
+
+// SetSilence bounds how long the server may send nothing from now on.
+func (a *Answer) SetSilence(bound timer.Millis) { a.connection.silence = bound }
+
+// Read reads the body. It returns io.EOF only after the whole body; any other
+// error is a *BrokenError or a *SilentError.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.response.Body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		a.ended = true
+		return n, io.EOF
+	}
+	return n, a.connection.failure(err)
+}
+
+// Close ends the exchange. The connection is kept if the answer was read whole
+// and nothing is wrong with it.
+func (a *Answer) Close() {
+	undisturbed := a.unhook()
+	n := a.connection
+	reusable := undisturbed && a.ended && !a.response.Close && n.whole() && n.reader.Buffered() == 0
+	if !reusable {
+		n.close()
+		return
+	}
+	if t, ok := keepAlive(a.Header); ok {
+		n.keep = min(n.keep, t-closeMargin)
+	}
+	a.conveyor.park(n)
+}
--- /dev/null
+++ b/ejector/ejector.go
@@ -0,0 +1,147 @@
+// Package ejector keeps apart, for a while, backend servers that do not answer.
+//
+// It judges by what calls show, never by probes. A server that cannot be
+// connected to, or from which no byte came for SilentAfter while calls wait at
+// it, is ejected at once. One that broke answers off is ejected after several in
+// a row, so that a server which fails a small part of its calls goes on. The
+// time doubles with each ejection that follows soon, and any answer ends it.
+package ejector
+
+import (
+	"sync"
+
+	"github.com/jackdawgate/jackdawgate/timer"
+)
+
+// Constants of the judgement.
+const (
+	// SilentAfter is how long a server at which calls wait may send nothing.
+	SilentAfter timer.Millis = 450
+	// CrowdedSilentAfter is the same at a server whose slots are all taken.
+	CrowdedSilentAfter timer.Millis = 1500
+	leastTime   timer.Millis = 400
+	mostTime    timer.Millis = 3000
+	breaksInRow              = 3
+)
+
+// Ejector is safe for concurrent use.
+type Ejector struct {
+	clock timer.Clock
+
+	mu      sync.Mutex
+	servers map[string]*record
+}
+
+type record struct {
+	until  timer.Millis
+	next   timer.Millis
+	breaks int
+	// waiting counts calls that wait for bytes; heard is when bytes last came,
+	// or since when calls wait without any.
+	waiting int
+	heard   timer.Millis
+}
+
+// New returns an Ejector.
+func New(clock timer.Clock) *Ejector {
+	return &Ejector{clock: clock, servers: make(map[string]*record)}
+}
+
+func (e *Ejector) record(server string) *record {
+	r, ok := e.servers[server]
+	if !ok {
+		r = &record{next: leastTime}
+		e.servers[server] = r
+	}
+	return r
+}
+
+// Usable says whether calls may be sent to a server. At a crowded server, whose
+// slots are all taken, a call may wait for long without a byte.
+func (e *Ejector) Usable(server string, crowded bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.servers[server]
+	if !ok {
+		return true
+	}
+	now := e.clock.Now()
+	bound := SilentAfter
+	if crowded {
+		bound = CrowdedSilentAfter
+	}
+	if r.waiting > 0 && now-r.heard > bound && now >= r.until {
+		r.eject(now)
+	}
+	return now >= r.until
+}
+
+// Begin says that a call begins to wait at a server.
+func (e *Ejector) Begin(server string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.record(server)
+	if r.waiting == 0 {
+		r.heard = e.clock.Now()
+	}
+	r.waiting++
+}
+
+// End says that a call no longer waits at a server.
+func (e *Ejector) End(server string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.record(server).waiting--
+}
+
+// Heard says that bytes came from a server.
+func (e *Ejector) Heard(server string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.record(server)
+	r.heard = e.clock.Now()
+	r.until = 0
+}
+
+// Answered says that a server gave a whole answer.
+func (e *Ejector) Answered(server string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.record(server)
+	r.until, r.next, r.breaks = 0, leastTime, 0
+}
+
+// Unreachable says that no connection to a server could be made.
+func (e *Ejector) Unreachable(server string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.record(server).eject(e.clock.Now())
+}
+
+// Broke says that a server broke off a call.
+func (e *Ejector) Broke(server string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.record(server)
+	r.breaks++
+	if r.breaks >= breaksInRow {
+		r.eject(e.clock.Now())
+	}
+}
+
+// Forget drops what is known of servers for which known says no.
+func (e *Ejector) Forget(known func(server string) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, r := range e.servers {
+		if r.waiting == 0 && !known(id) {
+			delete(e.servers, id)
+		}
+	}
+}
+
+func (r *record) eject(now timer.Millis) {
+	r.until = now + r.next
+	r.next = min(2*r.next, mostTime)
+	r.heard = now
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,365 @@
+// Package follower keeps a host's cataloger.Snapshot in step with the store.
+//
+// One goroutine asks the store for what changed since the last answer, at a
+// steady pace, and publishes a new Snapshot after each answer. Each answer also
+// confirms the Snapshot: nothing that the store had accepted before the
+// question was sent is missing from it. So the age of Snapshot.Confirmed bounds
+// how old a withdrawn key or a changed route can be that is still honoured.
+//
+// While the store is away, entries of servers may run out though the servers
+// live. A server whose entry went without a notice to drain is kept until
+// ReturnGrace after the store answers again; its owner has renewed the entry by
+// then, or is gone.
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
+)
+
+// Decoder reads values of the store's keys. It is pure.
+type Decoder interface {
+	// Prefixes are the beginnings of the keys that Decode knows.
+	Prefixes() []string
+	// Kind says what a key holds: a Fact without its content.
+	Kind(key string) Fact
+	// Decode says what a key and its value mean.
+	Decode(i storer.Item) (Fact, error)
+}
+
+// Fact is what one key of the store says.
+type Fact interface{ fact() }
+
+// ConfigFact is the operators' configuration.
+type ConfigFact struct{ Config *cataloger.Config }
+
+// ServerFact is a backend server's entry.
+type ServerFact struct{ Server cataloger.Server }
+
+// MemberFact is a host's entry.
+type MemberFact struct{ Member cataloger.Member }
+
+// GroupFact is the manifest of a group of batch jobs.
+type GroupFact struct {
+	Number int
+	Group  cataloger.Group
+}
+
+// RetireFact asks that a host be emptied.
+type RetireFact struct{ Host string }
+
+// OtherFact is a key that means nothing here.
+type OtherFact struct{}
+
+func (ConfigFact) fact() {}
+func (ServerFact) fact() {}
+func (MemberFact) fact() {}
+func (GroupFact) fact()  {}
+func (RetireFact) fact() {}
+func (OtherFact) fact()  {}
+
+// Options are the settings of a Follower. Zero fields take the defaults.
+type Options struct {
+	Ledger  storer.Ledger
+	Decoder Decoder
+	// Clock must count the time that the machine is suspended.
+	Clock  timer.Clock
+	Logger *zap.Logger
+	// Pace is the least time between two questions; default 0.6 s.
+	Pace timer.Millis
+	// Wait is how long the store may hold a question; default 0.3 s.
+	Wait timer.Millis
+	// Timeout is how long an answer may take beyond Wait; default 1 s.
+	Timeout timer.Millis
+	// ReturnGrace is how long after an outage entries may be missing; default 2.3 s.
+	ReturnGrace timer.Millis
+	// OutageAfter is how old a confirmation is when the store counts as away;
+	// default 2 s.
+	OutageAfter timer.Millis
+}
+
+func (o Options) withDefaults() Options {
+	defaulter.Set(&o.Pace, 600)
+	defaulter.Set(&o.Wait, 300)
+	defaulter.Set(&o.Timeout, timer.Second)
+	defaulter.Set(&o.ReturnGrace, 2300)
+	defaulter.Set(&o.OutageAfter, 2*timer.Second)
+	return o
+}
+
+// Bounds of the pause after a question that failed.
+const (
+	leastRetry timer.Millis = 60
+	mostRetry  timer.Millis = 400
+)
+
+// Follower publishes Snapshots. Its methods are safe for concurrent use.
+type Follower struct {
+	options Options
+	current atomic.Pointer[cataloger.Snapshot]
+	cancel  context.CancelFunc
+	done    chan struct{}
+
+	// The fields below belong to the goroutine run.
+	cursor storer.Revision
+	loaded bool
+	// vanished has servers whose entries went while the store may have been
+	// away, with the instant until which they are kept.
+	vanished map[string]timer.Millis
+	// returned is when the store last came back.
+	returned timer.Millis
+
+	mu        sync.Mutex
+	listeners []func(cataloger.Snapshot)
+}
+
+// New returns a Follower that runs until Close.
+func New(o Options) *Follower {
+	f := &Follower{options: o.withDefaults(), done: make(chan struct{}), vanished: make(map[string]timer.Millis)}
+	f.current.Store(&cataloger.Snapshot{})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go f.run(ctx)
+	return f
+}
+
+// Close ends the Follower and waits for it.
+func (f *Follower) Close() {
+	f.cancel()
+	<-f.done
+}
+
+// Snapshot returns the newest Snapshot.
+func (f *Follower) Snapshot() cataloger.Snapshot { return *f.current.Load() }
+
+// Notify registers a function that is called with each new Snapshot, on the
+// goroutine of the Follower; it must return soon.
+func (f *Follower) Notify(listener func(cataloger.Snapshot)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listeners = append(f.listeners, listener)
+}
+
+func (f *Follower) run(ctx context.Context) {
+	defer close(f.done)
+	retry := leastRetry
+	for ctx.Err() == nil {
+		sent := f.options.Clock.Now()
+		if err := f.ask(ctx, sent); err != nil {
+			f.failed(ctx, err, sent)
+			retry = min(2*retry, mostRetry)
+			timer.Sleep(ctx, retry/2+rand.N(retry))
+			continue
+		}
+		retry = leastRetry
+		timer.Sleep(ctx, f.options.Pace-(f.options.Clock.Now()-sent))
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, err error, sent timer.Millis) {
+	var gone *storer.HistoryGoneError
+	if errors.As(err, &gone) {
+		f.loaded = false
+		f.options.Logger.Info("store forgot its history; reading anew", zap.Uint64("after", uint64(gone.After)))
+		return
+	}
+	if ctx.Err() == nil {
+		f.options.Logger.Warn("store did not answer", zap.Error(err),
+			zap.Int64("took-ms", int64(f.options.Clock.Now()-sent)),
+			zap.Int64("confirmed-ms-ago", int64(sent-f.Snapshot().Confirmed)))
+	}
+}
+
+// ask puts one question to the store and publishes what follows.
+func (f *Follower) ask(ctx context.Context, sent timer.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, (f.options.Wait + f.options.Timeout).Duration())
+	defer cancel()
+	s := f.Snapshot()
+	var err error
+	if f.loaded {
+		s, err = f.change(ctx, s)
+	} else {
+		s, err = f.load(ctx, s)
+	}
+	if err != nil {
+		return err
+	}
+	if s.Confirmed != 0 && sent-s.Confirmed > f.options.OutageAfter {
+		f.returned = f.options.Clock.Now()
+		f.options.Logger.Info("store answers again", zap.Int64("away-ms", int64(sent-s.Confirmed)))
+	}
+	f.publish(f.withoutVanished(s).WithConfirmed(sent))
+	return nil
+}
+
+// load reads all keys anew.
+func (f *Follower) load(ctx context.Context, s cataloger.Snapshot) (cataloger.Snapshot, error) {
+	var from storer.Revision
+	fresh := cataloger.Snapshot{Config: s.Config, Confirmed: s.Confirmed}
+	for _, prefix := range f.options.Decoder.Prefixes() {
+		items, at, err := f.options.Ledger.Range(ctx, prefix)
+		if err != nil {
+			return s, err
+		}
+		if from == 0 || at < from {
+			from = at
+		}
+		for _, i := range items {
+			fresh = f.apply(fresh, storer.Change{Item: i})
+		}
+	}
+	for id, v := range s.Servers {
+		if _, ok := fresh.Servers[id]; !ok && !v.Draining && f.mayBeOutage(s) {
+			fresh = fresh.WithServer(v)
+			f.keepVanished(id)
+		}
+	}
+	f.cursor, f.loaded = from, true
+	return fresh, nil
+}
+
+func (f *Follower) change(ctx context.Context, s cataloger.Snapshot) (cataloger.Snapshot, error) {
+	changes, err := f.options.Ledger.Watch(ctx, "", f.cursor, f.options.Wait)
+	if err != nil {
+		return s, err
+	}
+	for _, c := range changes.List {
+		s = f.apply(s, c)
+	}
+	f.cursor = max(f.cursor, changes.Current)
+	return s, nil
+}
+
+// apply returns s after one change.
+func (f *Follower) apply(s cataloger.Snapshot, c storer.Change) cataloger.Snapshot {
+	if c.Deleted {
+		return f.removed(s, c.Key)
+	}
+	fact, err := f.options.Decoder.Decode(c.Item)
+	if err != nil {
+		f.options.Logger.Warn("unreadable entry in the store", zap.String("key", c.Key), zap.Error(err))
+		return f.removed(s, c.Key)
+	}
+	switch t := fact.(type) {
+	case ConfigFact:
+		return s.WithConfig(t.Config)
+	case ServerFact:
+		delete(f.vanished, t.Server.ID)
+		return s.WithServer(t.Server)
+	case MemberFact:
+		return s.WithMember(t.Member)
+	case GroupFact:
+		return s.WithGroup(t.Number, t.Group)
+	case RetireFact:
+		return s.WithRetiring(t.Host, true)
+	case OtherFact:
+	}
+	return s
+}
+
+// removed returns s after the key was deleted or became unreadable.
+func (f *Follower) removed(s cataloger.Snapshot, key string) cataloger.Snapshot {
+	name := key[strings.LastIndexByte(key, '/')+1:]
+	switch f.options.Decoder.Kind(key).(type) {
+	case ServerFact:
+		return f.serverRemoved(s, name)
+	case MemberFact:
+		return s.WithoutMember(name)
+	case RetireFact:
+		return s.WithRetiring(name, false)
+	case ConfigFact, GroupFact, OtherFact:
+	}
+	return s
+}
+
+func (f *Follower) serverRemoved(s cataloger.Snapshot, id string) cataloger.Snapshot {
+	v, ok := s.Servers[id]
+	if !ok {
+		return s
+	}
+	if v.Draining || !f.mayBeOutage(s) {
+		return s.WithoutServer(id)
+	}
+	f.keepVanished(id)
+	return s
+}
+
+// mayBeOutage says whether an entry may have run out because its server did not
+// reach the store.
+func (f *Follower) mayBeOutage(s cataloger.Snapshot) bool {
+	now := f.options.Clock.Now()
+	return now-s.Confirmed > f.options.OutageAfter || (f.returned != 0 && now-f.returned < f.options.ReturnGrace)
+}
+
+func (f *Follower) keepVanished(id string) {
+	if _, ok := f.vanished[id]; !ok {
+		f.vanished[id] = f.options.Clock.Now() + f.options.ReturnGrace
+	}
+}
+
+// withoutVanished drops servers that did not come back in time.
+func (f *Follower) withoutVanished(s cataloger.Snapshot) cataloger.Snapshot {
+	now := f.options.Clock.Now()
+	for id, until := range f.vanished {
+		if now >= until {
+			delete(f.vanished, id)
+			s = s.WithoutServer(id)
+			f.options.Logger.Info("server did not come back after the store did", zap.String("server", id))
+		}
+	}
+	return s
+}
+
+func (f *Follower) publish(s cataloger.Snapshot) {
+	before := f.current.Swap(&s)
+	f.log(*before, s)
+	f.mu.Lock()
+	listeners := f.listeners
+	f.mu.Unlock()
+	for _, l := range listeners {
+		l(s)
+	}
+}
+
+// log writes what changed in what this host believes.
+func (f *Follower) log(a, b cataloger.Snapshot) {
+	l := f.options.Logger
+	if b.Config != nil && (a.Config == nil || a.Config.Version != b.Config.Version) {
+		l.Info("configuration in force", zap.Int64("version", b.Config.Version))
+	}
+	for id, v := range b.Servers {
+		if w, ok := a.Servers[id]; !ok || w.Draining != v.Draining || w.Address != v.Address || w.Born != v.Born {
+			l.Info("server known", zap.String("server", id), zap.String("service", v.Service), zap.String("address", v.Address), zap.Bool("draining", v.Draining))
+		}
+	}
+	for id := range a.Servers {
+		if _, ok := b.Servers[id]; !ok {
+			l.Info("server gone", zap.String("server", id))
+		}
+	}
+	for name, m := range b.Members {
+		if w, ok := a.Members[name]; !ok || w != m {
+			l.Info("host known", zap.String("host", name), zap.String("incarnation", m.Incarnation), zap.Bool("leaving", m.Leaving))
+		}
+	}
+	for name := range a.Members {
+		if _, ok := b.Members[name]; !ok {
+			l.Info("host gone", zap.String("host", name))
+		}
+	}
+	for n, g := range b.Groups {
+		if a.Groups[n].Revision != g.Revision {
+			l.Info("group changed", zap.Int("group", n), zap.Uint64("epoch", g.Epoch), zap.String("owner", g.Owner), zap.Strings("holders", g.Holders))
+		}
+	}
+}
--- /dev/null
+++ b/hoster/entry.go
@@ -0,0 +1,171 @@
+package hoster
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/checker"
+	"github.com/jackdawgate/jackdawgate/gatekeeper"
+	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+// Parts of the grace in which a host stops.
+const (
+	// lingerShare is how long it goes on taking requests, for callers that were
+	// told of it before.
+	lingerShare = 0.38
+	// endReserve is kept for the last steps.
+	endReserve timer.Millis = 700
+)
+
+// permissionShare is the part of the bound on withdrawn keys for which a
+// confirmed configuration may be used.
+const permissionShare = 0.72
+
+// peerInterval is how often the rationer is told which hosts are heard.
+const peerInterval timer.Millis = 200
+
+// EntryHost takes callers' requests.
+type EntryHost struct {
+	*base
+	rationer   *rationer.Rationer
+	gatekeeper *gatekeeper.Gatekeeper
+	servers    []*http.Server
+	leaving    atomic.Bool
+	cancel     context.CancelFunc
+	done       chan struct{}
+}
+
+// NewEntryHost starts an entry host.
+func NewEntryHost(s checker.MemberSettings, p Platform, l *zap.Logger) (*EntryHost, error) {
+	e := &EntryHost{done: make(chan struct{})}
+	e.rationer = rationer.New(timer.Boot())
+	started := make(chan struct{})
+	defer close(started)
+	b, err := newBase(s, p, l, cataloger.Member{Role: cataloger.Entry, Callers: s.Listen.Callers},
+		func() gossiper.Digest { <-started; return e.digest() },
+		func(d gossiper.Digest) { e.rationer.Hear(d.Host, d.Incarnation, d.Admitted) })
+	if err != nil {
+		return nil, err
+	}
+	e.base = b
+	relay := relayer.New(relayer.Options{
+		Names: p.Names, Conveyor: b.conveyor, Picker: b.picker, Ejector: b.ejector, Clock: b.clock, Logger: l,
+	})
+	e.gatekeeper = gatekeeper.New(gatekeeper.Options{
+		Names: p.Names, Snapshot: b.follower.Snapshot, Relay: relay, Rationer: e.rationer, Clock: b.clock, Logger: l,
+		Jobs:       &jobClient{base: b, formats: p.Jobs},
+		Permission: timer.Millis(float64(s.Bounds.Revoke) * permissionShare),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.watchPeers(ctx)
+	return e, e.listen()
+}
+
+func (e *EntryHost) listen() error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+e.platform.ReadyPath, e.serveReady)
+	directory := http.NewServeMux()
+	directory.HandleFunc("GET "+e.platform.DirectoryPath, e.serveDirectory)
+	for address, h := range map[string]http.Handler{
+		e.settings.Listen.Callers: e.gatekeeper, e.settings.Listen.Ready: ready, e.settings.Listen.Directory: directory,
+	} {
+		if address == "" {
+			continue
+		}
+		if err := e.serve(address, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Bounds on callers' connections. The configuration's idle timeout may change
+// while connections are open, so this one is longer than any.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 120 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+func (e *EntryHost) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return eris.Wrap(err, "listen at "+address)
+	}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(e.logger),
+	}
+	e.servers = append(e.servers, s)
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.logger.Error("listener ended", zap.String("address", address), zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+func (e *EntryHost) digest() gossiper.Digest {
+	d := e.base.digest()
+	d.Ready, d.Admitted = e.ready(), e.rationer.Spent()
+	return d
+}
+
+func (e *EntryHost) ready() bool { return !e.leaving.Load() && e.gatekeeper.Permitted() }
+
+func (e *EntryHost) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// watchPeers tells the rationer which entry hosts are heard.
+func (e *EntryHost) watchPeers(ctx context.Context) {
+	defer close(e.done)
+	for timer.Sleep(ctx, peerInterval) {
+		var peers []rationer.Peer
+		for name, m := range e.follower.Snapshot().Members {
+			if name == e.member.Name || m.Role != cataloger.Entry || m.Leaving {
+				continue
+			}
+			at, _ := e.gossiper.Heard(name)
+			peers = append(peers, rationer.Peer{Name: name, Heard: at})
+		}
+		e.rationer.SetPeers(peers)
+	}
+}
+
+// Stop ends the host gracefully: callers are told of other hosts, requests are
+// taken for a while from those who have not heard, and all that were taken are
+// answered before grace is over.
+func (e *EntryHost) Stop() {
+	began := e.clock.Now()
+	grace := e.settings.Bounds.Grace
+	e.leaving.Store(true)
+	e.gossiper.Touch()
+	e.leave()
+	e.gatekeeper.Leave()
+	e.logger.Info("leaving", zap.Int64("grace-ms", int64(grace)))
+	timer.Sleep(context.Background(), timer.Millis(float64(grace)*lingerShare))
+	ctx, cancel := context.WithTimeout(context.Background(), (grace - (e.clock.Now() - began) - endReserve).Duration())
+	defer cancel()
+	for _, s := range e.servers {
+		_ = s.Shutdown(ctx)
+	}
+	e.gatekeeper.Wait(ctx)
+	e.cancel()
+	<-e.done
+	e.close()
+}
--- /dev/null
+++ b/hoster/hoster.go
@@ -0,0 +1,163 @@
+// Package hoster assembles one host of a fleet that runs on a platform's store.
+//
+// An entry host takes callers' requests; a bulk host keeps and runs batch jobs.
+// Both follow the store, keep an entry of their own in it, and tell one another
+// of their load. Nothing is set aside for control: whatever must be decided once
+// is decided by a transaction of the store.
+package hoster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/checker"
+	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/enroller"
+	"github.com/jackdawgate/jackdawgate/follower"
+	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/messenger"
+	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+// Platform is what an adapter gives: the store, and names and formats of values
+// and messages. It decides nothing.
+type Platform struct {
+	Ledger  storer.Ledger
+	Decoder follower.Decoder
+	Names   speller.Names
+	// MemberKey, GroupKey and RetireStatusKey are keys of the store.
+	MemberKey       func(name string) string
+	GroupKey        func(n int) string
+	RetireStatusKey func(name string) string
+	// RetireStatus is the value that says how far a host has been emptied.
+	RetireStatus func(empty bool) []byte
+	// ReadyPath and DirectoryPath are the paths of the calls that a host answers.
+	ReadyPath, DirectoryPath string
+	// Addresses encodes the answer to a caller that asks where to connect.
+	Addresses func(addresses []string, keep timer.Millis) ([]byte, error)
+	// Jobs are the formats of messages about batch jobs.
+	Jobs JobFormats
+}
+
+// memoryShare is the part of a host's memory that the heap may fill before the
+// collector works harder.
+const memoryShare = 0.6
+
+// base is what both kinds of hosts have.
+type base struct {
+	settings checker.MemberSettings
+	platform Platform
+	logger   *zap.Logger
+	member   cataloger.Member
+	// clock counts the time that the machine is suspended.
+	clock     timer.Clock
+	follower  *follower.Follower
+	enroller  *enroller.Enroller
+	gossiper  *gossiper.Gossiper
+	messenger *messenger.Host
+	ejector   *ejector.Ejector
+	picker    *picker.Picker
+	conveyor  *conveyor.Conveyor
+}
+
+// newBase starts what both kinds of hosts have. build makes the host's digest.
+func newBase(s checker.MemberSettings, p Platform, l *zap.Logger, m cataloger.Member, build func() gossiper.Digest, hear func(gossiper.Digest)) (*base, error) {
+	if s.Host.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Host.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	clock := timer.Boot()
+	m.Name, m.DataCentre, m.Peers, m.Incarnation = s.Host.Name, s.Host.DataCentre, s.Listen.Peers, newIncarnation()
+	b := &base{settings: s, platform: p, logger: l, member: m, clock: clock}
+	datagrams, err := net.ListenPacket("udp4", s.Listen.Peers)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for datagrams")
+	}
+	streams, err := net.Listen("tcp4", s.Listen.Peers)
+	if err != nil {
+		_ = datagrams.Close()
+		return nil, eris.Wrap(err, "listen for peers")
+	}
+	b.follower = follower.New(follower.Options{Ledger: p.Ledger, Decoder: p.Decoder, Clock: clock, Logger: l})
+	b.ejector = ejector.New(clock)
+	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
+	b.picker = picker.New(picker.Options{
+		Snapshot: b.follower.Snapshot, Others: func(id string) gossiper.Load { return b.gossiper.Others(id) },
+		Ejector: b.ejector, Changed: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
+	})
+	b.gossiper = gossiper.New(gossiper.Options{
+		Conn: datagrams, Clock: clock, Build: build, Peers: b.peers, Logger: l,
+	}, hear)
+	b.messenger = messenger.New(messenger.Options{
+		Self: messenger.Peer{Name: m.Name, Incarnation: m.Incarnation}, Logger: l,
+		DialTimeout: 500, IdleTimeout: 1200, PingInterval: 300,
+	})
+	go func() {
+		if err := b.messenger.Serve(streams); err != nil {
+			l.Error("peers are no longer served", zap.Error(err))
+		}
+	}()
+	b.follower.Notify(b.forgetServers)
+	b.enroller = enroller.New(enroller.Options{Ledger: p.Ledger, Key: p.MemberKey(m.Name), TTL: s.Store.LeaseTTL, Logger: l}, m)
+	return b, nil
+}
+
+// newIncarnation returns a name that is later in order for later starts.
+func newIncarnation() string {
+	return fmt.Sprintf("%012x%04x", time.Now().UnixMilli(), rand.Uint32()&0xffff)
+}
+
+// digest is the part of a digest that both kinds of hosts tell.
+func (b *base) digest() gossiper.Digest {
+	return gossiper.Digest{Host: b.member.Name, Incarnation: b.member.Incarnation, Loads: b.picker.Loads()}
+}
+
+// peers are the addresses of the other hosts.
+func (b *base) peers() []netip.AddrPort {
+	members := b.follower.Snapshot().Members
+	out := make([]netip.AddrPort, 0, len(members))
+	for name, m := range members {
+		if name == b.member.Name {
+			continue
+		}
+		if a, err := netip.ParseAddrPort(m.Peers); err == nil {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// forgetServers drops what is kept of servers that are gone.
+func (b *base) forgetServers(s cataloger.Snapshot) {
+	known := func(id string) bool { _, ok := s.Servers[id]; return ok }
+	b.conveyor.Forget(known)
+	b.ejector.Forget(known)
+}
+
+// leave says in the store that the host is about to stop.
+func (b *base) leave() {
+	m := b.member
+	m.Leaving = true
+	b.enroller.Set(m)
+}
+
+// close ends what newBase started.
+func (b *base) close() {
+	b.enroller.Close()
+	b.gossiper.Close()
+	if err := b.messenger.Close(); err != nil {
+		b.logger.Warn("peers not closed", zap.Error(err))
+	}
+	b.follower.Close()
+	b.conveyor.Close()
+}
--- /dev/null
+++ b/rationer/rationer.go
@@ -0,0 +1,184 @@
+// Package rationer holds each workspace to its rate and burst over all hosts
+// together, without a host that decides for others.
+//
+// Every host keeps the whole bucket of each workspace. It takes from it what it
+// admits itself and, as digests arrive, what other hosts admitted. A bucket may
+// so fall below zero by what was admitted while digests were on their way; the
+// debt is refilled before anything more is admitted, so over any longer span the
+// rate holds and the excess is one digest's delay of arrivals.
+//
+// A host that is not heard is taken to spend its equal part of the rate, and the
+// bucket holds at most the parts of the hosts that are heard. A host that hears
+// nobody so keeps to its own part; the parts of both sides of a cut add up to
+// the whole.
+//
+// A host that has just started does not know what was spent before it: its
+// buckets are empty when it starts, and are refilled from then on, used or not.
+package rationer
+
+import (
+	"sync"
+
+	"github.com/jackdawgate/jackdawgate/timer"
+)
+
+// Limit is a workspace's quota over all hosts. A Rate of zero means none.
+type Limit struct {
+	// Rate is in requests a second, Burst in requests.
+	Rate, Burst float64
+}
+
+// Peer is another host that admits requests, as it is heard now.
+type Peer struct {
+	Name string
+	// Heard is when its last digest arrived.
+	Heard timer.Millis
+}
+
+// silentAfter is how long a host may be unheard before its part is kept for it.
+const silentAfter timer.Millis = 800
+
+// leastRetry is the least time after which a refused caller is told to return.
+const leastRetry timer.Millis = 50
+
+// Rationer is safe for concurrent use.
+type Rationer struct {
+	clock   timer.Clock
+	started timer.Millis
+
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	peers   []Peer
+}
+
+// bucket is one workspace's.
+type bucket struct {
+	limit Limit
+	level float64
+	at    timer.Millis
+	// spent counts what this host admitted since it started.
+	spent uint64
+	// seen is the count last heard of each incarnation of each other host;
+	// kept is what was taken for a host while it was not heard.
+	seen map[string]seen
+	kept map[string]float64
+}
+
+type seen struct {
+	incarnation string
+	count       uint64
+}
+
+// New returns a Rationer that refills by clock.
+func New(clock timer.Clock) *Rationer {
+	return &Rationer{clock: clock, started: clock.Now(), buckets: make(map[string]*bucket)}
+}
+
+// SetPeers says which other hosts admit requests and when each was last heard.
+func (r *Rationer) SetPeers(peers []Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	for _, b := range r.buckets {
+		b.refill(now, r.peers)
+	}
+	r.peers = peers
+}
+
+// Admit takes one request from the workspace's bucket. When it says no, it also
+// says after which time one may be left.
+func (r *Rationer) Admit(workspace string, l Limit) (bool, timer.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.bucket(workspace, l)
+	if l.Rate > 0 && b.level < 1 {
+		return false, max(leastRetry, timer.Millis((1-b.level)/l.Rate*float64(timer.Second)))
+	}
+	b.level--
+	b.spent++
+	return true, 0
+}
+
+// Refund gives back a request that was admitted and then not run.
+func (r *Rationer) Refund(workspace string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if b, ok := r.buckets[workspace]; ok && b.spent > 0 {
+		b.level++
+		b.spent--
+	}
+}
+
+// Spent returns how many requests this host admitted since it started.
+func (r *Rationer) Spent() map[string]uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]uint64, len(r.buckets))
+	for name, b := range r.buckets {
+		out[name] = b.spent
+	}
+	return out
+}
+
+// Hear takes another host's Spent into account.
+func (r *Rationer) Hear(host, incarnation string, spent map[string]uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for workspace, count := range spent {
+		r.bucketOf(workspace).hear(host, incarnation, count)
+	}
+}
+
+func (r *Rationer) bucketOf(workspace string) *bucket {
+	b, ok := r.buckets[workspace]
+	if !ok {
+		b = &bucket{at: r.started, seen: make(map[string]seen), kept: make(map[string]float64)}
+		r.buckets[workspace] = b
+	}
+	return b
+}
+
+func (r *Rationer) bucket(workspace string, l Limit) *bucket {
+	b := r.bucketOf(workspace)
+	if b.limit.Rate == 0 {
+		b.limit = l
+	}
+	b.refill(r.clock.Now(), r.peers)
+	b.limit = l
+	return b
+}
+
+// refill adds what the rate gave since the last time, less what is kept for
+// hosts that are not heard.
+func (b *bucket) refill(now timer.Millis, peers []Peer) {
+	seconds := float64(now-b.at) / float64(timer.Second)
+	b.at = now
+	if seconds <= 0 || b.limit.Rate == 0 {
+		return
+	}
+	part := b.limit.Rate / float64(len(peers)+1)
+	silent := 0
+	for _, p := range peers {
+		if now-p.Heard > silentAfter {
+			silent++
+			b.kept[p.Name] += part * seconds
+		}
+	}
+	heard := float64(len(peers)+1-silent) / float64(len(peers)+1)
+	b.level = min(b.limit.Burst*heard, b.level+b.limit.Rate*heard*seconds)
+}
+
+func (b *bucket) hear(host, incarnation string, count uint64) {
+	before, known := b.seen[host]
+	b.seen[host] = seen{incarnation: incarnation, count: count}
+	if !known {
+		return
+	}
+	more := float64(count)
+	if before.incarnation == incarnation {
+		more -= float64(before.count)
+	}
+	paid := min(b.kept[host], max(more, 0))
+	delete(b.kept, host)
+	b.level -= more - paid
+}
--- /dev/null
+++ b/relayer/answer.go
@@ -0,0 +1,154 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/splitter"
+	"go.uber.org/zap"
+)
+
+const (
+	// maxBody bounds an answer that is held until it is whole, in bytes.
+	maxBody = 8 << 20
+	// maxRefusalBody bounds what is read of a refusal.
+	maxRefusalBody = 64 << 10
+	readSize       = 4 << 10
+)
+
+var (
+	errUnsigned = errors.New("success without the server's signature")
+	errEncoded  = errors.New("answer with an encoding that was not asked for")
+	errTooLong  = errors.New("answer is too long")
+	errPartial  = errors.New("stream ended within an event")
+	errSequence = errors.New("stream does not go on after the last event")
+	errCaller   = errors.New("caller is gone")
+)
+
+// answered passes an answer on, or says what follows it.
+func (u *run) answered(ctx context.Context, t *picker.Ticket, a *conveyor.Answer) (Outcome, bool) {
+	if u.refusal(a) {
+		return u.refused(t, a)
+	}
+	if err := u.check(a); err != nil {
+		return u.failed(ctx, t, &conveyor.BrokenError{Server: t.Server.ID, Err: err})
+	}
+	var err error
+	if a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		err = u.stream(t, a)
+	} else {
+		err = u.pass(a)
+	}
+	switch {
+	case err == nil:
+		u.relayer.options.Ejector.Answered(t.Server.ID)
+		return Delivered{Status: a.Status, Server: t.Server.ID, Servers: u.servers + 1}, false
+	case errors.Is(err, errCaller):
+		return Left{}, false
+	case u.begun && !u.resumable:
+		u.servers++
+		u.judge(t.Server.ID, err)
+		if ctx.Err() != nil {
+			return u.stopped(ctx), false
+		}
+		return BrokenOff{Reason: err.Error()}, false
+	}
+	return u.failed(ctx, t, err)
+}
+
+// check refuses what cannot be the server's own answer.
+func (u *run) check(a *conveyor.Answer) error {
+	names := u.relayer.options.Names
+	switch {
+	case a.Status/100 == 2 && a.Header.Get(names.Signature) == "":
+		return errUnsigned
+	case a.Header.Get("Content-Encoding") != "":
+		return errEncoded
+	case u.begun && a.Status != http.StatusOK:
+		return errors.New("stream was not resumed: " + http.StatusText(a.Status))
+	case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests || a.Status == http.StatusRequestTimeout:
+		return errors.New("refusal that does not say that the call was not run")
+	}
+	return nil
+}
+
+// pass passes an answer on once it is whole.
+func (u *run) pass(a *conveyor.Answer) error {
+	body, err := readAll(a, maxBody)
+	if err != nil {
+		return err
+	}
+	h := a.Header.Clone()
+	RemoveHopHeaders(h)
+	if u.sink.Head(a.Status, h, int64(len(body))) != nil {
+		return errCaller
+	}
+	u.begun = true
+	if len(body) > 0 && u.sink.Write(body) != nil {
+		return errCaller
+	}
+	return nil
+}
+
+func readAll(a *conveyor.Answer, most int) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a, int64(most)+1))
+	if err == nil && len(body) > most {
+		return nil, errTooLong
+	}
+	return body, err
+}
+
+// stream passes events on as they arrive, each one whole.
+func (u *run) stream(t *picker.Ticket, a *conveyor.Answer) error {
+	if !u.begun {
+		h := a.Header.Clone()
+		RemoveHopHeaders(h)
+		if u.sink.Head(a.Status, h, -1) != nil {
+			return errCaller
+		}
+		u.begun = true
+	}
+	if u.mayRepeat() && u.resumable {
+		a.SetSilence(moveAfter)
+	}
+	var s splitter.Splitter
+	buffer := make([]byte, readSize)
+	for {
+		n, err := a.Read(buffer)
+		if n > 0 {
+			u.relayer.options.Ejector.Heard(t.Server.ID)
+			if failed := s.Feed(buffer[:n], u.event); failed != nil {
+				return failed
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			if s.Partial() {
+				return errPartial
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// event passes one event on.
+func (u *run) event(e splitter.Event) error {
+	if u.resumable && e.HasID {
+		if u.lastEvent > 0 && e.ID != u.lastEvent+1 {
+			u.relayer.options.Logger.Warn("event out of order", zap.String("request", u.call.ID), zap.Int64("after", u.lastEvent), zap.Int64("event", e.ID))
+			return errSequence
+		}
+		u.lastEvent = e.ID
+	}
+	if u.sink.Write(e.Raw) != nil {
+		return errCaller
+	}
+	return nil
+}
--- /dev/null
+++ b/relayer/run.go
@@ -0,0 +1,227 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"iter"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
+)
+
+const (
+	// leastTime is how much time a call must have left to be sent.
+	leastTime timer.Millis = 30
+	// retryNoServer and retryCrowded are when a refused caller may return.
+	retryNoServer timer.Millis = 300
+	retryCrowded  timer.Millis = 60
+	// moveAfter is how long a stream that may be resumed waits for the next
+	// event before it goes on at another server.
+	moveAfter = ejector.SilentAfter
+	// maxRefusals bounds the servers that are asked and refuse.
+	maxRefusals = 2
+)
+
+// run is one call under way.
+type run struct {
+	relayer *Relayer
+	call    Call
+	sink    Sink
+	// servers counts those that the call was sent to and may have run at.
+	servers  int
+	refusals int
+	excluded []string
+	// begun says that the head of an answer was passed on, and lastEvent what
+	// was passed on since.
+	begun     bool
+	lastEvent int64
+	resumable bool
+}
+
+// Run carries c out and passes its answer to s. It ends when ctx does.
+func (r *Relayer) Run(ctx context.Context, c Call, s Sink) Outcome {
+	left := c.Deadline - r.options.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, max(left, 0).Duration())
+	defer cancel()
+	u := &run{relayer: r, call: c, sink: s, resumable: c.Route.Resumable}
+	for {
+		o, again := u.attempt(ctx)
+		if !again {
+			return o
+		}
+	}
+}
+
+// attempt sends the call to one server. It returns true when another server
+// should be tried.
+func (u *run) attempt(ctx context.Context) (Outcome, bool) {
+	o := u.relayer.options
+	left := u.call.Deadline - o.Clock.Now()
+	if left < leastTime {
+		return u.over("no time left"), false
+	}
+	ticket, ok := o.Picker.Pick(u.call.Service, selector.Request{Prompt: u.call.Prompt, Excluded: u.excluded})
+	if !ok {
+		return u.given("no server to send to", retryNoServer), false
+	}
+	defer ticket.End()
+	o.Ejector.Begin(ticket.Server.ID)
+	defer o.Ejector.End(ticket.Server.ID)
+	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", ticket.Server.ID),
+		zap.Int("online", ticket.Load.Online), zap.Int("batch", ticket.Load.Batch), zap.Int("tried", len(u.excluded)),
+		zap.Int64("left-ms", int64(left)), zap.Int64("after-event", u.lastEvent))
+	answer, err := o.Conveyor.Send(ctx, u.request(ticket, left), u.patience(ticket, left))
+	if err != nil {
+		return u.failed(ctx, ticket, err)
+	}
+	defer answer.Close()
+	o.Ejector.Heard(ticket.Server.ID)
+	return u.answered(ctx, ticket, answer)
+}
+
+// patience is how long the server may be silent before its first byte.
+func (u *run) patience(t *picker.Ticket, left timer.Millis) timer.Millis {
+	if !u.mayRepeat() {
+		return left
+	}
+	if t.Crowded() {
+		return min(left, ejector.CrowdedSilentAfter)
+	}
+	return min(left, moveAfter)
+}
+
+// mayRepeat says whether the call may be sent to another server after this one.
+func (u *run) mayRepeat() bool {
+	return u.call.Route.Repeatable() && u.servers+1 < u.call.Route.MaxAttempts
+}
+
+func (u *run) request(t *picker.Ticket, left timer.Millis) *conveyor.Request {
+	names := u.relayer.options.Names
+	h := u.call.Header.Clone()
+	h.Set(names.ExpectServer, t.Server.ID)
+	h.Set(names.Deadline, strconv.FormatInt(int64(left), 10))
+	h.Del(names.Workspace)
+	if u.call.Workspace != "" {
+		h.Set(names.Workspace, u.call.Workspace)
+	}
+	if u.lastEvent > 0 {
+		h.Set(names.ResumeAfter, strconv.FormatInt(u.lastEvent, 10))
+	}
+	return &conveyor.Request{
+		Server: t.Server.ID, Address: t.Server.Address, Method: u.call.Method, Target: u.call.Target,
+		Host: u.call.Host, Header: h, Body: u.call.Body, ID: u.call.ID,
+	}
+}
+
+// failed says what follows an exchange without an answer.
+func (u *run) failed(ctx context.Context, t *picker.Ticket, err error) (Outcome, bool) {
+	o := u.relayer.options
+	var notSent *conveyor.NotSentError
+	sent := !errors.As(err, &notSent)
+	if sent {
+		u.servers++
+	}
+	if ctx.Err() != nil {
+		return u.stopped(ctx), false
+	}
+	u.excluded = append(u.excluded, t.Server.ID)
+	u.judge(t.Server.ID, err)
+	o.Logger.Warn("server failed", zap.String("request", u.call.ID), zap.String("server", t.Server.ID), zap.Bool("may-have-run", sent), zap.Error(err))
+	if !sent {
+		u.refusals++
+		return u.given("servers cannot be reached", retryNoServer), u.refusals <= maxRefusals
+	}
+	if u.call.Route.Repeatable() && u.servers < u.call.Route.MaxAttempts {
+		return nil, true
+	}
+	return u.given("the server broke the call off", 0), false
+}
+
+func (u *run) judge(server string, err error) {
+	e := u.relayer.options.Ejector
+	var notSent *conveyor.NotSentError
+	var silent *conveyor.SilentError
+	if errors.As(err, &notSent) || errors.As(err, &silent) {
+		e.Unreachable(server)
+		return
+	}
+	e.Broke(server)
+}
+
+// stopped is the outcome of a call whose context ended.
+func (u *run) stopped(ctx context.Context) Outcome {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return u.over("the call's time is over")
+	}
+	return Left{}
+}
+
+// over is the outcome of a call whose time is over.
+func (u *run) over(reason string) Outcome {
+	if u.begun {
+		return BrokenOff{Reason: reason}
+	}
+	if u.servers == 0 {
+		return NotRun{Reason: reason, RetryAfter: retryNoServer}
+	}
+	return Unknown{Reason: reason, Late: true}
+}
+
+// given is the outcome of a call that no further server is tried for.
+func (u *run) given(reason string, retry timer.Millis) Outcome {
+	switch {
+	case u.begun:
+		return BrokenOff{Reason: reason}
+	case u.servers > 0:
+		return Unknown{Reason: reason}
+	}
+	return NotRun{Reason: reason, RetryAfter: retry}
+}
+
+// refusal says whether an answer promises that the call was not run.
+func (u *run) refusal(a *conveyor.Answer) bool {
+	switch a.Status {
+	case http.StatusMisdirectedRequest:
+		return true
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest:
+		return a.Header.Get(u.relayer.options.Names.NotRun) != ""
+	}
+	return false
+}
+
+// refused says what follows a server's word that it did not run the call.
+func (u *run) refused(t *picker.Ticket, a *conveyor.Answer) (Outcome, bool) {
+	_, _ = readAll(a, maxRefusalBody)
+	u.refusals++
+	u.excluded = append(u.excluded, t.Server.ID)
+	u.relayer.options.Logger.Info("server refused", zap.String("request", u.call.ID), zap.String("server", t.Server.ID),
+		zap.Int("status", a.Status), zap.Int("online", t.Load.Online), zap.Int("batch", t.Load.Batch))
+	if a.Status == http.StatusMisdirectedRequest || u.call.Route.MaxAttempts > u.refusals+u.servers {
+		if u.refusals <= maxRefusals {
+			return nil, true
+		}
+	}
+	o := u.given("servers refused it", retryCrowded)
+	if n, ok := o.(NotRun); ok {
+		n.Crowded = true
+		return n, false
+	}
+	return o, false
+}
+
+func splitList(list string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for part := range strings.SplitSeq(list, ",") {
+			if part = strings.TrimSpace(part); part != "" && !yield(part) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/splitter/splitter.go
@@ -0,0 +1,101 @@
+// Package splitter cuts a stream of server-sent events into whole events.
+package splitter
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxEvent bounds one event, in bytes.
+const maxEvent = 4 << 20
+
+// Event is one whole event as it was sent, its end included.
+type Event struct {
+	Raw []byte
+	// ID is the event's number; HasID is false when it has none.
+	ID    int64
+	HasID bool
+	// Data are the event's data lines, joined by line feeds.
+	Data    []byte
+	HasData bool
+}
+
+// Splitter holds the beginning of an event whose end has not come yet. It is
+// used by one goroutine.
+type Splitter struct{ held []byte }
+
+// Feed takes bytes and calls each for every event that they complete. The bytes
+// of an event are valid until each returns.
+func (s *Splitter) Feed(p []byte, each func(Event) error) error {
+	s.held = append(s.held, p...)
+	used := 0
+	for {
+		end := eventEnd(s.held[used:])
+		if end < 0 {
+			break
+		}
+		raw := s.held[used : used+end]
+		used += end
+		if err := each(parse(raw)); err != nil {
+			return err
+		}
+	}
+	s.held = append(s.held[:0], s.held[used:]...)
+	if len(s.held) > maxEvent {
+		return &TooLongError{Bytes: len(s.held)}
+	}
+	return nil
+}
+
+// Partial says whether an event has begun and not ended.
+func (s *Splitter) Partial() bool { return len(bytes.TrimSpace(s.held)) > 0 }
+
+// TooLongError says that an event is longer than is taken.
+type TooLongError struct{ Bytes int }
+
+func (e *TooLongError) Error() string {
+	return "event of more than " + strconv.Itoa(e.Bytes) + " bytes"
+}
+
+// eventEnd returns the length of the first event with its blank line, or -1.
+func eventEnd(p []byte) int {
+	at := 0
+	for {
+		i := bytes.IndexByte(p[at:], '\n')
+		if i < 0 {
+			return -1
+		}
+		at += i + 1
+		if at < len(p) && p[at] == '\n' {
+			return at + 1
+		}
+		if at+1 < len(p) && p[at] == '\r' && p[at+1] == '\n' {
+			return at + 2
+		}
+	}
+}
+
+func parse(raw []byte) Event {
+	e := Event{Raw: raw}
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok {
+			continue
+		}
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			if n, err := strconv.ParseInt(string(value), 10, 64); err == nil {
+				e.ID, e.HasID = n, true
+			}
+		case "data":
+			if e.HasData {
+				e.Data = append(append(append([]byte(nil), e.Data...), '\n'), value...)
+			} else {
+				e.Data, e.HasData = value, true
+			}
+		}
+	}
+	return e
+}
