--- a/cmd/jackdawgated/host.go
+++ b/cmd/jackdawgated/host.go
@@ -70,6 +70,7 @@
 		MemberKey: platform.MemberKey, GroupKey: platform.GroupKey,
 		RetireStatusKey: platform.RetireStatusKey, RetireStatus: platform.RetireStatus,
 		ReadyPath: platform.ReadyPath, DirectoryPath: platform.DirectoryPath, Addresses: platform.EncodeAddresses,
+		Jobs: platform.JobFormats(),
 	}
 }
 
--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,327 @@
+// Package executor runs the items of batch jobs that a host answers for.
+//
+// One goroutine decides, a few dozen times a second and whenever load changes,
+// which items start and which are evicted; each item runs on a goroutine of its
+// own. The events of an item are kept while the host answers for it, so an item
+// that was evicted or broken off goes on after its last whole event, at any
+// server. A result is listed only once the log has it.
+package executor
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/filler"
+	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
+)
+
+// Group is a group of batch jobs that may be this host's to run.
+type Group struct {
+	Number int
+	Queue  *queuer.Queue
+	// Propose commits a record.
+	Propose func(ctx context.Context, data []byte) error
+}
+
+// Options are the settings of an Executor.
+type Options struct {
+	Host     string
+	Groups   []Group
+	Names    speller.Names
+	Snapshot func() cataloger.Snapshot
+	Digests  func() []gossiper.Digest
+	Picker   *picker.Picker
+	Conveyor *conveyor.Conveyor
+	Ejector  *ejector.Ejector
+	Clock    timer.Clock
+	Logger   *zap.Logger
+	Policy   filler.Policy
+}
+
+// interval is how often the Executor looks at its items without being told.
+const interval timer.Millis = 20
+
+// key names an item among all groups.
+type key struct {
+	group int
+	ref   queuer.Ref
+}
+
+// task is an item that this host runs or has begun to run.
+type task struct {
+	key   key
+	group Group
+	of    *queuer.Job
+
+	// The fields below are guarded by the Executor's mutex.
+	running bool
+	server  string
+	started timer.Millis
+	cancel  context.CancelFunc
+	// notBefore is when the item may be started again.
+	notBefore timer.Millis
+	failures  int
+	breaks    int
+	evicted   int
+	// routeless is since when no route leads to the item.
+	routeless timer.Millis
+
+	// output and last are of the goroutine that runs the item, and between runs
+	// of the deciding one.
+	output []byte
+	events int
+	last   int64
+}
+
+// Executor runs items until Close.
+type Executor struct {
+	options Options
+	touched chan struct{}
+	cancel  context.CancelFunc
+	done    chan struct{}
+	runs    sync.WaitGroup
+
+	mu      sync.Mutex
+	tasks   map[key]*task
+	backlog int
+}
+
+// New returns an Executor that runs until Close.
+func New(o Options) *Executor {
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &Executor{options: o, touched: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), tasks: make(map[key]*task)}
+	go x.run(ctx)
+	return x
+}
+
+// Close evicts all items and waits for them.
+func (x *Executor) Close() {
+	x.cancel()
+	<-x.done
+	x.runs.Wait()
+}
+
+// Touch says that load or items changed.
+func (x *Executor) Touch() {
+	select {
+	case x.touched <- struct{}{}:
+	default:
+	}
+}
+
+// Backlog is how many items could be started now.
+func (x *Executor) Backlog() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.backlog
+}
+
+func (x *Executor) run(ctx context.Context) {
+	defer close(x.done)
+	for ctx.Err() == nil {
+		x.decide(ctx)
+		wait, cancel := context.WithTimeout(ctx, interval.Duration())
+		select {
+		case <-x.touched:
+		case <-wait.Done():
+		}
+		cancel()
+		// Many changes come together; one look serves them.
+		timer.Sleep(ctx, 2)
+	}
+}
+
+// decide starts and evicts items.
+func (x *Executor) decide(ctx context.Context) {
+	s := x.options.Snapshot()
+	if s.Config == nil {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	ready := x.refresh(s)
+	x.backlog = len(ready)
+	byService := make(map[string][]*task)
+	for _, t := range ready {
+		if service, ok := x.serviceOf(s, t); ok {
+			byService[service] = append(byService[service], t)
+		}
+	}
+	for service, list := range byService {
+		x.fill(ctx, s, service, list)
+	}
+	for _, service := range x.servicesInUse(s) {
+		if _, ok := byService[service]; !ok {
+			x.fill(ctx, s, service, nil)
+		}
+	}
+}
+
+// refresh brings the tasks in line with the queues and returns those that could
+// start, those due first first.
+func (x *Executor) refresh(s cataloger.Snapshot) []*task {
+	seen := make(map[key]bool)
+	var ready []*task
+	now := x.options.Clock.Now()
+	for _, g := range x.options.Groups {
+		for _, p := range g.Queue.Pending() {
+			k := key{group: g.Number, ref: p.Ref}
+			seen[k] = true
+			t, ok := x.tasks[k]
+			if !ok {
+				t = &task{key: k, group: g, of: p.Of}
+				x.tasks[k] = t
+			}
+			if !t.running && now >= t.notBefore {
+				ready = append(ready, t)
+			}
+		}
+	}
+	for k, t := range x.tasks {
+		if seen[k] {
+			continue
+		}
+		if t.running {
+			t.cancel()
+		} else {
+			delete(x.tasks, k)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *task) int {
+		if d := a.of.Due() - b.of.Due(); d != 0 {
+			return int(d)
+		}
+		if a.last != b.last {
+			return int(b.last - a.last)
+		}
+		return a.key.ref.Item - b.key.ref.Item
+	})
+	return ready
+}
+
+func (x *Executor) serviceOf(s cataloger.Snapshot, t *task) (string, bool) {
+	r, ok := s.Config.Match(t.of.Host, t.of.Items[t.key.ref.Item].Path)
+	if !ok {
+		x.routeless(t)
+		return "", false
+	}
+	t.routeless = 0
+	// One item in a hundred values picks its service anew at each start.
+	return r.Pick(float64(t.key.ref.Item%100) / 100), true
+}
+
+// giveUpRouteless is how long an item may be without a route.
+const giveUpRouteless = 4 * timer.Second
+
+// routeless gives an item up whose route was taken away.
+func (x *Executor) routeless(t *task) {
+	now := x.options.Clock.Now()
+	switch {
+	case t.routeless == 0:
+		t.routeless = now
+	case now-t.routeless > giveUpRouteless && !t.running:
+		t.running = true
+		t.cancel = func() {}
+		x.runs.Go(func() {
+			x.list(context.Background(), t, queuer.Finished{Job: t.key.ref.Job, Item: t.key.ref.Item, Dead: true}, "no route")
+		})
+	}
+}
+
+// servicesInUse are the services at whose servers items of this host run.
+func (x *Executor) servicesInUse(s cataloger.Snapshot) []string {
+	var out []string
+	for _, t := range x.tasks {
+		if v, ok := s.Servers[t.server]; t.running && ok && !slices.Contains(out, v.Service) {
+			out = append(out, v.Service)
+		}
+	}
+	return out
+}
+
+// fill starts items of one service and evicts others.
+func (x *Executor) fill(ctx context.Context, s cataloger.Snapshot, service string, ready []*task) {
+	digests := x.options.Digests()
+	in := filler.Input{Self: x.options.Host, Backlogs: map[string]int{x.options.Host: len(ready)}, Policy: x.options.Policy}
+	for _, d := range digests {
+		in.Backlogs[d.Host] = d.Backlog
+	}
+	mine := x.options.Picker.Loads()
+	servers := make(map[string]cataloger.Server)
+	for _, c := range x.options.Picker.Candidates(service) {
+		v := filler.Server{
+			ID: c.Server.ID, Slots: picker.Slots(s, c.Server), Online: c.Online,
+			Closed: c.Server.Draining || !c.Usable, Batch: map[string]int{},
+		}
+		if n := mine[v.ID].Batch; n > 0 {
+			v.Batch[x.options.Host] = n
+		}
+		for _, d := range digests {
+			if n := d.Loads[v.ID].Batch; n > 0 {
+				v.Batch[d.Host] = n
+			}
+		}
+		servers[v.ID] = c.Server
+		in.Servers = append(in.Servers, v)
+	}
+	start, evict := filler.Plan(in)
+	for id, n := range evict {
+		x.evict(id, n)
+	}
+	for id, n := range start {
+		for range n {
+			if len(ready) == 0 {
+				return
+			}
+			x.start(ctx, ready[0], servers[id])
+			ready = ready[1:]
+		}
+	}
+}
+
+// evict cancels the items at a server that are due last and have least to lose.
+func (x *Executor) evict(server string, n int) {
+	var there []*task
+	for _, t := range x.tasks {
+		if t.running && t.server == server && t.evicted == 0 {
+			there = append(there, t)
+		}
+	}
+	slices.SortFunc(there, func(a, b *task) int {
+		if d := b.of.Due() - a.of.Due(); d != 0 {
+			return int(d)
+		}
+		return int(b.started - a.started)
+	})
+	for _, t := range there[:min(n, len(there))] {
+		t.evicted++
+		t.cancel()
+		x.options.Logger.Info("item evicted", zap.String("item", t.item().ID), zap.String("job", t.key.ref.Job), zap.String("server", server))
+	}
+}
+
+func (t *task) item() *queuer.Item { return &t.of.Items[t.key.ref.Item] }
+
+func (x *Executor) start(ctx context.Context, t *task, v cataloger.Server) {
+	ctx, cancel := context.WithCancel(ctx)
+	t.running, t.server, t.cancel, t.evicted = true, v.ID, cancel, 0
+	t.started = x.options.Clock.Now()
+	ticket := x.options.Picker.Take(v)
+	x.runs.Go(func() {
+		defer cancel()
+		x.execute(ctx, t, v, ticket)
+	})
+}
+
+// wall is the time of day in Unix milliseconds.
+func wall() int64 { return time.Now().UnixMilli() }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -6,10 +6,10 @@
 // question was sent is missing from it. So the age of Snapshot.Confirmed bounds
 // how old a withdrawn key or a changed route can be that is still honoured.
 //
-// While the store is away, entries of servers may run out though the servers
-// live. A server whose entry went without a notice to drain is kept until
-// ReturnGrace after the store answers again; its owner has renewed the entry by
-// then, or is gone.
+// While the store is away, entries of servers and hosts may run out though they
+// live. One whose entry went without a notice to drain or leave is kept until
+// ReturnGrace after the store answers again; the entry has been renewed by then,
+// or its writer is gone.
 package follower
 
 import (
@@ -103,6 +103,12 @@
 	mostRetry  timer.Millis = 400
 )
 
+// entry names a server, by its identifier, or a host.
+type entry struct {
+	host bool
+	name string
+}
+
 // Follower publishes Snapshots. Its methods are safe for concurrent use.
 type Follower struct {
 	options Options
@@ -113,9 +119,9 @@
 	// The fields below belong to the goroutine run.
 	cursor storer.Revision
 	loaded bool
-	// vanished has servers whose entries went while the store may have been
-	// away, with the instant until which they are kept.
-	vanished map[string]timer.Millis
+	// vanished has servers and hosts whose entries went while the store may have
+	// been away, with the instant until which they are kept.
+	vanished map[entry]timer.Millis
 	// returned is when the store last came back.
 	returned timer.Millis
 
@@ -125,7 +131,7 @@
 
 // New returns a Follower that runs until Close.
 func New(o Options) *Follower {
-	f := &Follower{options: o.withDefaults(), done: make(chan struct{}), vanished: make(map[string]timer.Millis)}
+	f := &Follower{options: o.withDefaults(), done: make(chan struct{}), vanished: make(map[entry]timer.Millis)}
 	f.current.Store(&cataloger.Snapshot{})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -221,7 +227,13 @@
 	for id, v := range s.Servers {
 		if _, ok := fresh.Servers[id]; !ok && !v.Draining && f.mayBeOutage(s) {
 			fresh = fresh.WithServer(v)
-			f.keepVanished(id)
+			f.keepVanished(entry{name: id})
+		}
+	}
+	for name, m := range s.Members {
+		if _, ok := fresh.Members[name]; !ok && !m.Leaving && f.mayBeOutage(s) {
+			fresh = fresh.WithMember(m)
+			f.keepVanished(entry{host: true, name: name})
 		}
 	}
 	f.cursor, f.loaded = from, true
@@ -254,9 +266,10 @@
 	case ConfigFact:
 		return s.WithConfig(t.Config)
 	case ServerFact:
-		delete(f.vanished, t.Server.ID)
+		delete(f.vanished, entry{name: t.Server.ID})
 		return s.WithServer(t.Server)
 	case MemberFact:
+		delete(f.vanished, entry{host: true, name: t.Member.Name})
 		return s.WithMember(t.Member)
 	case GroupFact:
 		return s.WithGroup(t.Number, t.Group)
@@ -274,7 +287,7 @@
 	case ServerFact:
 		return f.serverRemoved(s, name)
 	case MemberFact:
-		return s.WithoutMember(name)
+		return f.memberRemoved(s, name)
 	case RetireFact:
 		return s.WithRetiring(name, false)
 	case ConfigFact, GroupFact, OtherFact:
@@ -290,7 +303,16 @@
 	if v.Draining || !f.mayBeOutage(s) {
 		return s.WithoutServer(id)
 	}
-	f.keepVanished(id)
+	f.keepVanished(entry{name: id})
+	return s
+}
+
+func (f *Follower) memberRemoved(s cataloger.Snapshot, name string) cataloger.Snapshot {
+	m, ok := s.Members[name]
+	if !ok || m.Leaving || !f.mayBeOutage(s) {
+		return s.WithoutMember(name)
+	}
+	f.keepVanished(entry{host: true, name: name})
 	return s
 }
 
@@ -301,20 +323,25 @@
 	return now-s.Confirmed > f.options.OutageAfter || (f.returned != 0 && now-f.returned < f.options.ReturnGrace)
 }
 
-func (f *Follower) keepVanished(id string) {
-	if _, ok := f.vanished[id]; !ok {
-		f.vanished[id] = f.options.Clock.Now() + f.options.ReturnGrace
+func (f *Follower) keepVanished(e entry) {
+	if _, ok := f.vanished[e]; !ok {
+		f.vanished[e] = f.options.Clock.Now() + f.options.ReturnGrace
 	}
 }
 
-// withoutVanished drops servers that did not come back in time.
+// withoutVanished drops entries that did not come back in time.
 func (f *Follower) withoutVanished(s cataloger.Snapshot) cataloger.Snapshot {
 	now := f.options.Clock.Now()
-	for id, until := range f.vanished {
-		if now >= until {
-			delete(f.vanished, id)
-			s = s.WithoutServer(id)
-			f.options.Logger.Info("server did not come back after the store did", zap.String("server", id))
+	for e, until := range f.vanished {
+		if now < until {
+			continue
+		}
+		delete(f.vanished, e)
+		f.options.Logger.Info("entry did not come back after the store did", zap.String("name", e.name), zap.Bool("host-entry", e.host))
+		if e.host {
+			s = s.WithoutMember(e.name)
+		} else {
+			s = s.WithoutServer(e.name)
 		}
 	}
 	return s
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -1,28 +1,199 @@
 package hoster
 
 import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/jackdawgate/jackdawgate/broker"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/checker"
+	"github.com/jackdawgate/jackdawgate/executor"
+	"github.com/jackdawgate/jackdawgate/filler"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/mirrorer"
+	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
 
+// batchPolicy says how many slots of a server batch items leave free.
+var batchPolicy = filler.Policy{FillFree: 3, EvictFree: 1}
+
 // BulkHost keeps and runs batch jobs.
-type BulkHost struct{ *base }
+type BulkHost struct {
+	*base
+	fleet    *bulkFleet
+	replicas []*mirrorer.Replica
+	queues   []*queuer.Queue
+	desk     *broker.Desk
+	executor *executor.Executor
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
 
 // NewBulkHost starts a bulk host.
 func NewBulkHost(s checker.MemberSettings, p Platform, l *zap.Logger) (*BulkHost, error) {
-	h := &BulkHost{}
+	h := &BulkHost{done: make(chan struct{})}
+	disk, err := openDisk(s.Disk.Folder)
+	if err != nil {
+		return nil, err
+	}
 	started := make(chan struct{})
-	defer close(started)
-	b, err := newBase(s, p, l, cataloger.Member{Role: cataloger.Bulk},
-		func() gossiper.Digest { <-started; return h.digest() }, func(gossiper.Digest) {})
+	b, err := newBase(s, p, l, cataloger.Member{Role: cataloger.Bulk, Disk: disk},
+		func() gossiper.Digest { <-started; return h.digest() }, func(gossiper.Digest) { <-started; h.executor.Touch() })
 	if err != nil {
 		return nil, err
 	}
 	h.base = b
+	h.fleet = newBulkFleet(b, s.Disk.Losses)
+	if err := h.open(disk); err != nil {
+		return nil, err
+	}
+	mirrorer.Serve(b.messenger, h.replica)
+	h.desk = broker.NewDesk(h.seats(), b.gossiper.Digests, b.messenger, l)
+	h.executor = executor.New(executor.Options{
+		Host: b.member.Name, Groups: h.groups(), Names: p.Names, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests,
+		Picker: b.picker, Conveyor: b.conveyor, Ejector: b.ejector, Clock: b.clock, Logger: l, Policy: batchPolicy,
+	})
+	close(started)
+	b.serve()
+	b.follower.Notify(h.setGroups)
+	h.setGroups(b.follower.Snapshot())
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	go h.desk.Expire(ctx, s.Bounds.Keep, timer.Wall)
+	go h.reportRetirement(ctx)
 	return h, nil
 }
 
-// Stop ends the host gracefully.
-func (h *BulkHost) Stop() { h.close() }
+// openDisk returns the name of the disk, which it is given when it is empty.
+func openDisk(folder string) (string, error) {
+	path := filepath.Join(folder, "disk-id")
+	b, err := os.ReadFile(path)
+	if name := strings.TrimSpace(string(b)); err == nil && name != "" {
+		return name, nil
+	}
+	if err != nil && !os.IsNotExist(err) {
+		return "", eris.Wrap(err, "read name of disk")
+	}
+	name := uuid.NewString()
+	f, err := os.Create(path)
+	if err != nil {
+		return "", eris.Wrap(err, "name disk")
+	}
+	defer f.Close()
+	if _, err := f.WriteString(name + "\n"); err != nil {
+		return "", eris.Wrap(err, "name disk")
+	}
+	return name, eris.Wrap(f.Sync(), "name disk")
+}
+
+// open opens the logs of all groups.
+func (h *BulkHost) open(disk string) error {
+	for n := range broker.Groups {
+		name := fmt.Sprintf("group-%d", n)
+		log, err := mirrorer.OpenLog(filepath.Join(h.settings.Disk.Folder, name+".log"), name)
+		if err != nil {
+			return err
+		}
+		q := queuer.New(h.logger, h.changed)
+		h.queues = append(h.queues, q)
+		h.replicas = append(h.replicas, mirrorer.New(mirrorer.Options{
+			Group: n, Disk: disk, Incarnation: h.member.Incarnation, Log: log, Machine: q,
+			Ledger: h.platform.Ledger, Key: h.platform.GroupKey(n), Caller: h.messenger,
+			View: h.fleet.view, Address: h.fleet.address, Clock: h.clock, Logger: h.logger,
+		}))
+	}
+	return nil
+}
+
+// changed is called when a queue changed.
+func (h *BulkHost) changed() {
+	h.gossiper.Touch()
+	if h.executor != nil {
+		h.executor.Touch()
+	}
+}
+
+func (h *BulkHost) replica(group int) (*mirrorer.Replica, bool) {
+	if group < 0 || group >= len(h.replicas) {
+		return nil, false
+	}
+	return h.replicas[group], true
+}
+
+func (h *BulkHost) groups() []executor.Group {
+	var out []executor.Group
+	for n, r := range h.replicas {
+		out = append(out, executor.Group{Number: n, Queue: h.queues[n], Propose: r.Propose})
+	}
+	return out
+}
+
+func (h *BulkHost) seats() []broker.Seat {
+	var out []broker.Seat
+	for n, g := range h.groups() {
+		out = append(out, broker.Seat{Group: g, Serving: h.replicas[n].Serving})
+	}
+	return out
+}
+
+// setGroups tells the replicas of their manifests.
+func (h *BulkHost) setGroups(s cataloger.Snapshot) {
+	if s.Config == nil {
+		return
+	}
+	for n, r := range h.replicas {
+		r.SetGroup(s.Groups[n])
+	}
+}
+
+func (h *BulkHost) digest() gossiper.Digest {
+	d := h.base.digest()
+	d.Backlog = h.executor.Backlog()
+	d.Waiting = make(map[string]int64)
+	for n, q := range h.queues {
+		if !q.Serving() {
+			continue
+		}
+		d.Groups = append(d.Groups, n)
+		for key, tokens := range q.Waiting() {
+			d.Waiting[key.String()] += tokens
+		}
+	}
+	return d
+}
+
+// leavePatience is how long a leaving host waits for others to take its groups.
+const leavePatience timer.Millis = 3000
+
+// Stop ends the host gracefully: its groups are given to others first.
+func (h *BulkHost) Stop() {
+	h.logger.Info("leaving", zap.Int64("grace-ms", int64(h.settings.Bounds.Grace)))
+	h.fleet.leave()
+	h.leave()
+	until := h.clock.Now() + min(leavePatience, h.settings.Bounds.Grace/2)
+	for h.clock.Now() < until && h.answersForAny() {
+		timer.Sleep(context.Background(), 20)
+	}
+	h.cancel()
+	h.executor.Close()
+	for _, r := range h.replicas {
+		r.Close()
+	}
+	h.close()
+}
+
+func (h *BulkHost) answersForAny() bool {
+	for _, q := range h.queues {
+		if q.Serving() {
+			return true
+		}
+	}
+	return false
+}
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/broker"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/checker"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
@@ -64,12 +65,16 @@
 	})
 	e.gatekeeper = gatekeeper.New(gatekeeper.Options{
 		Names: p.Names, Snapshot: b.follower.Snapshot, Relay: relay, Rationer: e.rationer, Clock: b.clock, Logger: l,
-		Jobs:       &jobClient{base: b, formats: p.Jobs},
+		Jobs: broker.New(broker.Options{
+			Formats: p.Jobs, Caller: b.messenger, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests,
+			Clock: b.clock, Wall: timer.Wall, Logger: l,
+		}),
 		Permission: timer.Millis(float64(s.Bounds.Revoke) * permissionShare),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	go e.watchPeers(ctx)
+	b.serve()
 	return e, e.listen()
 }
 
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/broker"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/checker"
 	"github.com/jackdawgate/jackdawgate/conveyor"
@@ -47,7 +48,7 @@
 	// Addresses encodes the answer to a caller that asks where to connect.
 	Addresses func(addresses []string, keep timer.Millis) ([]byte, error)
 	// Jobs are the formats of messages about batch jobs.
-	Jobs JobFormats
+	Jobs broker.Formats
 }
 
 // memoryShare is the part of a host's memory that the heap may fill before the
@@ -66,6 +67,7 @@
 	enroller  *enroller.Enroller
 	gossiper  *gossiper.Gossiper
 	messenger *messenger.Host
+	streams   net.Listener
 	ejector   *ejector.Ejector
 	picker    *picker.Picker
 	conveyor  *conveyor.Conveyor
@@ -102,16 +104,21 @@
 		Self: messenger.Peer{Name: m.Name, Incarnation: m.Incarnation}, Logger: l,
 		DialTimeout: 500, IdleTimeout: 1200, PingInterval: 300,
 	})
-	go func() {
-		if err := b.messenger.Serve(streams); err != nil {
-			l.Error("peers are no longer served", zap.Error(err))
-		}
-	}()
+	b.streams = streams
 	b.follower.Notify(b.forgetServers)
 	b.enroller = enroller.New(enroller.Options{Ledger: p.Ledger, Key: p.MemberKey(m.Name), TTL: s.Store.LeaseTTL, Logger: l}, m)
 	return b, nil
 }
 
+// serve takes calls of other hosts. All handlers are registered before.
+func (b *base) serve() {
+	go func() {
+		if err := b.messenger.Serve(b.streams); err != nil {
+			b.logger.Error("peers are no longer served", zap.Error(err))
+		}
+	}()
+}
+
 // newIncarnation returns a name that is later in order for later starts.
 func newIncarnation() string {
 	return fmt.Sprintf("%012x%04x", time.Now().UnixMilli(), rand.Uint32()&0xffff)
--- /dev/null
+++ b/hoster/retire.go
@@ -0,0 +1,55 @@
+package hoster
+
+import (
+	"context"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
+)
+
+// retireInterval is how often a host that is to be emptied says how far it is.
+const retireInterval timer.Millis = 200
+
+// reportRetirement tells operators, when they ask that this host be emptied, how
+// far that is: it is empty when no manifest names its disk.
+func (h *BulkHost) reportRetirement(ctx context.Context) {
+	defer close(h.done)
+	reported, empty := false, false
+	for timer.Sleep(ctx, retireInterval) {
+		s := h.follower.Snapshot()
+		if !s.Retiring[h.member.Name] {
+			reported = false
+			continue
+		}
+		now := h.holdsNothing(s)
+		if reported && now == empty {
+			continue
+		}
+		if err := h.report(ctx, now); err != nil {
+			h.logger.Warn("state of emptying not written", zap.Error(err))
+			continue
+		}
+		h.logger.Info("state of emptying written", zap.Bool("empty", now))
+		reported, empty = true, now
+	}
+}
+
+func (h *BulkHost) holdsNothing(s cataloger.Snapshot) bool {
+	for _, g := range s.Groups {
+		if g.Holds(h.member.Disk) || g.Owner == h.member.Disk {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *BulkHost) report(ctx context.Context, empty bool) error {
+	ctx, cancel := context.WithTimeout(ctx, timer.Second.Duration())
+	defer cancel()
+	_, err := h.platform.Ledger.Commit(ctx, storer.Transaction{
+		Set: []storer.Item{{Key: h.platform.RetireStatusKey(h.member.Name), Value: h.platform.RetireStatus(empty)}},
+	})
+	return err
+}
--- /dev/null
+++ b/queuer/queuer.go
@@ -0,0 +1,314 @@
+// Package queuer is the state of one group of batch jobs, as its log tells it.
+//
+// Applying a record more than once, or one that comes too late, changes nothing:
+// the first acceptance of a job, the first result of an item and the first end
+// count. So whoever does not know whether a record was committed may propose it
+// again. Results keep their position and content for as long as the job is kept.
+package queuer
+
+import (
+	"slices"
+	"sync"
+
+	"go.uber.org/zap"
+)
+
+// Result is a listed result.
+type Result struct {
+	_      struct{} `cbor:",toarray"`
+	Item   string
+	Dead   bool
+	Output []byte
+}
+
+// Ref names an item within a group.
+type Ref struct {
+	Job  string
+	Item int
+}
+
+// Pending is an item that has no result.
+type Pending struct {
+	Ref
+	// Of is the item's job; it must not be changed.
+	Of *Job
+}
+
+// QueueKey names what may wait of a workspace on a route.
+type QueueKey struct{ Workspace, Route string }
+
+// String is the key as hosts tell one another.
+func (k QueueKey) String() string { return k.Workspace + "\x00" + k.Route }
+
+// kept is a job with what became of it. The Job is replaced, never changed, so
+// that whoever runs an item may read it.
+type kept struct {
+	job     *Job
+	results []Result
+	done    []bool
+	ended   bool
+	// news is closed and replaced with each result.
+	news chan struct{}
+}
+
+func (k *kept) open() bool { return !k.ended && len(k.results) < len(k.job.Items) }
+
+// Queue implements mirrorer.Machine. It is safe for concurrent use.
+type Queue struct {
+	logger  *zap.Logger
+	changed func()
+
+	mu      sync.Mutex
+	jobs    map[string]*kept
+	serving bool
+	// reserved are tokens of jobs whose acceptance is under way.
+	reserved map[QueueKey]int64
+}
+
+// New returns an empty Queue. changed is called after each change.
+func New(l *zap.Logger, changed func()) *Queue {
+	return &Queue{logger: l, changed: changed, jobs: make(map[string]*kept), reserved: make(map[QueueKey]int64)}
+}
+
+// Reset implements mirrorer.Machine.
+func (q *Queue) Reset() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.jobs, q.serving = make(map[string]*kept), false
+}
+
+// Opened implements mirrorer.Machine.
+func (q *Queue) Opened() {
+	q.mu.Lock()
+	q.serving = true
+	q.mu.Unlock()
+	q.changed()
+}
+
+// Ended implements mirrorer.Machine.
+func (q *Queue) Ended() {
+	q.mu.Lock()
+	q.serving = false
+	for _, k := range q.jobs {
+		close(k.news)
+		k.news = make(chan struct{})
+	}
+	q.mu.Unlock()
+	q.changed()
+}
+
+// Apply implements mirrorer.Machine.
+func (q *Queue) Apply(data []byte) {
+	r, err := Decode(data)
+	if err != nil {
+		q.logger.Error("unreadable record in the log", zap.Error(err))
+		return
+	}
+	q.mu.Lock()
+	q.apply(r)
+	q.mu.Unlock()
+	q.changed()
+}
+
+func (q *Queue) apply(r Record) {
+	switch t := r.(type) {
+	case Accepted:
+		if _, ok := q.jobs[t.Job.ID]; !ok {
+			q.jobs[t.Job.ID] = &kept{job: &t.Job, done: make([]bool, len(t.Job.Items)), news: make(chan struct{})}
+		}
+	case Finished:
+		q.finish(t)
+	case Ended:
+		if k, ok := q.jobs[t.Job]; ok {
+			k.ended = true
+			k.dropBodies(func(int) bool { return true })
+		}
+	case Dropped:
+		delete(q.jobs, t.Job)
+	}
+}
+
+func (q *Queue) finish(f Finished) {
+	k, ok := q.jobs[f.Job]
+	if !ok || f.Item >= len(k.done) || k.done[f.Item] {
+		return
+	}
+	k.done[f.Item] = true
+	k.results = append(k.results, Result{Item: k.job.Items[f.Item].ID, Dead: f.Dead, Output: f.Output})
+	k.dropBodies(func(i int) bool { return i == f.Item })
+	close(k.news)
+	k.news = make(chan struct{})
+}
+
+// dropBodies forgets the bodies of items that are not run any more.
+func (k *kept) dropBodies(of func(item int) bool) {
+	j := *k.job
+	j.Items = slices.Clone(j.Items)
+	for i := range j.Items {
+		if of(i) {
+			j.Items[i].Body = nil
+		}
+	}
+	k.job = &j
+}
+
+// Serving says whether this host answers for the group.
+func (q *Queue) Serving() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.serving
+}
+
+// Has says whether a job is kept, and whose it is.
+func (q *Queue) Has(job string) (workspace string, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	k, ok := q.jobs[job]
+	if !ok {
+		return "", false
+	}
+	return k.job.Workspace, true
+}
+
+// Open says whether a job may still get results.
+func (q *Queue) Open(job string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	k, ok := q.jobs[job]
+	return ok && k.open()
+}
+
+// Results are the results of a job from a position on.
+type Results struct {
+	_       struct{} `cbor:",toarray"`
+	Total   int
+	Next    int
+	Results []Result
+}
+
+// Results returns the results of a job from a position on, as many as fit into
+// most bytes and one at least. news is closed when there are more; it is nil
+// when no more will come.
+func (q *Queue) Results(job string, from, most int) (r Results, news <-chan struct{}, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	k, ok := q.jobs[job]
+	if !ok {
+		return Results{}, nil, false
+	}
+	r = Results{Total: len(k.job.Items), Next: from}
+	bytes := 0
+	for _, v := range k.results[min(from, len(k.results)):] {
+		bytes += len(v.Output)
+		if bytes > most && len(r.Results) > 0 {
+			break
+		}
+		r.Results = append(r.Results, v)
+		r.Next++
+	}
+	if k.open() {
+		news = k.news
+	}
+	return r, news, true
+}
+
+// Body returns the body of an item that has no result and whose job is open.
+func (q *Queue) Body(job, item string) ([]byte, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	k, ok := q.jobs[job]
+	if !ok || k.ended {
+		return nil, false
+	}
+	for i := range k.job.Items {
+		if k.job.Items[i].ID == item && !k.done[i] {
+			return k.job.Items[i].Body, true
+		}
+	}
+	return nil, false
+}
+
+// Pending lists the items that are to be run, if this host answers for them.
+func (q *Queue) Pending() []Pending {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.serving {
+		return nil
+	}
+	var out []Pending
+	for id, k := range q.jobs {
+		if !k.open() {
+			continue
+		}
+		for i, done := range k.done {
+			if !done {
+				out = append(out, Pending{Ref: Ref{Job: id, Item: i}, Of: k.job})
+			}
+		}
+	}
+	return out
+}
+
+// Runs says whether an item is still to be run here.
+func (q *Queue) Runs(r Ref) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	k, ok := q.jobs[r.Job]
+	return ok && q.serving && !k.ended && !k.done[r.Item]
+}
+
+// Waiting are the tokens of items without a result, by workspace and route,
+// with those whose acceptance is under way.
+func (q *Queue) Waiting() map[QueueKey]int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make(map[QueueKey]int64)
+	if !q.serving {
+		return out
+	}
+	for _, k := range q.jobs {
+		if !k.open() {
+			continue
+		}
+		key := QueueKey{Workspace: k.job.Workspace, Route: k.job.Route}
+		for i, done := range k.done {
+			if !done {
+				out[key] += k.job.Items[i].Tokens
+			}
+		}
+	}
+	for key, n := range q.reserved {
+		out[key] += n
+	}
+	return out
+}
+
+// Reserve counts the tokens of a job whose acceptance begins; the function that
+// it returns ends that.
+func (q *Queue) Reserve(key QueueKey, tokens int64) func() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.reserved[key] += tokens
+	return func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if q.reserved[key] -= tokens; q.reserved[key] == 0 {
+			delete(q.reserved, key)
+		}
+	}
+}
+
+// Expired lists jobs that were submitted before an instant, in Unix
+// milliseconds, and get no more results.
+func (q *Queue) Expired(before int64) []string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []string
+	for id, k := range q.jobs {
+		if q.serving && !k.open() && k.job.Submitted < before {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/queuer/record.go
@@ -0,0 +1,118 @@
+package queuer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
+)
+
+// Item is one request of a batch job.
+type Item struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Path    string
+	Headers map[string]string
+	Body    []byte
+	// Tokens are those of the prompt and the most that may be made.
+	Tokens int64
+}
+
+// Job is a batch job as it was accepted.
+type Job struct {
+	_         struct{} `cbor:",toarray"`
+	ID        string
+	Workspace string
+	// Route is the name of the route, Host what callers call it by.
+	Route, Host string
+	// Submitted is when it was accepted, in Unix milliseconds.
+	Submitted int64
+	// RunObjective is how long after Submitted all results are due, Retention
+	// after which an item may be given up.
+	RunObjective, Retention timer.Millis
+	// MaxAttempts is how often an item may fail at servers.
+	MaxAttempts int
+	Items       []Item
+}
+
+// Tokens are those of all items.
+func (j *Job) Tokens() int64 {
+	var n int64
+	for i := range j.Items {
+		n += j.Items[i].Tokens
+	}
+	return n
+}
+
+// Due is when the results are due, in Unix milliseconds.
+func (j *Job) Due() int64 { return j.Submitted + int64(j.RunObjective) }
+
+// Record is an entry of a group's log.
+type Record interface{ record() }
+
+// Accepted takes a job in.
+type Accepted struct{ Job Job }
+
+// Finished lists the result of an item at the next position of its job.
+type Finished struct {
+	Job string
+	// Item is the item's place in the job.
+	Item int
+	// Dead says that the item was given up.
+	Dead   bool
+	Output []byte
+}
+
+// Ended ends a job: what has no result is not run any more.
+type Ended struct{ Job string }
+
+// Dropped forgets a job.
+type Dropped struct{ Job string }
+
+func (Accepted) record() {}
+func (Finished) record() {}
+func (Ended) record()    {}
+func (Dropped) record()  {}
+
+// envelope is a Record as it is stored: one field is set.
+type envelope struct {
+	Accepted *Accepted `cbor:"1,keyasint,omitempty"`
+	Finished *Finished `cbor:"2,keyasint,omitempty"`
+	Ended    *Ended    `cbor:"3,keyasint,omitempty"`
+	Dropped  *Dropped  `cbor:"4,keyasint,omitempty"`
+}
+
+// Encode returns r as it is stored.
+func Encode(r Record) ([]byte, error) {
+	var e envelope
+	switch t := r.(type) {
+	case Accepted:
+		e.Accepted = &t
+	case Finished:
+		e.Finished = &t
+	case Ended:
+		e.Ended = &t
+	case Dropped:
+		e.Dropped = &t
+	}
+	b, err := cbor.Marshal(e)
+	return b, eris.Wrap(err, "encode record")
+}
+
+// Decode returns the Record that Encode was given.
+func Decode(data []byte) (Record, error) {
+	var e envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return nil, eris.Wrap(err, "decode record")
+	}
+	switch {
+	case e.Accepted != nil:
+		return *e.Accepted, nil
+	case e.Finished != nil:
+		return *e.Finished, nil
+	case e.Ended != nil:
+		return *e.Ended, nil
+	case e.Dropped != nil:
+		return *e.Dropped, nil
+	}
+	return nil, eris.New("record of no kind")
+}
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -151,11 +151,11 @@
 // refill adds what the rate gave since the last time, less what is kept for
 // hosts that are not heard.
 func (b *bucket) refill(now timer.Millis, peers []Peer) {
-	seconds := float64(now-b.at) / float64(timer.Second)
-	b.at = now
-	if seconds <= 0 || b.limit.Rate == 0 {
+	if b.limit.Rate == 0 || now <= b.at {
 		return
 	}
+	seconds := float64(now-b.at) / float64(timer.Second)
+	b.at = now
 	part := b.limit.Rate / float64(len(peers)+1)
 	silent := 0
 	for _, p := range peers {
