Save running items' output in the log; fill all but two slots

Cause: an ownership change lost all that running items had put out, and three free slots left batch less room (19 slots on average) than it needs (25).

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -54,7 +54,7 @@
 // execute runs an item once and does what follows.
 func (x *Executor) execute(ctx context.Context, t *task, v cataloger.Server, ticket *picker.Ticket) {
 	item := t.item()
-	x.options.Logger.Info("item sent", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID), zap.Int64("after-event", t.last))
+	x.options.Logger.Info("item sent", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID), zap.Int("events", t.begun()))
 	x.options.Ejector.Begin(v.ID)
 	e := x.exchange(ctx, t, v)
 	x.options.Ejector.End(v.ID)
@@ -62,7 +62,7 @@
 	f := queuer.Finished{Job: t.key.ref.Job, Item: t.key.ref.Item}
 	switch o := e.(type) {
 	case complete:
-		f.Output = t.output
+		f.From, f.Output = t.rest()
 		x.list(ctx, t, f, "completed")
 	case dead:
 		f.Dead = true
@@ -71,7 +71,7 @@
 		x.afterFailure(ctx, t, f, o)
 	case again:
 		x.options.Logger.Info("item stopped", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID),
-			zap.String("reason", o.reason), zap.Int64("after-event", t.last))
+			zap.String("reason", o.reason), zap.Int("events", t.begun()))
 		x.rest(t, o)
 	}
 }
@@ -121,7 +121,7 @@
 		cancel()
 		if err == nil {
 			x.options.Logger.Info("item listed", zap.String("item", t.item().ID), zap.String("job", f.Job), zap.Bool("dead", f.Dead),
-				zap.String("reason", reason), zap.Int("events", t.events), zap.Int64("before-due-ms", t.of.Due()-wall()))
+				zap.String("reason", reason), zap.Int("events", t.begun()), zap.Int64("before-due-ms", t.of.Due()-wall()))
 			return
 		}
 		var notOwner *mirrorer.NotOwnerError
@@ -152,8 +152,8 @@
 	if t.of.Workspace != "" {
 		h.Set(names.Workspace, t.of.Workspace)
 	}
-	if t.last > 0 {
-		h.Set(names.ResumeAfter, strconv.FormatInt(t.last, 10))
+	if _, last := t.done(); last > 0 {
+		h.Set(names.ResumeAfter, strconv.FormatInt(last, 10))
 	}
 	return &conveyor.Request{
 		Server: v.ID, Address: v.Address, Method: http.MethodPost, Target: item.Path, Host: t.of.Host,
@@ -240,6 +240,8 @@
 
 // event adds one event to the output.
 func (t *task) event(e splitter.Event) error {
+	t.putMu.Lock()
+	defer t.putMu.Unlock()
 	if e.HasID {
 		if t.last > 0 && e.ID != t.last+1 {
 			return errSequence
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -76,11 +76,24 @@
 	// routeless is since when no route leads to the item.
 	routeless timer.Millis
 
-	// output and last are of the goroutine that runs the item, and between runs
-	// of the deciding one.
+	progress
+}
+
+// progress is what an item has put out. Its own mutex guards it.
+type progress struct {
+	putMu  sync.Mutex
 	output []byte
 	events int
 	last   int64
+	// saved is how many bytes of output are known to be in the log.
+	saved int
+}
+
+// done returns how many events were put out, and the number of the last one.
+func (p *progress) done() (events int, last int64) {
+	p.putMu.Lock()
+	defer p.putMu.Unlock()
+	return p.events, p.last
 }
 
 // Executor runs items until Close.
@@ -101,6 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Executor{options: o, touched: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), tasks: make(map[key]*task)}
 	go x.run(ctx)
+	x.runs.Go(func() { x.saveForever(ctx) })
 	return x
 }
 
@@ -180,6 +194,7 @@
 			t, ok := x.tasks[k]
 			if !ok {
 				t = &task{key: k, group: g, of: p.Of}
+				t.output, t.events, t.last, t.saved = slices.Clone(p.Saved.Output), p.Saved.Events, p.Saved.Last, len(p.Saved.Output)
 				x.tasks[k] = t
 			}
 			if !t.running && now >= t.notBefore {
@@ -201,14 +216,20 @@
 		if d := a.of.Due() - b.of.Due(); d != 0 {
 			return int(d)
 		}
-		if a.last != b.last {
-			return int(b.last - a.last)
+		if a, b := a.begun(), b.begun(); a != b {
+			return b - a
 		}
 		return a.key.ref.Item - b.key.ref.Item
 	})
 	return ready
 }
 
+// begun is how many events the item has put out.
+func (t *task) begun() int {
+	events, _ := t.done()
+	return events
+}
+
 func (x *Executor) serviceOf(s cataloger.Snapshot, t *task) (string, bool) {
 	r, ok := s.Config.Match(t.of.Host, t.of.Items[t.key.ref.Item].Path)
 	if !ok {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -376,12 +376,12 @@
 	}
 	for name, m := range b.Members {
 		if w, ok := a.Members[name]; !ok || w != m {
-			l.Info("host known", zap.String("host", name), zap.String("incarnation", m.Incarnation), zap.Bool("leaving", m.Leaving))
+			l.Info("host known", zap.String("member", name), zap.String("incarnation", m.Incarnation), zap.Bool("leaving", m.Leaving))
 		}
 	}
 	for name := range a.Members {
 		if _, ok := b.Members[name]; !ok {
-			l.Info("host gone", zap.String("host", name))
+			l.Info("host gone", zap.String("member", name))
 		}
 	}
 	for n, g := range b.Groups {
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -22,7 +22,7 @@
 )
 
 // batchPolicy says how many slots of a server batch items leave free.
-var batchPolicy = filler.Policy{FillFree: 3, EvictFree: 1}
+var batchPolicy = filler.Policy{FillFree: 2, EvictFree: 0}
 
 // BulkHost keeps and runs batch jobs.
 type BulkHost struct {
@@ -175,6 +175,7 @@
 // Stop ends the host gracefully: its groups are given to others first.
 func (h *BulkHost) Stop() {
 	h.logger.Info("leaving", zap.Int64("grace-ms", int64(h.settings.Bounds.Grace)))
+	h.executor.Close()
 	h.fleet.leave()
 	h.leave()
 	until := h.clock.Now() + min(leavePatience, h.settings.Bounds.Grace/2)
@@ -182,7 +183,6 @@
 		timer.Sleep(context.Background(), 20)
 	}
 	h.cancel()
-	h.executor.Close()
 	for _, r := range h.replicas {
 		r.Close()
 	}
--- a/hoster/fleet.go
+++ b/hoster/fleet.go
@@ -62,11 +62,10 @@
 		f.look(now)
 	}
 	v := f.view0
-	since, ok := f.seen[g.Owner]
-	if !ok {
-		since = f.started
+	v.Silences = make(map[string]timer.Millis, len(g.Holders)+1)
+	for _, d := range append([]string{g.Owner}, g.Holders...) {
+		v.Silences[d] = now - max(f.seen[d], f.started)
 	}
-	v.Silence = now - since
 	return v
 }
 
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -209,7 +209,7 @@
 // caught are the disks that have all of the owner's log.
 func (r *Replica) caught() map[string]bool {
 	out := make(map[string]bool)
-	if r.session == nil || !r.session.opened {
+	if r.session == nil {
 		return out
 	}
 	for d, f := range r.session.followers {
--- a/mirrorer/plan.go
+++ b/mirrorer/plan.go
@@ -27,8 +27,9 @@
 	// Copies is how many disks must hold what was accepted, Wanted how many
 	// should.
 	Copies, Wanted int
-	// Silence is how long the owner has not been heard.
-	Silence timer.Millis
+	// Silences are how long holders and the owner have not been heard, counted
+	// from the start of this process at most.
+	Silences map[string]timer.Millis
 	// Settled says that nothing changed for so long that a group may move only
 	// for balance, or be created on fewer disks than wanted.
 	Settled bool
@@ -89,9 +90,9 @@
 	return Write{Group: cataloger.Group{Epoch: 1, Owner: v.Self, Holders: slices.Clone(holders)}, Reason: "created"}
 }
 
-// ownerGrace is how long an owner must have been silent for the first heir to
-// follow it.
-const ownerGrace timer.Millis = 700
+// silenceGrace is how long an owner or holder must have been silent to be
+// replaced.
+const silenceGrace timer.Millis = 700
 
 // heirDelay is how much later each further heir acts, in case that those before
 // it cannot reach the store.
@@ -104,12 +105,16 @@
 	}
 	heirs := v.ranked(v.among(v.staying(), v.Group.Holders))
 	rank := slices.Index(heirs, v.Self)
-	if rank < 0 || v.Silence < ownerGrace+timer.Millis(rank)*heirDelay {
+	if rank < 0 || v.Silences[v.Group.Owner] < silenceGrace+timer.Millis(rank)*heirDelay {
 		return Stay{}
 	}
 	g := v.next(v.Self, v.Group.Holders)
-	if left := v.among(v.Group.Holders, v.Alive); len(left) >= v.Copies {
+	switch left := v.among(v.Group.Holders, v.Alive); {
+	case len(left) >= v.Copies:
 		g.Holders = left
+	case len(v.staying()) < v.Copies:
+		// As owner this host could commit nothing.
+		return Stay{}
 	}
 	return Write{Group: g, Reason: "owner is not heard"}
 }
@@ -128,9 +133,9 @@
 	if step, ok := v.handOver(); ok {
 		return step
 	}
-	if gone := v.unwanted(); gone != "" && len(v.Group.Holders) > v.Copies {
+	if gone := v.unwanted(); gone != "" {
 		left := slices.DeleteFunc(slices.Clone(v.Group.Holders), func(d string) bool { return d == gone })
-		if len(v.among(left, v.Alive)) >= v.Copies || !slices.Contains(v.Alive, gone) {
+		if len(v.among(left, v.Alive)) >= v.Copies {
 			return Write{Group: v.next(v.Self, left), Reason: "holder is not heard or leaves"}
 		}
 	}
@@ -140,7 +145,7 @@
 // unwanted is a holder that is not heard, or that is to hold nothing.
 func (v View) unwanted() string {
 	for _, d := range v.Group.Holders {
-		if d != v.Self && !slices.Contains(v.Alive, d) {
+		if d != v.Self && !slices.Contains(v.Alive, d) && v.Silences[d] >= silenceGrace {
 			return d
 		}
 	}
@@ -183,7 +188,11 @@
 			continue
 		}
 		if v.Caught[d] {
-			return Write{Group: v.next(v.Self, append(slices.Clone(v.Group.Holders), d)), Reason: "holder added"}
+			holders := append(slices.Clone(v.Group.Holders), d)
+			if sound := v.among(holders, v.Alive); len(sound) >= v.Copies {
+				holders = sound
+			}
+			return Write{Group: v.next(v.Self, holders), Reason: "holder added"}
 		}
 		return Learn{Disk: d}
 	}
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -32,6 +32,16 @@
 	Ref
 	// Of is the item's job; it must not be changed.
 	Of *Job
+	// Saved is what was saved of the item; its Output must not be changed.
+	Saved Progress
+}
+
+// Progress is what an item has put out so far.
+type Progress struct {
+	Output []byte
+	// Events is their number, Last the number of the last one.
+	Events int
+	Last   int64
 }
 
 // QueueKey names what may wait of a workspace on a route.
@@ -46,7 +56,9 @@
 	job     *Job
 	results []Result
 	done    []bool
-	ended   bool
+	// saved is by the item's place; items without any are missing.
+	saved map[int]Progress
+	ended bool
 	// news is closed and replaced with each result.
 	news chan struct{}
 }
@@ -114,27 +126,51 @@
 	switch t := r.(type) {
 	case Accepted:
 		if _, ok := q.jobs[t.Job.ID]; !ok {
-			q.jobs[t.Job.ID] = &kept{job: &t.Job, done: make([]bool, len(t.Job.Items)), news: make(chan struct{})}
+			q.jobs[t.Job.ID] = &kept{job: &t.Job, done: make([]bool, len(t.Job.Items)), saved: make(map[int]Progress), news: make(chan struct{})}
 		}
 	case Finished:
 		q.finish(t)
 	case Ended:
 		if k, ok := q.jobs[t.Job]; ok {
 			k.ended = true
+			clear(k.saved)
 			k.dropBodies(func(int) bool { return true })
 		}
 	case Dropped:
 		delete(q.jobs, t.Job)
+	case Saved:
+		for _, p := range t.Parts {
+			q.save(p)
+		}
 	}
 }
 
+func (q *Queue) save(p Part) {
+	k, ok := q.jobs[p.Job]
+	if !ok || p.Item >= len(k.done) || k.done[p.Item] || k.ended || p.From > len(k.saved[p.Item].Output) {
+		return
+	}
+	k.saved[p.Item] = Progress{Output: k.whole(p.Item, p.From, p.Output), Events: p.Events, Last: p.Last}
+}
+
+// whole returns the first from bytes that were saved of an item, and more.
+func (k *kept) whole(item, from int, more []byte) []byte {
+	before := k.saved[item].Output
+	return append(before[:min(from, len(before)):min(from, len(before))], more...)
+}
+
 func (q *Queue) finish(f Finished) {
 	k, ok := q.jobs[f.Job]
-	if !ok || f.Item >= len(k.done) || k.done[f.Item] {
+	if !ok || f.Item >= len(k.done) || k.done[f.Item] || f.From > len(k.saved[f.Item].Output) {
 		return
 	}
+	r := Result{Item: k.job.Items[f.Item].ID, Dead: f.Dead}
+	if !f.Dead {
+		r.Output = k.whole(f.Item, f.From, f.Output)
+	}
 	k.done[f.Item] = true
-	k.results = append(k.results, Result{Item: k.job.Items[f.Item].ID, Dead: f.Dead, Output: f.Output})
+	delete(k.saved, f.Item)
+	k.results = append(k.results, r)
 	k.dropBodies(func(i int) bool { return i == f.Item })
 	close(k.news)
 	k.news = make(chan struct{})
@@ -242,7 +278,7 @@
 		}
 		for i, done := range k.done {
 			if !done {
-				out = append(out, Pending{Ref: Ref{Job: id, Item: i}, Of: k.job})
+				out = append(out, Pending{Ref: Ref{Job: id, Item: i}, Of: k.job, Saved: k.saved[i]})
 			}
 		}
 	}
--- a/queuer/record.go
+++ b/queuer/record.go
@@ -58,10 +58,29 @@
 	// Item is the item's place in the job.
 	Item int
 	// Dead says that the item was given up.
-	Dead   bool
+	Dead bool
+	// Output follows the first From bytes of what was saved of the item.
+	From   int
 	Output []byte
 }
 
+// Saved keeps what items that still run have put out, so that another host can
+// go on with them.
+type Saved struct{ Parts []Part }
+
+// Part is what one item put out since it was last saved.
+type Part struct {
+	_    struct{} `cbor:",toarray"`
+	Job  string
+	Item int
+	// Output follows the first From bytes of what was saved before.
+	From   int
+	Output []byte
+	// Events and Last are the number of events and the last one's, all told.
+	Events int
+	Last   int64
+}
+
 // Ended ends a job: what has no result is not run any more.
 type Ended struct{ Job string }
 
@@ -70,6 +89,7 @@
 
 func (Accepted) record() {}
 func (Finished) record() {}
+func (Saved) record()    {}
 func (Ended) record()    {}
 func (Dropped) record()  {}
 
@@ -79,6 +99,7 @@
 	Finished *Finished `cbor:"2,keyasint,omitempty"`
 	Ended    *Ended    `cbor:"3,keyasint,omitempty"`
 	Dropped  *Dropped  `cbor:"4,keyasint,omitempty"`
+	Saved    *Saved    `cbor:"5,keyasint,omitempty"`
 }
 
 // Encode returns r as it is stored.
@@ -93,6 +114,8 @@
 		e.Ended = &t
 	case Dropped:
 		e.Dropped = &t
+	case Saved:
+		e.Saved = &t
 	}
 	b, err := cbor.Marshal(e)
 	return b, eris.Wrap(err, "encode record")
@@ -113,6 +136,8 @@
 		return *e.Ended, nil
 	case e.Dropped != nil:
 		return *e.Dropped, nil
+	case e.Saved != nil:
+		return *e.Saved, nil
 	}
 	return nil, eris.New("record of no kind")
 }
