Let two hosts read the store for all; refuse at once what no heard host answers

Hosts now learn changes from a reader, with the age of its confirmation, and fall back to the store. Ruled out: longer pauses between questions, which make withdrawn keys and draining servers known late.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
@@ -42,22 +43,28 @@
 	Caller   messenger.Caller
 	Snapshot func() cataloger.Snapshot
 	Digests  func() []gossiper.Digest
-	Clock    timer.Clock
-	Wall     func() timer.Millis
-	Logger   *zap.Logger
+	// Heard says when a host was last heard.
+	Heard  func(host string) (timer.Millis, bool)
+	Clock  timer.Clock
+	Wall   func() timer.Millis
+	Logger *zap.Logger
 }
 
 const (
 	// patience is how long the host that answers for a job is sought.
 	patience timer.Millis = 1400
+	// hostSilence is how long a host may be unheard and still be asked.
+	hostSilence timer.Millis = 600
 	// retryPause is kept between two attempts.
 	retryPause timer.Millis = 70
 	// callTimeout bounds one attempt, beyond the time that a read may wait.
 	callTimeout timer.Millis = 1000
-	// retryLater is when a caller may return.
-	retryLater timer.Millis = 500
-	maxWait                 = timer.Second
-	maxItems                = 200
+	// retryLater is when a caller may return to a fleet that does not answer for
+	// the job now, retryElsewhere when this host cannot reach those that may.
+	retryLater     timer.Millis = 400
+	retryElsewhere timer.Millis = 50
+	maxWait                     = timer.Second
+	maxItems                    = 200
 )
 
 // Broker implements gatekeeper.Jobs. It is safe for concurrent use.
@@ -74,6 +81,32 @@
 	return gatekeeper.JobAnswer{Status: status, Reason: reason, RetryAfterMillis: int64(retryLater)}
 }
 
+// unanswered is the refusal of a call that no host answered for.
+func (b *Broker) unanswered() gatekeeper.JobAnswer {
+	if !b.reaches() {
+		return gatekeeper.JobAnswer{
+			Status: http.StatusServiceUnavailable, Reason: "this host reaches none that answers for jobs",
+			RetryAfterMillis: int64(retryElsewhere),
+		}
+	}
+	return later(http.StatusServiceUnavailable, "no host answers for the job")
+}
+
+// reaches says whether any bulk host is heard.
+func (b *Broker) reaches() bool {
+	for _, m := range b.options.Snapshot().Members {
+		if m.Role == cataloger.Bulk && b.heard(m.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Broker) heard(host string) bool {
+	at, ok := b.options.Heard(host)
+	return ok && b.options.Clock.Now()-at < hostSilence
+}
+
 // Submit implements gatekeeper.Jobs.
 func (b *Broker) Submit(ctx context.Context, s gatekeeper.Submission) gatekeeper.JobAnswer {
 	items, err := b.options.Formats.Items(s.Body)
@@ -99,7 +132,7 @@
 	if sent {
 		return refusal(http.StatusBadGateway, "it is not known whether the job was accepted")
 	}
-	return later(http.StatusServiceUnavailable, "no host answers for the job")
+	return b.unanswered()
 }
 
 // Serve implements gatekeeper.Jobs.
@@ -142,7 +175,7 @@
 	case verdictNoJob:
 		return refusal(http.StatusNotFound, "no such job or item")
 	}
-	return later(http.StatusServiceUnavailable, "no host answers for the job")
+	return b.unanswered()
 }
 
 // ask asks the host that answers for the job, for as long as patience lasts. It
@@ -161,7 +194,7 @@
 		if r.Verdict != 0 && r.Verdict != verdictElsewhere && r.Verdict != verdictUnknown {
 			return r, false
 		}
-		if b.options.Clock.Now() > until || !timer.Sleep(ctx, retryPause) {
+		if b.options.Clock.Now() > until || !b.reaches() || !timer.Sleep(ctx, retryPause) {
 			return reply{}, uncertain
 		}
 	}
@@ -173,14 +206,15 @@
 	s := b.options.Snapshot()
 	if attempt%2 == 0 {
 		for _, d := range b.options.Digests() {
-			for _, g := range d.Groups {
-				if m, ok := s.Members[d.Host]; g == group && ok {
-					return m.Peers
-				}
+			if m, ok := s.Members[d.Host]; ok && slices.Contains(d.Groups, group) && b.heard(d.Host) {
+				return m.Peers
 			}
 		}
 	}
 	m, _ := s.MemberWithDisk(s.Groups[group].Owner)
+	if !b.heard(m.Name) {
+		return ""
+	}
 	return m.Peers
 }
 
--- a/conveyor/conveyor.go
+++ b/conveyor/conveyor.go
@@ -60,7 +60,9 @@
 	Err    error
 }
 
-func (e *BrokenError) Error() string { return fmt.Sprintf("server %s: broken off: %v", e.Server, e.Err) }
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("server %s: broken off: %v", e.Server, e.Err)
+}
 
 func (e *BrokenError) Unwrap() error { return e.Err }
 
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -19,9 +19,9 @@
 	SilentAfter timer.Millis = 450
 	// CrowdedSilentAfter is the same at a server whose slots are all taken.
 	CrowdedSilentAfter timer.Millis = 1500
-	leastTime   timer.Millis = 400
-	mostTime    timer.Millis = 3000
-	breaksInRow              = 3
+	leastTime          timer.Millis = 400
+	mostTime           timer.Millis = 3000
+	breaksInRow                     = 3
 )
 
 // Ejector is safe for concurrent use.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -6,6 +6,11 @@
 // question was sent is missing from it. So the age of Snapshot.Confirmed bounds
 // how old a withdrawn key or a changed route can be that is still honoured.
 //
+// At most directReaders hosts ask the store at that pace. The others ask one of
+// them, which says how long ago the store confirmed what it tells; so a
+// confirmation is never younger than it is. A host that finds no other with a
+// young confirmation asks the store itself, less often.
+//
 // While the store is away, entries of servers and hosts may run out though they
 // live. One whose entry went without a notice to drain or leave is kept until
 // ReturnGrace after the store answers again; the entry has been renewed by then,
@@ -75,8 +80,12 @@
 	// Clock must count the time that the machine is suspended.
 	Clock  timer.Clock
 	Logger *zap.Logger
-	// Pace is the least time between two questions; default 0.6 s.
+	// Relay finds hosts to ask in place of the store; nil for none.
+	Relay *Relay
+	// Pace is the least time between two questions to the store; default 0.6 s.
 	Pace timer.Millis
+	// RelayPace is the same for questions to other hosts; default 0.3 s.
+	RelayPace timer.Millis
 	// Wait is how long the store may hold a question; default 0.3 s.
 	Wait timer.Millis
 	// Timeout is how long an answer may take beyond Wait; default 1 s.
@@ -90,6 +99,7 @@
 
 func (o Options) withDefaults() Options {
 	defaulter.Set(&o.Pace, 600)
+	defaulter.Set(&o.RelayPace, 300)
 	defaulter.Set(&o.Wait, 300)
 	defaulter.Set(&o.Timeout, timer.Second)
 	defaulter.Set(&o.ReturnGrace, 2300)
@@ -124,6 +134,9 @@
 	vanished map[entry]timer.Millis
 	// returned is when the store last came back.
 	returned timer.Millis
+	// asked is when the store was last asked.
+	asked  timer.Millis
+	memory memory
 
 	mu        sync.Mutex
 	listeners []func(cataloger.Snapshot)
@@ -160,18 +173,48 @@
 	defer close(f.done)
 	retry := leastRetry
 	for ctx.Err() == nil {
-		sent := f.options.Clock.Now()
-		if err := f.ask(ctx, sent); err != nil {
-			f.failed(ctx, err, sent)
+		began := f.options.Clock.Now()
+		if f.learn(ctx, began) {
+			timer.Sleep(ctx, f.options.RelayPace)
+			continue
+		}
+		if err := f.ask(ctx, began); err != nil {
+			f.failed(ctx, err, began)
 			retry = min(2*retry, mostRetry)
 			timer.Sleep(ctx, retry/2+rand.N(retry))
 			continue
 		}
 		retry = leastRetry
-		timer.Sleep(ctx, f.options.Pace-(f.options.Clock.Now()-sent))
+		timer.Sleep(ctx, f.options.Pace-(f.options.Clock.Now()-began))
 	}
 }
 
+const (
+	// relayTimeout bounds a question to another host.
+	relayTimeout timer.Millis = 500
+	// directPace is how often a host asks the store itself whose source lacks a
+	// young confirmation.
+	directPace timer.Millis = 1200
+)
+
+// learn asks another host, if there is one that reads the store. It returns
+// false when this host should ask the store itself.
+func (f *Follower) learn(ctx context.Context, began timer.Millis) bool {
+	address := f.options.Relay.source()
+	if address == "" || !f.loaded {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
+	defer cancel()
+	changes, age, err := f.options.Relay.ask(limited, address, f.cursor)
+	if err != nil {
+		f.options.Logger.Info("no answer from the host that reads the store", zap.String("address", address), zap.Error(err))
+		return false
+	}
+	f.take(f.Snapshot(), changes, began-age)
+	return age <= maxReaderAge || began-f.asked < directPace
+}
+
 func (f *Follower) failed(ctx context.Context, err error, sent timer.Millis) {
 	var gone *storer.HistoryGoneError
 	if errors.As(err, &gone) {
@@ -188,24 +231,44 @@
 
 // ask puts one question to the store and publishes what follows.
 func (f *Follower) ask(ctx context.Context, sent timer.Millis) error {
+	f.asked = sent
 	ctx, cancel := context.WithTimeout(ctx, (f.options.Wait + f.options.Timeout).Duration())
 	defer cancel()
-	s := f.Snapshot()
-	var err error
-	if f.loaded {
-		s, err = f.change(ctx, s)
-	} else {
-		s, err = f.load(ctx, s)
+	if !f.loaded {
+		s, err := f.load(ctx, f.Snapshot())
+		if err == nil {
+			f.confirm(s, sent)
+		}
+		return err
 	}
+	changes, err := f.options.Ledger.Watch(ctx, "", f.cursor, f.options.Wait)
 	if err != nil {
 		return err
 	}
-	if s.Confirmed != 0 && sent-s.Confirmed > f.options.OutageAfter {
+	f.take(f.Snapshot(), changes, sent)
+	return nil
+}
+
+// take applies changes that the store confirmed at this instant.
+func (f *Follower) take(s cataloger.Snapshot, changes storer.Changes, confirmed timer.Millis) {
+	for _, c := range changes.List {
+		if c.Revision > f.cursor {
+			s = f.apply(s, c)
+		}
+	}
+	f.memory.add(changes)
+	f.cursor = max(f.cursor, changes.Current)
+	f.confirm(s, confirmed)
+}
+
+// confirm publishes s as confirmed at this instant.
+func (f *Follower) confirm(s cataloger.Snapshot, at timer.Millis) {
+	if s.Confirmed != 0 && at-s.Confirmed > f.options.OutageAfter {
 		f.returned = f.options.Clock.Now()
-		f.options.Logger.Info("store answers again", zap.Int64("away-ms", int64(sent-s.Confirmed)))
+		f.options.Logger.Info("store answers again", zap.Int64("away-ms", int64(at-s.Confirmed)))
 	}
-	f.publish(f.withoutVanished(s).WithConfirmed(sent))
-	return nil
+	f.memory.confirm(at)
+	f.publish(f.withoutVanished(s).WithConfirmed(at))
 }
 
 // load reads all keys anew.
@@ -237,21 +300,10 @@
 		}
 	}
 	f.cursor, f.loaded = from, true
+	f.memory.restart(from)
 	return fresh, nil
 }
 
-func (f *Follower) change(ctx context.Context, s cataloger.Snapshot) (cataloger.Snapshot, error) {
-	changes, err := f.options.Ledger.Watch(ctx, "", f.cursor, f.options.Wait)
-	if err != nil {
-		return s, err
-	}
-	for _, c := range changes.List {
-		s = f.apply(s, c)
-	}
-	f.cursor = max(f.cursor, changes.Current)
-	return s, nil
-}
-
 // apply returns s after one change.
 func (f *Follower) apply(s cataloger.Snapshot, c storer.Change) cataloger.Snapshot {
 	if c.Deleted {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -34,6 +34,8 @@
 	Sequence    uint64
 	// Ready says that the host takes callers' requests.
 	Ready bool
+	// Age is how old the host's knowledge of the store is.
+	Age timer.Millis
 	// Loads are by backend server; idle ones are left out.
 	Loads map[string]Load
 	// Admitted counts the requests of each workspace since the host started.
--- a/hoster/fleet.go
+++ b/hoster/fleet.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// bulkSilence is how long a bulk host may be unheard and count as alive.
+	bulkSilence timer.Millis = 700
 	// viewAge is how long a look at the bulk hosts is used.
 	viewAge timer.Millis = 30
 	// settleTime is how long nothing must have changed for groups to be moved
@@ -100,7 +102,7 @@
 // heard says whether the incarnation that the store knows is heard.
 func (f *bulkFleet) heard(m cataloger.Member) bool {
 	at, ok := f.base.gossiper.Heard(m.Name)
-	if !ok || f.base.clock.Now()-at > timer.Second {
+	if !ok || f.base.clock.Now()-at > bulkSilence {
 		return false
 	}
 	d, ok := f.base.gossiper.Newest(m.Name)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -90,7 +90,20 @@
 		_ = datagrams.Close()
 		return nil, eris.Wrap(err, "listen for peers")
 	}
-	b.follower = follower.New(follower.Options{Ledger: p.Ledger, Decoder: p.Decoder, Clock: clock, Logger: l})
+	b.messenger = messenger.New(messenger.Options{
+		Self: messenger.Peer{Name: m.Name, Incarnation: m.Incarnation}, Logger: l,
+		DialTimeout: 500, IdleTimeout: 1200, PingInterval: 300,
+	})
+	b.streams = streams
+	heard := make(chan struct{})
+	b.follower = follower.New(follower.Options{
+		Ledger: p.Ledger, Decoder: p.Decoder, Clock: clock, Logger: l,
+		Relay: &follower.Relay{
+			Self: m.Name, DataCentre: m.DataCentre, Caller: b.messenger,
+			Candidates: func() []follower.Reader { <-heard; return b.readers() },
+		},
+	})
+	b.follower.Serve(b.messenger)
 	b.ejector = ejector.New(clock)
 	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
 	b.picker = picker.New(picker.Options{
@@ -100,11 +113,7 @@
 	b.gossiper = gossiper.New(gossiper.Options{
 		Conn: datagrams, Clock: clock, Build: build, Peers: b.peers, Logger: l,
 	}, hear)
-	b.messenger = messenger.New(messenger.Options{
-		Self: messenger.Peer{Name: m.Name, Incarnation: m.Incarnation}, Logger: l,
-		DialTimeout: 500, IdleTimeout: 1200, PingInterval: 300,
-	})
-	b.streams = streams
+	close(heard)
 	b.follower.Notify(b.forgetServers)
 	b.enroller = enroller.New(enroller.Options{Ledger: p.Ledger, Key: p.MemberKey(m.Name), TTL: s.Store.LeaseTTL, Logger: l}, m)
 	return b, nil
@@ -126,7 +135,26 @@
 
 // digest is the part of a digest that both kinds of hosts tell.
 func (b *base) digest() gossiper.Digest {
-	return gossiper.Digest{Host: b.member.Name, Incarnation: b.member.Incarnation, Loads: b.picker.Loads()}
+	return gossiper.Digest{Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Loads: b.picker.Loads()}
+}
+
+// age is how old the host's knowledge of the store is.
+func (b *base) age() timer.Millis { return b.clock.Now() - b.follower.Snapshot().Confirmed }
+
+// readers lists the hosts that may read the store for others.
+func (b *base) readers() []follower.Reader {
+	out := []follower.Reader{{
+		Name: b.member.Name, Address: b.member.Peers, DataCentre: b.member.DataCentre,
+		Bulk: b.member.Role == cataloger.Bulk, Age: b.age(),
+	}}
+	for name, m := range b.follower.Snapshot().Members {
+		if d, ok := b.gossiper.Newest(name); ok && name != b.member.Name && !m.Leaving {
+			out = append(out, follower.Reader{
+				Name: name, Address: m.Peers, DataCentre: m.DataCentre, Bulk: m.Role == cataloger.Bulk, Age: d.Age,
+			})
+		}
+	}
+	return out
 }
 
 // peers are the addresses of the other hosts.
--- a/mirrorer/plan.go
+++ b/mirrorer/plan.go
@@ -92,7 +92,7 @@
 
 // silenceGrace is how long an owner or holder must have been silent to be
 // replaced.
-const silenceGrace timer.Millis = 700
+const silenceGrace timer.Millis = 300
 
 // heirDelay is how much later each further heir acts, in case that those before
 // it cannot reach the store.
--- a/storer/ledger.go
+++ b/storer/ledger.go
@@ -93,6 +93,8 @@
 	Err  error
 }
 
-func (e *UnknownError) Error() string { return fmt.Sprintf("store %s: outcome unknown: %v", e.Call, e.Err) }
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("store %s: outcome unknown: %v", e.Call, e.Err)
+}
 
 func (e *UnknownError) Unwrap() error { return e.Err }
