Pause before asking again a disk that gave no answer; test the mirrored log

Cause: an owner whose call to another disk failed at once asked it again at once, without end; found by the new test of an owner that is cut off, which never came to its next virtual millisecond.

--- /dev/null
+++ b/mirrorer/fleet_test.go
@@ -0,0 +1,260 @@
+package mirrorer_test
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/messenger"
+	"github.com/jackdawgate/jackdawgate/mirrorer"
+	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+const manifestKey = "groups/0"
+
+// recorder is a Machine that keeps what was applied.
+type recorder struct {
+	mu      sync.Mutex
+	applied []string
+	opened  bool
+}
+
+func (r *recorder) Reset()  { r.set(func() { r.applied, r.opened = nil, false }) }
+func (r *recorder) Opened() { r.set(func() { r.opened = true }) }
+func (r *recorder) Ended()  { r.set(func() { r.opened = false }) }
+func (r *recorder) Apply(data []byte) {
+	r.set(func() { r.applied = append(r.applied, string(data)) })
+}
+
+func (r *recorder) set(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+func (r *recorder) list() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.applied)
+}
+
+// host is one host of a fleet that has one group.
+type host struct {
+	name, disk, path string
+	starts           int
+	alive            bool
+	replica          *mirrorer.Replica
+	machine          *recorder
+	cancel           context.CancelFunc
+	polled           chan struct{}
+	// deaf hosts do not reach the store.
+	deaf bool
+	cut  map[string]bool
+}
+
+// fleet is hosts with disks, on virtual time.
+type fleet struct {
+	t      *testing.T
+	net    *messenger.Memory
+	ledger *storer.MemoryLedger
+	clock  timer.Clock
+
+	mu    sync.Mutex
+	hosts []*host
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, net: messenger.NewMemory(), clock: timer.System()}
+	f.ledger = storer.NewMemoryLedger(f.clock)
+	for i := range n {
+		h := &host{name: fmt.Sprintf("h%d", i), cut: make(map[string]bool)}
+		f.hosts = append(f.hosts, h)
+		f.wipe(h)
+		f.start(h)
+	}
+	t.Cleanup(func() {
+		for _, h := range f.hosts {
+			f.kill(h)
+		}
+	})
+	return f
+}
+
+// wipe gives a host an empty disk.
+func (f *fleet) wipe(h *host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.disk = fmt.Sprintf("%s-disk-%d", h.name, h.starts)
+	h.path = filepath.Join(f.t.TempDir(), "log")
+}
+
+func (f *fleet) start(h *host) {
+	log, err := mirrorer.OpenLog(h.path, "group-0")
+	require.NoError(f.t, err)
+	f.mu.Lock()
+	h.starts++
+	incarnation := fmt.Sprintf("%s-%d", h.name, h.starts)
+	h.machine, h.alive = &recorder{}, true
+	f.mu.Unlock()
+	end := f.net.Host(h.name, messenger.Peer{Name: h.name, Incarnation: incarnation})
+	started := f.clock.Now()
+	h.replica = mirrorer.New(mirrorer.Options{
+		Group: 0, Disk: h.disk, Incarnation: incarnation, Log: log, Machine: h.machine, Ledger: &reach{f, h}, Key: manifestKey,
+		Caller: end, Clock: f.clock, Logger: zap.NewNop(),
+		View:    func(g cataloger.Group) mirrorer.View { return f.view(h, g, started) },
+		Address: f.address,
+	})
+	replica := h.replica
+	mirrorer.Serve(end, func(int) (*mirrorer.Replica, bool) { return replica, true })
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel, h.polled = cancel, make(chan struct{})
+	go f.poll(ctx, h, replica, h.polled)
+}
+
+// kill ends a host's process; its disk stays.
+func (f *fleet) kill(h *host) {
+	f.mu.Lock()
+	was := h.alive
+	h.alive = false
+	f.mu.Unlock()
+	if !was {
+		return
+	}
+	f.net.Remove(h.name)
+	h.cancel()
+	<-h.polled
+	h.replica.Close()
+}
+
+// poll tells a replica of the manifest, as a host that follows the store does.
+func (f *fleet) poll(ctx context.Context, h *host, r *mirrorer.Replica, done chan struct{}) {
+	defer close(done)
+	for timer.Sleep(ctx, 200) {
+		if g, ok := f.manifest(&reach{f, h}); ok {
+			r.SetGroup(g)
+		}
+	}
+}
+
+func (f *fleet) manifest(l storer.Ledger) (cataloger.Group, bool) {
+	items, _, err := l.Range(context.Background(), manifestKey)
+	if err != nil || len(items) == 0 {
+		return cataloger.Group{}, false
+	}
+	var g cataloger.Group
+	require.NoError(f.t, cbor.Unmarshal(items[0].Value, &g))
+	g.Revision = uint64(items[0].Revision)
+	return g, true
+}
+
+func (f *fleet) address(disk string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hosts {
+		if h.disk == disk {
+			return h.name, true
+		}
+	}
+	return "", false
+}
+
+func (f *fleet) view(h *host, g cataloger.Group, started timer.Millis) mirrorer.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := mirrorer.View{Copies: 2, Wanted: 3, Silences: make(map[string]timer.Millis)}
+	for _, o := range f.hosts {
+		if o.alive && !h.cut[o.name] {
+			v.Alive = append(v.Alive, o.disk)
+		}
+	}
+	for _, d := range append([]string{g.Owner}, g.Holders...) {
+		if !slices.Contains(v.Alive, d) {
+			v.Silences[d] = f.clock.Now() - started
+		}
+	}
+	return v
+}
+
+// setCut cuts two hosts from each other, or heals that.
+func (f *fleet) setCut(a, b *host, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a.cut[b.name], b.cut[a.name] = on, on
+	f.net.Cut(a.name, b.name, on)
+	f.net.Cut(b.name, a.name, on)
+}
+
+// reach is the store as one host reaches it.
+type reach struct {
+	fleet *fleet
+	host  *host
+}
+
+func (r *reach) away() error {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	if r.host.deaf {
+		return &storer.UnavailableError{Call: "any"}
+	}
+	return nil
+}
+
+func (r *reach) Range(ctx context.Context, prefix string) ([]storer.Item, storer.Revision, error) {
+	if err := r.away(); err != nil {
+		return nil, 0, err
+	}
+	return r.fleet.ledger.Range(ctx, prefix)
+}
+
+func (r *reach) Commit(ctx context.Context, t storer.Transaction) (storer.Revision, error) {
+	if err := r.away(); err != nil {
+		return 0, err
+	}
+	return r.fleet.ledger.Commit(ctx, t)
+}
+
+func (r *reach) Watch(context.Context, string, storer.Revision, timer.Millis) (storer.Changes, error) {
+	return storer.Changes{}, &storer.UnavailableError{Call: "watch"}
+}
+
+func (r *reach) Grant(context.Context, timer.Millis) (storer.Lease, error) { return 0, nil }
+func (r *reach) Renew(context.Context, storer.Lease) error                 { return nil }
+func (r *reach) Revoke(context.Context, storer.Lease) error                { return nil }
+
+func sleep(m timer.Millis) { timer.Sleep(context.Background(), m) }
+
+// owner returns the host that serves the group, if there is one.
+func (f *fleet) owner() *host {
+	for _, h := range f.hosts {
+		if h.alive && h.replica.Serving(context.Background()) {
+			return h
+		}
+	}
+	return nil
+}
+
+// awaitOwner waits until a host serves the group.
+func (f *fleet) awaitOwner(most timer.Millis) *host {
+	f.t.Helper()
+	for until := f.clock.Now() + most; f.clock.Now() < until; sleep(50) {
+		if h := f.owner(); h != nil {
+			return h
+		}
+	}
+	require.Fail(f.t, "no host serves the group")
+	return nil
+}
+
+func propose(h *host, text string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), (2 * timer.Second).Duration())
+	defer cancel()
+	return h.replica.Propose(ctx, []byte(text))
+}
--- /dev/null
+++ b/mirrorer/log_test.go
@@ -0,0 +1,84 @@
+package mirrorer_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/mirrorer"
+	"github.com/stretchr/testify/require"
+)
+
+func open(t *testing.T, path string) *mirrorer.Log {
+	t.Helper()
+	l, err := mirrorer.OpenLog(path, "group-0")
+	require.NoError(t, err)
+	return l
+}
+
+func entries(epoch uint64, texts ...string) []mirrorer.Entry {
+	var out []mirrorer.Entry
+	for _, s := range texts {
+		out = append(out, mirrorer.Entry{Term: mirrorer.Term{Epoch: epoch, Incarnation: "i"}, Data: []byte(s)})
+	}
+	return out
+}
+
+func texts(t *testing.T, l *mirrorer.Log) []string {
+	t.Helper()
+	var out []string
+	for from := uint64(1); from <= l.Last(); {
+		list, err := l.Read(from, 10)
+		require.NoError(t, err)
+		require.NotEmpty(t, list)
+		for _, e := range list {
+			out = append(out, string(e.Data))
+		}
+		from += uint64(len(list))
+	}
+	return out
+}
+
+func TestLogIsReadAgainAfterARestart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	l := open(t, path)
+	require.NoError(t, l.Append(entries(1, "a", "b")))
+	require.NoError(t, l.Append(entries(2, "c")))
+	require.NoError(t, l.Close())
+	l = open(t, path)
+	require.Equal(t, []string{"a", "b", "c"}, texts(t, l))
+	require.EqualValues(t, 2, l.TermAt(3).Epoch)
+	require.EqualValues(t, 1, l.FirstOf(2))
+}
+
+func TestTornEndIsCutOffAndWrittenAnew(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	l := open(t, path)
+	require.NoError(t, l.Append(entries(1, "a", "b")))
+	whole := l.Bytes()
+	require.NoError(t, l.Append(entries(1, "lost in part")))
+	require.NoError(t, l.Close())
+	for cut := whole + 1; cut < whole+20; cut += 6 {
+		data, err := os.ReadFile(path)
+		require.NoError(t, err)
+		torn := append([]byte(nil), data[:cut]...)
+		torn = append(torn, make([]byte, 64)...)
+		other := filepath.Join(t.TempDir(), "torn")
+		require.NoError(t, os.WriteFile(other, torn, 0o600))
+		l = open(t, other)
+		require.Equal(t, []string{"a", "b"}, texts(t, l))
+		require.NoError(t, l.Append(entries(3, "d")))
+		require.NoError(t, l.Close())
+		require.Equal(t, []string{"a", "b", "d"}, texts(t, open(t, other)))
+	}
+}
+
+func TestTruncatedEntriesDoNotComeBack(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	l := open(t, path)
+	require.NoError(t, l.Append(entries(1, "a", "b", "c")))
+	require.NoError(t, l.Truncate(1))
+	require.NoError(t, l.Append(entries(2, "d")))
+	require.NoError(t, l.Close())
+	require.Equal(t, []string{"a", "d"}, texts(t, open(t, path)))
+}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -88,6 +88,7 @@
 	// ServingLease is how lately all holders must have answered an owner.
 	ServingLease timer.Millis = 900
 	callTimeout  timer.Millis = 700
+	retryPause   timer.Millis = 100
 	storeTimeout timer.Millis = 1200
 	tick         timer.Millis = 100
 	maxAppend                 = 1 << 20
@@ -141,6 +142,8 @@
 	// sent is when the last message was sent, answered when the last one that
 	// was answered had been sent.
 	sent, answered timer.Millis
+	// pausedUntil is when a disk that gave no answer is asked again.
+	pausedUntil timer.Millis
 }
 
 // New starts a Replica.
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -40,7 +40,7 @@
 	}
 	now := r.options.Clock.Now()
 	due := now-f.sent >= heartbeat
-	if f.busy || (!due && (!f.known || f.next > log.Last())) {
+	if f.busy || now < f.pausedUntil || (!due && (!f.known || f.next > log.Last())) {
 		return
 	}
 	m := appendRequest{
@@ -66,6 +66,9 @@
 		if r.session != s {
 			return
 		}
+		if err != nil || reply.Refused {
+			f.pausedUntil = r.options.Clock.Now() + retryPause
+		}
 		if err == nil {
 			r.answered(f, m, reply)
 		}
--- /dev/null
+++ b/mirrorer/replica_test.go
@@ -0,0 +1,239 @@
+package mirrorer_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+
+	"github.com/jackdawgate/jackdawgate/mirrorer"
+	"github.com/stretchr/testify/require"
+)
+
+func TestOwnerCommitsOnAllHoldersAndAnotherFollowsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		first := f.awaitOwner(3000)
+		require.NoError(t, propose(first, "a"))
+		require.NoError(t, propose(first, "b"))
+		f.kill(first)
+		next := f.awaitOwner(6000)
+		require.NotEqual(t, first.name, next.name)
+		require.Equal(t, []string{"a", "b"}, next.machine.list())
+		require.NoError(t, propose(next, "c"))
+		f.start(first)
+		sleep(4000)
+		g, _ := f.manifest(f.ledger)
+		require.Len(t, g.Holders, 3)
+	})
+}
+
+func TestNothingIsLostWithADisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		for round := range 4 {
+			o := f.awaitOwner(8000)
+			require.NoError(t, propose(o, fmt.Sprint(round)))
+			f.kill(o)
+			f.wipe(o)
+			f.start(o)
+			sleep(6000)
+		}
+		require.Equal(t, []string{"0", "1", "2", "3"}, f.awaitOwner(8000).machine.list())
+	})
+}
+
+func TestOwnerThatIsCutOffServesNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		o := f.awaitOwner(3000)
+		require.NoError(t, propose(o, "before"))
+		for _, h := range f.hosts {
+			if h != o {
+				f.setCut(o, h, true)
+			}
+		}
+		o.deaf = true
+		require.Error(t, propose(o, "cut"))
+		sleep(1500)
+		require.False(t, o.replica.Serving(t.Context()))
+		next := f.awaitOwner(6000)
+		require.NotEqual(t, o.name, next.name)
+		require.NoError(t, propose(next, "after"))
+		o.deaf = false
+		for _, h := range f.hosts {
+			if h != o {
+				f.setCut(o, h, false)
+			}
+		}
+		sleep(5000)
+		last := f.awaitOwner(6000)
+		got := last.machine.list()
+		require.Contains(t, got, "before")
+		require.Contains(t, got, "after")
+		require.NotContains(t, got, "cut", "what was appended by the owner that was cut off must not come back")
+	})
+}
+
+func TestAllProcessesKilledAtOnceLoseNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		require.NoError(t, propose(f.awaitOwner(3000), "kept"))
+		for _, h := range f.hosts {
+			f.kill(h)
+		}
+		for _, h := range f.hosts {
+			f.start(h)
+		}
+		require.Equal(t, []string{"kept"}, f.awaitOwner(6000).machine.list())
+	})
+}
+
+// A manifest that was written without an answer makes a disk a holder. Until it
+// is known whether it does, what is committed must be on that disk too.
+func TestHolderAddedWithoutAnAnswerHasAllThatIsCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		o := f.awaitOwner(3000)
+		var other *host
+		for _, h := range f.hosts {
+			if h != o {
+				other = h
+			}
+		}
+		f.kill(other)
+		f.wipe(other)
+		sleep(3000)
+		f.ledger.LoseAnswers(1)
+		f.start(other)
+		for i := range 10 {
+			if o := f.owner(); o != nil {
+				_ = propose(o, fmt.Sprint(i))
+			}
+			sleep(100)
+		}
+		sleep(3000)
+		require.NoError(t, propose(f.awaitOwner(3000), "last"))
+		want := f.awaitOwner(3000).machine.list()
+		for _, h := range f.hosts {
+			if h != other {
+				f.kill(h)
+			}
+		}
+		sleep(2000)
+		for _, h := range f.hosts {
+			if h != other && h != o {
+				f.start(h)
+			}
+		}
+		require.Equal(t, want, f.awaitOwner(8000).machine.list())
+	})
+}
+
+func TestPlannedStopHandsTheGroupOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		require.NoError(t, propose(f.awaitOwner(3000), "x"))
+		require.False(t, f.owner() == nil)
+	})
+}
+
+// Hosts are killed, wiped, cut from each other and from the store at random, one
+// disk at a time. Whatever was acknowledged is applied on every later owner, in
+// one order, and nothing is applied twice.
+func TestAcknowledgedEntriesSurviveRandomFaults(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomFaults(t, seed) })
+		})
+	}
+}
+
+func randomFaults(t *testing.T, seed uint64) {
+	f := newFleet(t, 4)
+	r := rand.New(rand.NewPCG(seed, 1))
+	f.awaitOwner(5000)
+	var acknowledged []string
+	maybe := make(map[string]bool)
+	for step := range 60 {
+		if o := f.owner(); o != nil {
+			text := fmt.Sprint(step)
+			err := propose(o, text)
+			var not *mirrorer.NotOwnerError
+			switch {
+			case err == nil:
+				acknowledged = append(acknowledged, text)
+			case !errors.As(err, &not):
+				maybe[text] = true
+			}
+			checkApplied(t, o.machine.list(), acknowledged, maybe)
+		}
+		f.disturb(r)
+		for range r.IntN(20) {
+			sleep(100)
+		}
+	}
+	f.heal()
+	o := f.awaitOwner(20000)
+	checkApplied(t, o.machine.list(), acknowledged, maybe)
+	require.NoError(t, propose(o, "end"))
+}
+
+// disturb brings one fault about, or ends one. One host at most is down or has
+// lost its disk lately.
+func (f *fleet) disturb(r *rand.Rand) {
+	h := f.hosts[r.IntN(len(f.hosts))]
+	o := f.hosts[r.IntN(len(f.hosts))]
+	switch r.IntN(7) {
+	case 0:
+		f.heal()
+		f.kill(h)
+		if r.IntN(2) == 0 {
+			f.wipe(h)
+		}
+	case 1, 2:
+		f.heal()
+		sleep(6000)
+	case 3:
+		if h != o {
+			f.setCut(h, o, true)
+		}
+	case 4:
+		h.deaf = !h.deaf
+	case 5:
+		f.ledger.LoseAnswers(1)
+	case 6:
+		f.kill(h)
+		f.start(h)
+	}
+}
+
+// heal ends all faults and waits until copies are whole again.
+func (f *fleet) heal() {
+	f.ledger.LoseAnswers(0)
+	for i, h := range f.hosts {
+		h.deaf = false
+		for _, o := range f.hosts[i+1:] {
+			f.setCut(h, o, false)
+		}
+		if !h.alive {
+			f.start(h)
+		}
+	}
+	sleep(8000)
+}
+
+func checkApplied(t *testing.T, applied, acknowledged []string, maybe map[string]bool) {
+	t.Helper()
+	var sure []string
+	seen := make(map[string]bool)
+	for _, s := range applied {
+		require.False(t, seen[s], "%s was applied twice", s)
+		seen[s] = true
+		if !maybe[s] {
+			sure = append(sure, s)
+		}
+	}
+	require.Equal(t, acknowledged, sure)
+}
