--- a/gatekeeper/visit.go
+++ b/gatekeeper/visit.go
@@ -165,8 +165,10 @@
 	o := v.gatekeeper.options
 	if v.workspace != nil {
 		limit := rationer.Limit{Rate: v.workspace.Rate, Burst: v.workspace.Burst}
-		if ok, retry := o.Rationer.Admit(v.workspace.Name, limit); !ok {
-			v.refuse(&refusal{http.StatusTooManyRequests, "over the workspace's quota", retry})
+		if d := o.Rationer.Admit(v.workspace.Name, limit); !d.Admitted {
+			v.log("over quota", zap.Float64("left", d.Level), zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
+				zap.Int("silent-hosts", d.Silent), zap.Int("hosts", d.Hosts))
+			v.refuse(&refusal{http.StatusTooManyRequests, "over the workspace's quota", d.RetryAfter})
 			return
 		}
 	}
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -85,18 +85,42 @@
 	r.peers = peers
 }
 
-// Admit takes one request from the workspace's bucket. When it says no, it also
-// says after which time one may be left.
-func (r *Rationer) Admit(workspace string, l Limit) (bool, timer.Millis) {
+// Decision says whether a request was admitted, and what decided it.
+type Decision struct {
+	Admitted bool
+	// RetryAfter is when a refused request may be admitted.
+	RetryAfter timer.Millis
+	// Level is what the bucket held before, in requests.
+	Level float64
+	// Silent of Hosts hosts that admit requests were not heard.
+	Silent, Hosts int
+}
+
+// Admit takes one request from the workspace's bucket, if there is one.
+func (r *Rationer) Admit(workspace string, l Limit) Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.bucket(workspace, l)
+	d := Decision{Admitted: true, Level: b.level, Silent: silent(r.peers, r.clock.Now()), Hosts: len(r.peers) + 1}
 	if l.Rate > 0 && b.level < 1 {
-		return false, max(leastRetry, timer.Millis((1-b.level)/l.Rate*float64(timer.Second)))
+		d.Admitted = false
+		d.RetryAfter = max(leastRetry, timer.Millis((1-b.level)/l.Rate*float64(timer.Second)))
+		return d
 	}
 	b.level--
 	b.spent++
-	return true, 0
+	return d
+}
+
+// silent is how many of the peers are not heard.
+func silent(peers []Peer, now timer.Millis) int {
+	n := 0
+	for _, p := range peers {
+		if now-p.Heard > silentAfter {
+			n++
+		}
+	}
+	return n
 }
 
 // Refund gives back a request that was admitted and then not run.
@@ -157,14 +181,12 @@
 	seconds := float64(now-b.at) / float64(timer.Second)
 	b.at = now
 	part := b.limit.Rate / float64(len(peers)+1)
-	silent := 0
 	for _, p := range peers {
 		if now-p.Heard > silentAfter {
-			silent++
 			b.kept[p.Name] += part * seconds
 		}
 	}
-	heard := float64(len(peers)+1-silent) / float64(len(peers)+1)
+	heard := float64(len(peers)+1-silent(peers, now)) / float64(len(peers)+1)
 	b.level = min(b.limit.Burst*heard, b.level+b.limit.Rate*heard*seconds)
 }
 
