--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -1,9 +1,11 @@
 // Package gossiper tells hosts of one another's load by datagrams.
 //
-// Each host sends its whole Digest to every other host whenever it changed, at
-// most once each MinGap, and at least once each MaxGap. A Digest is a state, not
-// a change: a lost or repeated datagram does no harm, and the newest one wins by
-// incarnation and sequence. Nothing is decided by what a Digest says alone:
+// Each host sends its Digest to every other host whenever it changed, at most
+// once each MinGap (to hosts of other data centres, each FarGap), and at least
+// once each MaxGap. A Digest is a state, not a change: a lost or repeated
+// datagram does no harm, and the newest one wins by incarnation and sequence.
+// Counts by workspace are left out while they have not changed lately; every
+// FullGap all are told. Nothing is decided by what a Digest says alone:
 // it steers load, and limits tolerate its delay.
 package gossiper
 
@@ -38,7 +40,8 @@
 	Age timer.Millis
 	// Loads are by backend server; idle ones are left out.
 	Loads map[string]Load
-	// Admitted counts the requests of each workspace since the host started.
+	// Admitted counts the requests of workspaces since the host started; those
+	// that did not change lately may be missing.
 	Admitted map[string]uint64
 	// Waiting is how many tokens of batch items wait, by workspace and route.
 	Waiting map[string]int64
@@ -60,13 +63,23 @@
 	Clock timer.Clock
 	// Build returns what this host tells now; Sequence is set by the Gossiper.
 	Build func() Digest
-	// Peers returns the addresses of the other hosts.
-	Peers  func() []netip.AddrPort
+	// Peers returns the addresses of the other hosts: those of this data centre
+	// and those of others.
+	Peers  func() (near, far []netip.AddrPort)
 	Logger *zap.Logger
 	// MinGap and MaxGap bound the time between two Digests; defaults 10 and 200 ms.
 	MinGap, MaxGap timer.Millis
+	// FarGap is the least time between two to other data centres; default 30 ms.
+	FarGap timer.Millis
 }
 
+const (
+	// fullGap is how often all counts by workspace are told, recentGap for how
+	// long a changed one is told each time.
+	fullGap   timer.Millis = 1000
+	recentGap timer.Millis = 400
+)
+
 // Gossiper sends and takes Digests until Close. It is safe for concurrent use.
 type Gossiper struct {
 	options Options
@@ -91,6 +104,7 @@
 func New(o Options, listener func(Digest)) *Gossiper {
 	defaulter.Set(&o.MinGap, 10)
 	defaulter.Set(&o.MaxGap, 200)
+	defaulter.Set(&o.FarGap, 30)
 	g := &Gossiper{
 		options: o, touched: make(chan struct{}, 1), listener: listener,
 		heard: make(map[string]*hearing), sums: make(map[string]Load),
@@ -159,18 +173,17 @@
 }
 
 func (g *Gossiper) send(ctx context.Context) {
-	var sequence uint64
+	v := &sender{options: &g.options, counts: make(map[string]counted)}
 	for {
 		g.forgetStale()
-		sequence++
-		g.tell(sequence)
+		wait := v.tell()
 		if !timer.Sleep(ctx, g.options.MinGap) {
 			return
 		}
-		wait, cancel := context.WithTimeout(ctx, (g.options.MaxGap - g.options.MinGap).Duration())
+		limited, cancel := context.WithTimeout(ctx, max(wait-g.options.MinGap, 0).Duration())
 		select {
 		case <-g.touched:
-		case <-wait.Done():
+		case <-limited.Done():
 		}
 		cancel()
 		if ctx.Err() != nil {
@@ -179,20 +192,6 @@
 	}
 }
 
-func (g *Gossiper) tell(sequence uint64) {
-	d := g.options.Build()
-	d.Sequence = sequence
-	b, err := cbor.Marshal(d)
-	if err != nil {
-		g.options.Logger.Error("digest not encoded", zap.Error(err))
-		return
-	}
-	for _, p := range g.options.Peers() {
-		// A datagram that cannot be sent is as good as lost.
-		_, _ = g.options.Conn.WriteTo(b, net.UDPAddrFromAddrPort(p))
-	}
-}
-
 func (g *Gossiper) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -157,19 +157,19 @@
 	return out
 }
 
-// peers are the addresses of the other hosts.
-func (b *base) peers() []netip.AddrPort {
-	members := b.follower.Snapshot().Members
-	out := make([]netip.AddrPort, 0, len(members))
-	for name, m := range members {
-		if name == b.member.Name {
-			continue
-		}
-		if a, err := netip.ParseAddrPort(m.Peers); err == nil {
-			out = append(out, a)
+// peers are the addresses of the other hosts, of this data centre and of others.
+func (b *base) peers() (near, far []netip.AddrPort) {
+	for name, m := range b.follower.Snapshot().Members {
+		a, err := netip.ParseAddrPort(m.Peers)
+		switch {
+		case name == b.member.Name || err != nil:
+		case m.DataCentre == b.member.DataCentre:
+			near = append(near, a)
+		default:
+			far = append(far, a)
 		}
 	}
-	return out
+	return near, far
 }
 
 // forgetServers drops what is kept of servers that are gone.
