--- /dev/null
+++ b/conveyor/conveyor_test.go
@@ -0,0 +1,246 @@
+package conveyor_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+// server is a backend server that does on each connection what script says.
+func server(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(r *bufio.Reader) (*http.Request, string, error) {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(q.Body)
+	return q, string(body), err
+}
+
+func newConveyor(t *testing.T) *conveyor.Conveyor {
+	c := conveyor.New(conveyor.Options{IDHeader: "Id", Clock: timer.System()})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request(address, id string) *conveyor.Request {
+	return &conveyor.Request{Server: "s", Address: address, Method: "POST", Target: "/p?q=1", Host: "h", Header: http.Header{"X": {"1"}}, Body: []byte("body"), ID: id}
+}
+
+func get(t *testing.T, c *conveyor.Conveyor, r *conveyor.Request) (string, error) {
+	t.Helper()
+	a, err := c.Send(t.Context(), r, 2*timer.Second)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func TestConnectionIsUsedAgainAfterAWholeAnswer(t *testing.T) {
+	address := server(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			q, body, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer(q.Header.Get("N"), q.RequestURI+body))
+		}
+	})
+	c := newConveyor(t)
+	for range 3 {
+		got, err := get(t, c, request(address, ""))
+		require.NoError(t, err)
+		require.Equal(t, "/p?q=1body", got)
+	}
+	require.EqualValues(t, 1, c.Dials())
+}
+
+func TestExtraAnswerToAnEarlierRequestIsDropped(t *testing.T) {
+	address := server(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer("stale", "not yours")+answer("mine", "yours"))
+		_, _, _ = readRequest(r)
+	})
+	got, err := get(t, newConveyor(t), request(address, "mine"))
+	require.NoError(t, err)
+	require.Equal(t, "yours", got)
+}
+
+func TestConnectionWithBytesBehindTheAnswerIsNotUsedAgain(t *testing.T) {
+	address := server(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer("1", "first")+answer("1", "extra"))
+		_, _, _ = readRequest(r)
+	})
+	c := newConveyor(t)
+	for range 2 {
+		got, err := get(t, c, request(address, "1"))
+		require.NoError(t, err)
+		require.Equal(t, "first", got)
+	}
+	require.EqualValues(t, 2, c.Dials())
+}
+
+func TestTruncatedAndResetAnswersAreBroken(t *testing.T) {
+	for name, raw := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort",
+		"chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+		"garbage": "\x00\x01 not an answer\r\n\r\n",
+		"nothing": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := server(t, func(c net.Conn, r *bufio.Reader) {
+				if _, _, err := readRequest(r); err == nil {
+					_, _ = io.WriteString(c, raw)
+				}
+			})
+			_, err := get(t, newConveyor(t), request(address, ""))
+			var broken *conveyor.BrokenError
+			require.ErrorAs(t, err, &broken)
+		})
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	address := server(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nall of it")
+		}
+	})
+	got, err := get(t, newConveyor(t), request(address, ""))
+	require.NoError(t, err)
+	require.Equal(t, "all of it", got)
+}
+
+func TestNobodyListeningIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = get(t, newConveyor(t), request(address, ""))
+	var notSent *conveyor.NotSentError
+	require.ErrorAs(t, err, &notSent)
+}
+
+func TestSilentServerEndsTheExchange(t *testing.T) {
+	address := server(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		_, _, _ = readRequest(r)
+	})
+	_, err := newConveyor(t).Send(t.Context(), request(address, ""), 30)
+	var silent *conveyor.SilentError
+	require.ErrorAs(t, err, &silent)
+}
+
+func TestCancelledExchangeClosesItsConnection(t *testing.T) {
+	closed := make(chan struct{})
+	reading := make(chan struct{})
+	address := server(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _, _ = readRequest(r)
+		close(reading)
+		_, _, err := readRequest(r)
+		if err != nil {
+			close(closed)
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-reading
+		cancel()
+	}()
+	_, err := newConveyor(t).Send(ctx, request(address, ""), 5*timer.Second)
+	require.Error(t, err)
+	<-closed
+}
+
+// A server may answer before it has read a long body, and read on later. Nothing
+// but the rest of that body may come on the connection.
+func TestEarlyAnswerIsTakenAndTheBodyEnded(t *testing.T) {
+	body := strings.Repeat("x", 4<<20)
+	whole := make(chan int, 2)
+	address := server(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answer("", "early"))
+			b, _ := io.ReadAll(q.Body)
+			whole <- len(b)
+		}
+	})
+	c := newConveyor(t)
+	r := request(address, "")
+	r.Body = []byte(body)
+	a, err := c.Send(t.Context(), r, 2*timer.Second)
+	require.NoError(t, err)
+	got, err := io.ReadAll(a)
+	require.NoError(t, err)
+	require.Equal(t, "early", string(got))
+	a.Close()
+	next, err := get(t, c, request(address, ""))
+	require.NoError(t, err)
+	require.Equal(t, "early", next)
+}
+
+func TestConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
+	gone := make(chan struct{}, 8)
+	address := server(t, func(c net.Conn, r *bufio.Reader) {
+		if _, _, err := readRequest(r); err == nil {
+			_, _ = io.WriteString(c, answer("", "once"))
+		}
+		_ = c.Close()
+		gone <- struct{}{}
+	})
+	c := newConveyor(t)
+	for range 5 {
+		got, err := get(t, c, request(address, ""))
+		var broken *conveyor.BrokenError
+		if errors.As(err, &broken) {
+			require.True(t, broken.Reused, "only a connection closed in the very moment may fail")
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "once", got)
+		<-gone
+	}
+}
--- /dev/null
+++ b/filler/filler_test.go
@@ -0,0 +1,94 @@
+package filler_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/filler"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var policy = filler.Policy{FillFree: 2, EvictFree: 0}
+
+func server(id string, online int, batch map[string]int) filler.Server {
+	if batch == nil {
+		batch = map[string]int{}
+	}
+	return filler.Server{ID: id, Slots: 8, Online: online, Batch: batch}
+}
+
+// Pattern: online demand swings from 0.4 to 1.8 of its mean every few seconds.
+// In a trough batch takes what is free but for two slots; when online calls
+// come, as many items are evicted as calls would have to wait for.
+func TestBatchFollowsTheSwingOfOnlineCalls(t *testing.T) {
+	batch := 0
+	for _, step := range []struct{ online, want int }{{1, 5}, {2, 5}, {3, 5}, {5, 3}, {7, 1}, {8, 0}, {9, 0}, {4, 2}, {1, 5}} {
+		in := filler.Input{
+			Self: "a", Backlogs: map[string]int{"a": 100}, Policy: policy,
+			Servers: []filler.Server{server("s", step.online, map[string]int{"a": batch})},
+		}
+		start, evict := filler.Plan(in)
+		batch += start["s"] - evict["s"]
+		require.Equal(t, step.want, batch, "with %d online", step.online)
+	}
+}
+
+func TestServersWithMostRoomAreFilledFirst(t *testing.T) {
+	in := filler.Input{
+		Self: "a", Backlogs: map[string]int{"a": 3}, Policy: policy,
+		Servers: []filler.Server{server("full", 6, nil), server("half", 3, nil), server("idle", 0, nil)},
+	}
+	start, _ := filler.Plan(in)
+	require.Equal(t, filler.Counts{"idle": 3}, start)
+}
+
+func TestClosedServersTakeNothingAndStillEvict(t *testing.T) {
+	s := server("s", 7, map[string]int{"a": 3})
+	s.Closed = true
+	in := filler.Input{Self: "a", Backlogs: map[string]int{"a": 5}, Policy: policy, Servers: []filler.Server{s}}
+	start, evict := filler.Plan(in)
+	require.Empty(t, start)
+	require.Equal(t, filler.Counts{"s": 2}, evict)
+}
+
+// Whatever the counts, hosts that know the same never start items at the same
+// server, never overfill it, and together evict just what is too much.
+func TestHostsThatKnowTheSameActAsOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []string{"a", "b", "c"}
+		in := filler.Input{Backlogs: map[string]int{}, Policy: policy}
+		for _, h := range hosts {
+			in.Backlogs[h] = rapid.IntRange(0, 30).Draw(t, "backlog")
+		}
+		for i := range rapid.IntRange(1, 9).Draw(t, "servers") {
+			batch := map[string]int{}
+			for _, h := range hosts {
+				if n := rapid.IntRange(0, 4).Draw(t, "batch"); n > 0 {
+					batch[h] = n
+				}
+			}
+			in.Servers = append(in.Servers, server(fmt.Sprint("s", i), rapid.IntRange(0, 12).Draw(t, "online"), batch))
+		}
+		starts, evictions, starters := map[string]int{}, map[string]int{}, map[string]int{}
+		for _, h := range hosts {
+			in.Self = h
+			start, evict := filler.Plan(in)
+			for s, n := range start {
+				starts[s] += n
+				starters[s]++
+			}
+			for s, n := range evict {
+				evictions[s] += n
+			}
+		}
+		for _, s := range in.Servers {
+			batch := s.Batch["a"] + s.Batch["b"] + s.Batch["c"]
+			require.LessOrEqual(t, starters[s.ID], 1)
+			if starts[s.ID] > 0 {
+				require.LessOrEqual(t, s.Online+batch+starts[s.ID], s.Slots-policy.FillFree)
+			}
+			require.Equal(t, max(0, min(batch, s.Online+batch-s.Slots)), evictions[s.ID])
+		}
+	})
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,257 @@
+package follower_test
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/follower"
+	"github.com/jackdawgate/jackdawgate/messenger"
+	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+// decoder reads short values of tests: "config" holds a version, "servers/ID"
+// and "hosts/NAME" a state.
+type decoder struct{}
+
+func (decoder) Prefixes() []string { return []string{""} }
+
+func (decoder) Kind(key string) follower.Fact {
+	switch {
+	case key == "config":
+		return follower.ConfigFact{}
+	case strings.HasPrefix(key, "servers/"):
+		return follower.ServerFact{}
+	case strings.HasPrefix(key, "hosts/"):
+		return follower.MemberFact{}
+	}
+	return follower.OtherFact{}
+}
+
+func (d decoder) Decode(i storer.Item) (follower.Fact, error) {
+	_, name, _ := strings.Cut(i.Key, "/")
+	if string(i.Value) == "?" {
+		return nil, eris.New("unreadable")
+	}
+	switch d.Kind(i.Key).(type) {
+	case follower.ConfigFact:
+		n, err := strconv.ParseInt(string(i.Value), 10, 64)
+		return follower.ConfigFact{Config: cataloger.NewConfig(cataloger.ConfigParts{Version: n})}, err
+	case follower.ServerFact:
+		return follower.ServerFact{Server: cataloger.Server{ID: name, Draining: string(i.Value) == "draining"}}, nil
+	case follower.MemberFact:
+		return follower.MemberFact{Member: cataloger.Member{Name: name}}, nil
+	}
+	return follower.OtherFact{}, nil
+}
+
+type fixture struct {
+	t      *testing.T
+	clock  timer.Clock
+	ledger *storer.MemoryLedger
+	f      *follower.Follower
+}
+
+func start(t *testing.T) *fixture {
+	x := &fixture{t: t, clock: timer.System()}
+	x.ledger = storer.NewMemoryLedger(x.clock)
+	x.f = follower.New(follower.Options{Ledger: x.ledger, Decoder: decoder{}, Clock: x.clock, Logger: zap.NewNop()})
+	t.Cleanup(x.f.Close)
+	return x
+}
+
+func (x *fixture) set(key, value string, l storer.Lease) {
+	_, err := x.ledger.Commit(context.Background(), storer.Transaction{Set: []storer.Item{{Key: key, Value: []byte(value), Lease: l}}})
+	require.NoError(x.t, err)
+}
+
+func pass(m timer.Millis) { timer.Sleep(context.Background(), m) }
+
+func TestChangesAreKnownWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		x.set("config", "5", 0)
+		x.set("servers/a", "ready", 0)
+		pass(1000)
+		require.EqualValues(t, 5, x.f.Snapshot().Config.Version)
+		x.set("servers/a", "draining", 0)
+		pass(1000)
+		require.True(t, x.f.Snapshot().Servers["a"].Draining)
+		require.Less(t, x.clock.Now()-x.f.Snapshot().Confirmed, timer.Second)
+	})
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		x.set("config", "5", 0)
+		pass(1000)
+		x.set("config", "4", 0)
+		pass(1000)
+		require.EqualValues(t, 5, x.f.Snapshot().Config.Version)
+	})
+}
+
+func TestForgottenHistoryIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		x.set("servers/a", "ready", 0)
+		x.set("servers/b", "ready", 0)
+		pass(1000)
+		_, err := x.ledger.Commit(t.Context(), storer.Transaction{Delete: []string{"servers/a"}})
+		require.NoError(t, err)
+		x.set("servers/c", "ready", 0)
+		x.ledger.Forget()
+		pass(1500)
+		s := x.f.Snapshot().Servers
+		require.NotContains(t, s, "a")
+		require.Contains(t, s, "b")
+		require.Contains(t, s, "c")
+	})
+}
+
+func TestUnreadableEntryNamesNoServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		x.set("servers/a", "ready", 0)
+		x.set("servers/b", "ready", 0)
+		pass(1000)
+		x.set("servers/a", "?", 0)
+		pass(1000)
+		require.NotContains(t, x.f.Snapshot().Servers, "a")
+		require.Contains(t, x.f.Snapshot().Servers, "b")
+	})
+}
+
+// lapse runs leases out while the store is away for six seconds.
+func (x *fixture) lapse() {
+	x.ledger.SetAway(true)
+	pass(6000)
+	x.ledger.SetAway(false)
+}
+
+func TestEntriesThatRanOutDuringAnOutageAreKeptUntilTheyAreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		l, err := x.ledger.Grant(t.Context(), 3000)
+		require.NoError(t, err)
+		x.set("servers/a", "ready", l)
+		x.set("servers/gone", "ready", l)
+		x.set("hosts/h", "", l)
+		pass(1000)
+		x.lapse()
+		pass(1000)
+		require.Len(t, x.f.Snapshot().Servers, 2)
+		require.Contains(t, x.f.Snapshot().Members, "h")
+		x.set("servers/a", "ready", 0)
+		pass(3000)
+		require.Contains(t, x.f.Snapshot().Servers, "a")
+		require.NotContains(t, x.f.Snapshot().Servers, "gone")
+		require.NotContains(t, x.f.Snapshot().Members, "h")
+	})
+}
+
+func TestEntryThatGoesWithoutAnOutageIsGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		x.set("servers/a", "ready", 0)
+		pass(1000)
+		_, err := x.ledger.Commit(t.Context(), storer.Transaction{Delete: []string{"servers/a"}})
+		require.NoError(t, err)
+		pass(1000)
+		require.Empty(t, x.f.Snapshot().Servers)
+	})
+}
+
+// cut is a store that one host does not reach.
+type cut struct {
+	storer.Ledger
+	on bool
+}
+
+func (c *cut) Watch(ctx context.Context, prefix string, after storer.Revision, wait timer.Millis) (storer.Changes, error) {
+	if c.on {
+		return storer.Changes{}, &storer.UnavailableError{Call: "watch"}
+	}
+	return c.Ledger.Watch(ctx, prefix, after, wait)
+}
+
+func TestConfirmationOfARelayedSnapshotIsNeverYoungerThanTheStores(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := timer.System()
+		ledger := storer.NewMemoryLedger(clock)
+		net := messenger.NewMemory()
+		var all []*follower.Follower
+		var ledgers []*cut
+		for i := range 4 {
+			name := "h" + strconv.Itoa(i)
+			end := net.Host(name, messenger.Peer{Name: name})
+			l := &cut{Ledger: ledger}
+			ledgers = append(ledgers, l)
+			f := follower.New(follower.Options{
+				Ledger: l, Decoder: decoder{}, Clock: clock, Logger: zap.NewNop(),
+				Relay: &follower.Relay{Self: name, Caller: end, Candidates: func() []follower.Reader {
+					var out []follower.Reader
+					for j, o := range all {
+						n := "h" + strconv.Itoa(j)
+						out = append(out, follower.Reader{Name: n, Address: n, Age: clock.Now() - o.Snapshot().Confirmed})
+					}
+					return out
+				}},
+			})
+			f.Serve(end)
+			all = append(all, f)
+		}
+		defer func() {
+			for _, f := range all {
+				f.Close()
+			}
+		}()
+		set := func(version string) {
+			_, err := ledger.Commit(t.Context(), storer.Transaction{Set: []storer.Item{{Key: "config", Value: []byte(version)}}})
+			require.NoError(t, err)
+		}
+		set("1")
+		pass(3000)
+		for v := 2; v < 30; v++ {
+			ledgers[v%4].on = v%3 == 0
+			ledger.SetAway(v%7 == 0)
+			if v%7 != 0 {
+				set(strconv.Itoa(v))
+			}
+			changed := clock.Now()
+			for range 30 {
+				pass(100)
+				for i, f := range all {
+					s := f.Snapshot()
+					if s.Confirmed > changed && v%7 != 0 {
+						require.EqualValues(t, v, s.Config.Version, "host %d confirmed after the change", i)
+					}
+				}
+			}
+		}
+		ledger.SetAway(false)
+		pass(5000)
+		for _, f := range all {
+			require.EqualValues(t, 29, f.Snapshot().Config.Version)
+			require.Less(t, clock.Now()-f.Snapshot().Confirmed, 1500*timer.Millis(1))
+		}
+	})
+}
+
+func TestTwoHostsAreChosenToReadAndStaleOnesAreNot(t *testing.T) {
+	list := []follower.Reader{
+		{Name: "c", Bulk: true, Age: 200}, {Name: "a", Age: 100}, {Name: "b", Bulk: true, Age: 5000}, {Name: "d", Age: 300},
+	}
+	got := follower.ChooseReaders(list)
+	require.Equal(t, "c", got[0].Name)
+	require.Equal(t, "a", got[1].Name)
+	require.Len(t, got, 2)
+}
--- /dev/null
+++ b/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,197 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/gatekeeper"
+	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+type clock struct{ now timer.Millis }
+
+func (c *clock) Now() timer.Millis { return c.now }
+
+// relay is a Relay that records calls and ends as it is told.
+type relay struct {
+	calls   []relayer.Call
+	outcome relayer.Outcome
+}
+
+func (r *relay) Run(_ context.Context, c relayer.Call, s relayer.Sink) relayer.Outcome {
+	r.calls = append(r.calls, c)
+	if d, ok := r.outcome.(relayer.Delivered); ok {
+		_ = s.Head(d.Status, http.Header{}, 2)
+		_ = s.Write([]byte("ok"))
+	}
+	return r.outcome
+}
+
+type jobs struct{ submitted []gatekeeper.Submission }
+
+func (j *jobs) Submit(_ context.Context, s gatekeeper.Submission) gatekeeper.JobAnswer {
+	j.submitted = append(j.submitted, s)
+	return gatekeeper.JobAnswer{Status: http.StatusAccepted}
+}
+
+func (j *jobs) Serve(_ context.Context, workspace string, _ speller.JobCall, _ string) gatekeeper.JobAnswer {
+	return gatekeeper.JobAnswer{Status: http.StatusOK, Body: []byte(workspace)}
+}
+
+type fixture struct {
+	clock    *clock
+	snapshot cataloger.Snapshot
+	relay    *relay
+	jobs     *jobs
+	gate     *gatekeeper.Gatekeeper
+}
+
+func newFixture() *fixture {
+	f := &fixture{clock: &clock{now: 100000}, relay: &relay{outcome: relayer.Delivered{Status: 200}}, jobs: &jobs{}}
+	r := rationer.New(f.clock)
+	f.clock.now += 10 * timer.Second
+	f.gate = gatekeeper.New(gatekeeper.Options{
+		Names: speller.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", Job: jobCall},
+		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs,
+		Clock: f.clock, Logger: zap.NewNop(), Permission: 3600,
+	})
+	return f
+}
+
+func jobCall(_, path, _ string) (speller.JobCall, bool) {
+	if id, ok := strings.CutPrefix(path, "/jobs/"); ok {
+		return speller.ReadResults{Job: id}, true
+	}
+	return nil, false
+}
+
+// configure puts a configuration in force, confirmed now.
+func (f *fixture) configure() {
+	c := cataloger.NewConfig(cataloger.ConfigParts{
+		Version: 1,
+		Routes: []cataloger.Route{
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: cataloger.Stream, Timeout: 5000, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1},
+			{Name: "deep", Host: "h", Prefix: "/chat/deep/", Kind: cataloger.Stream, Timeout: 900, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: cataloger.Idempotent, Public: true, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1},
+			{Name: "batch", Host: "h", Prefix: "/batch/", Kind: cataloger.Batch, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 3},
+		},
+		Workspaces: []cataloger.Workspace{{Name: "w", Rate: 1, Burst: 2}},
+		Keys:       map[string]string{"k": "w"},
+	})
+	f.snapshot = f.snapshot.WithConfig(c).WithConfirmed(f.clock.now)
+}
+
+func (f *fixture) call(path, key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
+	r.Header.Set("Key", key)
+	r.Header.Set("Deadline", "4000")
+	r.Header.Set("Prompt", "a:1,b:2,own:3")
+	w := httptest.NewRecorder()
+	f.gate.ServeHTTP(w, r)
+	return w
+}
+
+func TestHostWithoutAConfigurationDoesNotSayThatSomethingIsUnknown(t *testing.T) {
+	f := newFixture()
+	w := f.call("/chat/1", "k")
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+	require.False(t, f.gate.Permitted())
+}
+
+func TestRequestIsRelayedForItsWorkspaceWithoutItsKey(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	require.Equal(t, http.StatusOK, f.call("/chat/deep/1", "k").Code)
+	c := f.relay.calls[0]
+	require.Equal(t, "deep", c.Route.Name, "the longest prefix")
+	require.Equal(t, "w", c.Workspace)
+	require.Empty(t, c.Header.Get("Key"))
+	require.Equal(t, "a:1,b:2", c.Prompt)
+	require.Equal(t, f.clock.now+900, c.Deadline, "the route's time is shorter than the caller's")
+}
+
+func TestUnknownRoutesAndKeysAreSaidOnlyByAFreshConfiguration(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	require.Equal(t, http.StatusNotFound, f.call("/other/", "k").Code)
+	require.Equal(t, http.StatusUnauthorized, f.call("/chat/1", "wrong").Code)
+	f.clock.now += 2 * timer.Second
+	require.Equal(t, http.StatusServiceUnavailable, f.call("/other/", "k").Code)
+	require.Equal(t, http.StatusServiceUnavailable, f.call("/chat/1", "wrong").Code)
+	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code, "what is known goes on")
+}
+
+func TestHostThatCannotConfirmStopsWithinTheBoundOnWithdrawnKeys(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	f.clock.now += 3600
+	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
+	f.clock.now++
+	require.Equal(t, http.StatusServiceUnavailable, f.call("/chat/1", "k").Code)
+	require.False(t, f.gate.Permitted())
+	require.Equal(t, http.StatusOK, f.call("/open/1", "").Code, "routes open to all need no key")
+	f.configure()
+	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code, "back at once")
+}
+
+func TestQuotaIsRefusedWithATimeToComeBackAndRefundedWhatDidNotRun(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	f.relay.outcome = relayer.NotRun{Reason: "no server", RetryAfter: 300}
+	for range 5 {
+		w := f.call("/chat/1", "k")
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		require.Equal(t, "0.300", w.Header().Get("Retry-After"))
+	}
+	f.relay.outcome = relayer.Delivered{Status: 200}
+	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
+	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
+	w := f.call("/chat/1", "k")
+	require.Equal(t, http.StatusTooManyRequests, w.Code)
+	require.Equal(t, "1.000", w.Header().Get("Retry-After"))
+}
+
+func TestWhatMayHaveRunIsNotRefusedAsNotRun(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	f.relay.outcome = relayer.Unknown{Reason: "broken off"}
+	require.Equal(t, http.StatusBadGateway, f.call("/chat/1", "k").Code)
+	f.relay.outcome = relayer.Unknown{Reason: "late", Late: true}
+	require.Equal(t, http.StatusGatewayTimeout, f.call("/chat/1", "k").Code)
+}
+
+func TestAnswerThatCannotBeEndedClosesItsConnection(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	f.relay.outcome = relayer.BrokenOff{Reason: "server died"}
+	require.PanicsWithValue(t, http.ErrAbortHandler, func() { f.call("/chat/1", "k") })
+}
+
+func TestBatchCallsReachTheJobs(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	require.Equal(t, http.StatusAccepted, f.call("/batch/1", "k").Code)
+	require.Equal(t, "w", f.jobs.submitted[0].Workspace)
+	require.Equal(t, "w", f.call("/jobs/1", "k").Body.String())
+	require.Equal(t, http.StatusUnauthorized, f.call("/jobs/1", "wrong").Code)
+	require.Empty(t, f.relay.calls)
+}
+
+func TestLeavingHostTellsCallersToConnectElsewhere(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	f.gate.Leave()
+	w := f.call("/chat/1", "k")
+	require.Equal(t, http.StatusOK, w.Code)
+	require.Equal(t, "close", w.Header().Get("Connection"))
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,288 @@
+package relayer_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+var names = speller.Names{
+	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
+	Signature: "Signature", NotRun: "Not-Run", ResumeAfter: "After",
+}
+
+// script is what a backend server does with one request.
+type script func(w net.Conn, q *http.Request)
+
+// fixture is a service of backend servers that follow one list of scripts.
+type fixture struct {
+	t       *testing.T
+	relayer *relayer.Relayer
+	picker  *picker.Picker
+
+	mu       sync.Mutex
+	scripts  []script
+	requests []*http.Request
+	bodies   []string
+}
+
+func newFixture(t *testing.T, servers int, scripts ...script) *fixture {
+	f := &fixture{t: t, scripts: scripts}
+	s := cataloger.Snapshot{}
+	for i := range servers {
+		s = s.WithServer(cataloger.Server{ID: "s" + strconv.Itoa(i), Service: "svc", Address: f.listen(), Slots: 8})
+	}
+	clock := timer.System()
+	e := ejector.New(clock)
+	f.picker = picker.New(picker.Options{
+		Snapshot: func() cataloger.Snapshot { return s }, Others: func(string) gossiper.Load { return gossiper.Load{} },
+		Ejector: e, Changed: func() {},
+	})
+	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
+	t.Cleanup(c.Close)
+	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Clock: clock, Logger: zap.NewNop()})
+	return f
+}
+
+func (f *fixture) listen() string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (f *fixture) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(q.Body)
+	f.mu.Lock()
+	f.requests = append(f.requests, q)
+	f.bodies = append(f.bodies, string(body))
+	var s script
+	if len(f.scripts) > 0 {
+		s, f.scripts = f.scripts[0], f.scripts[1:]
+	}
+	f.mu.Unlock()
+	if s != nil {
+		s(c, q)
+	}
+}
+
+func (f *fixture) seen() []*http.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests
+}
+
+// sink keeps what the caller got.
+type sink struct {
+	status int
+	header http.Header
+	body   strings.Builder
+	gone   bool
+}
+
+var errGone = errors.New("gone")
+
+func (s *sink) Head(status int, h http.Header, _ int64) error {
+	s.status, s.header = status, h
+	return nil
+}
+
+func (s *sink) Write(p []byte) error {
+	if s.gone {
+		return errGone
+	}
+	s.body.Write(p)
+	return nil
+}
+
+func route(kind cataloger.Kind, resumable bool, attempts int) *cataloger.Route {
+	return &cataloger.Route{Kind: kind, Resumable: resumable, MaxAttempts: attempts}
+}
+
+func (f *fixture) run(r *cataloger.Route) (relayer.Outcome, *sink) {
+	s := &sink{}
+	o := f.relayer.Run(f.t.Context(), relayer.Call{
+		ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{"Id": {"id"}, "Workspace": {"forged"}, "X": {"1"}},
+		Body: []byte("body"), Route: r, Service: "svc", Workspace: "w", Deadline: timer.System().Now() + 3*timer.Second,
+	}, s)
+	return o, s
+}
+
+func text(status, headers, body string) script {
+	return func(c net.Conn, _ *http.Request) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+	}
+}
+
+const signed = "Signature: s\r\n"
+
+// events streams events from first to last, and ends the stream if whole.
+func events(first, last int, whole bool) script {
+	return func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSignature: s"+strconv.Itoa(first)+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := first; i <= last; i++ {
+			e := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+		}
+		if whole {
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+			return
+		}
+		_, _ = io.WriteString(c, "1f\r\nid: 99\nda")
+	}
+}
+
+func breakOff(net.Conn, *http.Request) {}
+
+func wholeStream(last int) string {
+	var b strings.Builder
+	for i := 1; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestRequestIsPassedOnWithOurHeadersOnly(t *testing.T) {
+	f := newFixture(t, 1, text("200 OK", signed, "hello"))
+	o, s := f.run(route(cataloger.Idempotent, false, 2))
+	require.IsType(t, relayer.Delivered{}, o)
+	require.Equal(t, "hello", s.body.String())
+	q := f.seen()[0]
+	require.Equal(t, "w", q.Header.Get("Workspace"))
+	require.Equal(t, "s0", q.Header.Get("Expect"))
+	require.Equal(t, "1", q.Header.Get("X"))
+	require.Equal(t, "body", f.bodies[0])
+	left, err := strconv.Atoi(q.Header.Get("Deadline"))
+	require.NoError(t, err)
+	require.Positive(t, left)
+	require.LessOrEqual(t, left, 3000)
+}
+
+func TestNonIdempotentRequestIsNeverSentTwice(t *testing.T) {
+	for _, s := range []script{breakOff, text("503 Service Unavailable", signed, ""), text("200 OK", "", "unsigned")} {
+		f := newFixture(t, 3, s)
+		o, got := f.run(route(cataloger.NonIdempotent, false, 3))
+		require.IsType(t, relayer.Unknown{}, o, "it may have run, so nothing else is promised")
+		require.Len(t, f.seen(), 1)
+		require.Zero(t, got.status)
+	}
+}
+
+func TestServersWordThatItDidNotRunIsPassedOnAsSuch(t *testing.T) {
+	refuse := text("503 Service Unavailable", "Not-Run: 1\r\n", "")
+	f := newFixture(t, 3, refuse, refuse, refuse)
+	o, _ := f.run(route(cataloger.NonIdempotent, false, 1))
+	n, ok := o.(relayer.NotRun)
+	require.True(t, ok)
+	require.Positive(t, n.RetryAfter)
+	require.Len(t, f.seen(), 1)
+	f = newFixture(t, 3, refuse, text("200 OK", signed, "ok"))
+	o, _ = f.run(route(cataloger.NonIdempotent, false, 2))
+	require.IsType(t, relayer.Delivered{}, o)
+}
+
+func TestOtherServerAtTheAddressDoesNotCountAsAnAttempt(t *testing.T) {
+	f := newFixture(t, 2, text("421 Misdirected Request", "", ""), text("200 OK", signed, "ok"))
+	o, _ := f.run(route(cataloger.NonIdempotent, false, 1))
+	require.IsType(t, relayer.Delivered{}, o)
+}
+
+func TestIdempotentRequestIsSentToAsManyServersAsAllowed(t *testing.T) {
+	f := newFixture(t, 4, breakOff, text("200 OK", signed, "second"))
+	o, s := f.run(route(cataloger.Idempotent, false, 2))
+	require.IsType(t, relayer.Delivered{}, o)
+	require.Equal(t, "second", s.body.String())
+	f = newFixture(t, 4, breakOff, breakOff, text("200 OK", signed, "third"))
+	o, _ = f.run(route(cataloger.Idempotent, false, 2))
+	require.IsType(t, relayer.Unknown{}, o)
+	require.Len(t, f.seen(), 2)
+}
+
+func TestFailureIsPassedOnUnchanged(t *testing.T) {
+	f := newFixture(t, 1, text("500 Internal Server Error", signed, "why"))
+	o, s := f.run(route(cataloger.NonIdempotent, false, 1))
+	require.Equal(t, 500, o.(relayer.Delivered).Status)
+	require.Equal(t, 500, s.status)
+	require.Equal(t, "why", s.body.String())
+	require.Equal(t, "s", s.header.Get("Signature"))
+}
+
+func TestBrokenStreamGoesOnAtAnotherServerWithinOneAnswer(t *testing.T) {
+	f := newFixture(t, 2, events(1, 3, false), events(4, 6, true))
+	o, s := f.run(route(cataloger.Stream, true, 2))
+	require.IsType(t, relayer.Delivered{}, o)
+	require.Equal(t, wholeStream(6), s.body.String())
+	require.Equal(t, "s1", s.header.Get("Signature"), "the answer keeps the head of its first server")
+	require.Equal(t, "3", f.seen()[1].Header.Get("After"))
+	require.NotEqual(t, f.seen()[0].Header.Get("Expect"), f.seen()[1].Header.Get("Expect"))
+}
+
+func TestStreamThatDoesNotGoOnWhereItBrokeIsNotPassedOn(t *testing.T) {
+	f := newFixture(t, 2, events(1, 3, false), events(1, 6, true))
+	o, s := f.run(route(cataloger.Stream, true, 2))
+	require.IsType(t, relayer.BrokenOff{}, o)
+	require.Equal(t, wholeStream(3), s.body.String())
+}
+
+func TestStreamThatMayNotBeResumedIsBrokenOff(t *testing.T) {
+	f := newFixture(t, 2, events(1, 3, false), events(4, 6, true))
+	o, _ := f.run(route(cataloger.Stream, false, 2))
+	require.IsType(t, relayer.BrokenOff{}, o)
+	require.Len(t, f.seen(), 1)
+}
+
+func TestCallerThatLeftEndsTheCall(t *testing.T) {
+	f := newFixture(t, 1, events(1, 3, true))
+	s := &sink{gone: true}
+	o := f.relayer.Run(t.Context(), relayer.Call{
+		ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, true, 2),
+		Service: "svc", Deadline: timer.System().Now() + timer.Second,
+	}, s)
+	require.IsType(t, relayer.Left{}, o)
+	require.Empty(t, f.picker.Loads(), "the call is no longer counted")
+}
+
+func TestNoServerIsSaidAtOnce(t *testing.T) {
+	f := newFixture(t, 0)
+	o, _ := f.run(route(cataloger.NonIdempotent, false, 1))
+	require.Positive(t, o.(relayer.NotRun).RetryAfter)
+}
+
+func TestHeadersOfOneConnectionAreNotPassedOn(t *testing.T) {
+	h := http.Header{"Connection": {"close, X-Own"}, "X-Own": {"1"}, "Keep-Alive": {"timeout=1"}, "Content-Length": {"3"}, "Other": {"2"}}
+	relayer.RemoveHopHeaders(h)
+	require.Equal(t, http.Header{"Other": {"2"}}, h)
+}
--- /dev/null
+++ b/selector/selector_test.go
@@ -0,0 +1,58 @@
+package selector_test
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/stretchr/testify/require"
+)
+
+func candidate(id string, online, batch int) selector.Candidate {
+	return selector.Candidate{Server: cataloger.Server{ID: id, DataCentre: "near"}, Online: online, Batch: batch, Usable: true}
+}
+
+func choose(r selector.Request, list ...selector.Candidate) string {
+	r.DataCentre = "near"
+	i := selector.Choose(r, list)
+	if i < 0 {
+		return ""
+	}
+	return list[i].Server.ID
+}
+
+func TestServerWithFewestCallsIsChosen(t *testing.T) {
+	require.Equal(t, "b", choose(selector.Request{}, candidate("a", 3, 0), candidate("b", 1, 0), candidate("c", 2, 0)))
+}
+
+func TestBatchCountsALittleLessThanOnlineCalls(t *testing.T) {
+	require.Equal(t, "b", choose(selector.Request{}, candidate("a", 7, 0), candidate("b", 0, 7)))
+}
+
+func TestDrainingTriedAndSilentServersAreLeftOut(t *testing.T) {
+	draining, silent := candidate("d", 0, 0), candidate("s", 0, 0)
+	draining.Server.Draining, silent.Usable = true, false
+	require.Equal(t, "ok", choose(selector.Request{Excluded: []string{"t"}}, draining, silent, candidate("t", 0, 0), candidate("ok", 7, 0)))
+	require.Equal(t, "s", choose(selector.Request{}, draining, silent), "better one that may not answer than none")
+	require.Empty(t, choose(selector.Request{}, draining))
+}
+
+// Pattern: a burst of calls that share a prompt. They go to the server that
+// keeps it only as long as load lets them.
+func TestSharedPromptsStayTogetherUntilLoadForbids(t *testing.T) {
+	load := make([]int, 9)
+	homes := make(map[string]int)
+	for range 45 {
+		var list []selector.Candidate
+		for i, n := range load {
+			list = append(list, candidate("s"+strconv.Itoa(i), n, 0))
+		}
+		i := selector.Choose(selector.Request{DataCentre: "near", Prompt: "shared"}, list)
+		load[i]++
+		homes[list[i].Server.ID]++
+	}
+	for _, n := range load {
+		require.InDelta(t, 5, n, 1)
+	}
+}
--- /dev/null
+++ b/splitter/splitter_test.go
@@ -0,0 +1,60 @@
+package splitter_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/splitter"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestEventsAreTheSameHoweverTheStreamIsCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 8).Draw(t, "events")
+		end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
+		var stream strings.Builder
+		var want []string
+		for i := range n {
+			data := rapid.StringMatching(`[a-z ]{0,12}`).Draw(t, "data")
+			raw := fmt.Sprintf("id: %d%sdata: %s%s%s", i+1, end, data, end, end)
+			stream.WriteString(raw)
+			want = append(want, fmt.Sprintf("%d:%s:%d", i+1, data, len(raw)))
+		}
+		var s splitter.Splitter
+		var got []string
+		rest := []byte(stream.String())
+		for len(rest) > 0 {
+			k := rapid.IntRange(1, len(rest)).Draw(t, "cut")
+			require.NoError(t, s.Feed(rest[:k], func(e splitter.Event) error {
+				require.True(t, e.HasID && e.HasData)
+				got = append(got, fmt.Sprintf("%d:%s:%d", e.ID, e.Data, len(e.Raw)))
+				return nil
+			}))
+			rest = rest[k:]
+		}
+		require.Equal(t, want, got)
+		require.False(t, s.Partial())
+	})
+}
+
+func TestEventThatStopsInTheMiddleIsPartial(t *testing.T) {
+	var s splitter.Splitter
+	require.NoError(t, s.Feed([]byte("id: 1\ndata: a\n\nid: 2\nda"), func(splitter.Event) error { return nil }))
+	require.True(t, s.Partial())
+}
+
+func TestLinesBeforeTheNumberStayInTheEvent(t *testing.T) {
+	var s splitter.Splitter
+	var got splitter.Event
+	raw := "some-version: 3\nid: 7\ndata: a\ndata: b\n\n"
+	require.NoError(t, s.Feed([]byte(raw), func(e splitter.Event) error {
+		got = e
+		got.Raw = append([]byte(nil), e.Raw...)
+		return nil
+	}))
+	require.Equal(t, raw, string(got.Raw))
+	require.EqualValues(t, 7, got.ID)
+	require.Equal(t, "a\nb", string(got.Data))
+}
