--- a/cmd/jackdawgated/host.go
+++ b/cmd/jackdawgated/host.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawgate/jackdawgate/commander"
 	"github.com/jackdawgate/jackdawgate/hoster"
 	"github.com/jackdawgate/jackdawgate/journaler"
+	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/platform"
 	"go.uber.org/zap"
 )
@@ -35,7 +36,13 @@
 	defer journal.Close()
 	l := journal.Logger().With(zap.String("host", settings.Host.Name))
 	l.Info("starting", zap.String("role", role), zap.String("data-centre", settings.Host.DataCentre))
-	h, err := start(settings, newPlatform(settings), l)
+	meters, err := measurer.New()
+	if err != nil {
+		return err
+	}
+	p := newPlatform(settings, meters)
+	p.DroppedLines = journal.Dropped
+	h, err := start(settings, p, l)
 	if err != nil {
 		l.Error("not started", zap.Error(err))
 		return err
@@ -63,9 +70,9 @@
 	}
 }
 
-func newPlatform(s checker.MemberSettings) hoster.Platform {
+func newPlatform(s checker.MemberSettings, m *measurer.Measurer) hoster.Platform {
 	return hoster.Platform{
-		Ledger:  platform.NewLedger(s.Store.Address, func(string) {}),
+		Ledger: platform.NewLedger(s.Store.Address, m.StoreCall), Measurer: m,
 		Decoder: platform.Decoder{}, Names: platform.Names(),
 		MemberKey: platform.MemberKey, GroupKey: platform.GroupKey,
 		RetireStatusKey: platform.RetireStatusKey, RetireStatus: platform.RetireStatus,
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -62,14 +62,22 @@
 	f := queuer.Finished{Job: t.key.ref.Job, Item: t.key.ref.Item}
 	switch o := e.(type) {
 	case complete:
+		x.options.Measurer.Item("completed")
 		f.From, f.Output = t.rest()
 		x.list(ctx, t, f, "completed")
 	case dead:
+		x.options.Measurer.Item("dead")
 		f.Dead = true
 		x.list(ctx, t, f, o.reason)
 	case failed:
+		x.options.Measurer.Item("failed")
 		x.afterFailure(ctx, t, f, o)
 	case again:
+		if ctx.Err() != nil {
+			x.options.Measurer.Item("evicted")
+		} else {
+			x.options.Measurer.Item("stopped")
+		}
 		x.options.Logger.Info("item stopped", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID),
 			zap.String("reason", o.reason), zap.Int("events", t.begun()))
 		x.rest(t, o)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -18,6 +18,7 @@
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/filler"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/speller"
@@ -46,6 +47,7 @@
 	Clock    timer.Clock
 	Logger   *zap.Logger
 	Policy   filler.Policy
+	Measurer *measurer.Measurer
 }
 
 // interval is how often the Executor looks at its items without being told.
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -20,6 +20,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/speller"
@@ -40,8 +41,9 @@
 	Rationer *rationer.Rationer
 	Jobs     Jobs
 	// Clock must count the time that the machine is suspended.
-	Clock  timer.Clock
-	Logger *zap.Logger
+	Clock    timer.Clock
+	Logger   *zap.Logger
+	Measurer *measurer.Measurer
 	// Permission is how old a confirmed Snapshot may be; default 3.6 s.
 	Permission timer.Millis
 	// Fresh is how old a Snapshot may be by which a request is said to be
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -60,7 +60,7 @@
 	r := rationer.New(f.clock)
 	f.clock.now += 10 * timer.Second
 	f.gate = gatekeeper.New(gatekeeper.Options{
-		Names: speller.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", Job: jobCall},
+		Names:    speller.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", Job: jobCall},
 		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs,
 		Clock: f.clock, Logger: zap.NewNop(), Permission: 3600,
 	})
--- a/gatekeeper/visit.go
+++ b/gatekeeper/visit.go
@@ -135,7 +135,13 @@
 	return body, nil
 }
 
+// ended counts the request in the metrics.
+func (v *visit) ended(outcome string) {
+	v.gatekeeper.options.Measurer.Request(outcome, v.gatekeeper.options.Clock.Now()-v.began)
+}
+
 func (v *visit) refuse(f *refusal) {
+	v.ended(strconv.Itoa(f.status))
 	v.log("refused", zap.Int("status", f.status), zap.String("reason", f.reason), zap.Int64("retry-after-ms", int64(f.retry)))
 	if f.retry > 0 {
 		v.writer.Header().Set("Retry-After", strconv.FormatFloat(float64(f.retry)/float64(timer.Second), 'f', 3, 64))
@@ -219,6 +225,7 @@
 	took := zap.Int64("took-ms", int64(v.gatekeeper.options.Clock.Now()-v.began))
 	switch o := outcome.(type) {
 	case relayer.Delivered:
+		v.ended("delivered")
 		v.log("delivered", took, zap.Int("status", o.Status), zap.String("server", o.Server), zap.Int("servers", o.Servers))
 	case relayer.NotRun:
 		if v.workspace != nil {
@@ -232,9 +239,11 @@
 		}
 		v.refuse(&refusal{status: status, reason: o.Reason})
 	case relayer.BrokenOff:
+		v.ended("broken-off")
 		v.log("broken off", took, zap.String("reason", o.Reason))
 		panic(http.ErrAbortHandler)
 	case relayer.Left:
+		v.ended("left")
 		v.log("caller left", took)
 		panic(http.ErrAbortHandler)
 	}
--- a/gatekeeper/visit_job.go
+++ b/gatekeeper/visit_job.go
@@ -32,6 +32,7 @@
 		v.refuse(&refusal{status: a.Status, reason: a.Reason, retry: timer.Millis(a.RetryAfterMillis)})
 		return
 	}
+	v.ended("delivered")
 	v.log(what, zap.Int("status", a.Status), zap.String("path", v.request.URL.Path))
 	if a.ContentType != "" {
 		v.writer.Header().Set("Content-Type", a.ContentType)
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -65,6 +65,7 @@
 	})
 	e.gatekeeper = gatekeeper.New(gatekeeper.Options{
 		Names: p.Names, Snapshot: b.follower.Snapshot, Relay: relay, Rationer: e.rationer, Clock: b.clock, Logger: l,
+		Measurer: p.Measurer,
 		Jobs: broker.New(broker.Options{
 			Formats: p.Jobs, Caller: b.messenger, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests, Heard: b.gossiper.Heard,
 			Clock: b.clock, Wall: timer.Wall, Logger: l,
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"runtime/debug"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/jackdawgate/jackdawgate/enroller"
 	"github.com/jackdawgate/jackdawgate/follower"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/speller"
@@ -47,6 +49,10 @@
 	ReadyPath, DirectoryPath string
 	// Addresses encodes the answer to a caller that asks where to connect.
 	Addresses func(addresses []string, keep timer.Millis) ([]byte, error)
+	// Measurer counts what the host does.
+	Measurer *measurer.Measurer
+	// DroppedLines is how many log lines were dropped.
+	DroppedLines func() uint64
 	// Jobs are the formats of messages about batch jobs.
 	Jobs broker.Formats
 }
@@ -65,6 +71,7 @@
 	clock     timer.Clock
 	follower  *follower.Follower
 	enroller  *enroller.Enroller
+	metrics   *http.Server
 	gossiper  *gossiper.Gossiper
 	messenger *messenger.Host
 	streams   net.Listener
@@ -115,6 +122,9 @@
 	}, hear)
 	close(heard)
 	b.follower.Notify(b.forgetServers)
+	if err := b.showMetrics(); err != nil {
+		return nil, err
+	}
 	b.enroller = enroller.New(enroller.Options{Ledger: p.Ledger, Key: p.MemberKey(m.Name), TTL: s.Store.LeaseTTL, Logger: l}, m)
 	return b, nil
 }
@@ -195,4 +205,7 @@
 	}
 	b.follower.Close()
 	b.conveyor.Close()
+	if b.metrics != nil {
+		_ = b.metrics.Close()
+	}
 }
--- /dev/null
+++ b/hoster/metrics.go
@@ -0,0 +1,44 @@
+package hoster
+
+import (
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/jackdawgate/jackdawgate/measurer"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+// metricsPath is where metrics are read.
+const metricsPath = "/metrics"
+
+// showMetrics serves the host's metrics, if it has an address for them.
+func (b *base) showMetrics() error {
+	if b.settings.Listen.Metrics == "" || b.platform.Measurer == nil {
+		return nil
+	}
+	err := b.platform.Measurer.Observe(measurer.Observed{
+		ConfirmationAge: b.age,
+		KnownServers:    func() int { return len(b.follower.Snapshot().Servers) },
+		HeardHosts:      func() int { return len(b.gossiper.Digests()) },
+		Dials:           b.conveyor.Dials,
+		DroppedLines:    b.platform.DroppedLines,
+	})
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp4", b.settings.Listen.Metrics)
+	if err != nil {
+		return eris.Wrap(err, "listen for metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, b.platform.Measurer)
+	b.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := b.metrics.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			b.logger.Error("metrics are no longer served", zap.Error(err))
+		}
+	}()
+	return nil
+}
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -38,6 +38,7 @@
 	mu      sync.Mutex
 	written map[string]int
 	dropped map[string]int
+	lost    uint64
 }
 
 // New returns a Journal that writes JSON lines to out until Close.
@@ -120,19 +121,32 @@
 	full := cap(j.queue) - len(j.queue)
 	urgent := e.Level >= zapcore.WarnLevel
 	if full == 0 || (!urgent && full <= reservedLines) || (!urgent && j.written[e.Message] >= linesPerSecond) {
-		j.dropped[e.Message]++
+		j.drop(e.Message)
 		return false
 	}
 	j.written[e.Message]++
 	return true
 }
 
+// drop counts a line that is not written; j is locked.
+func (j *Journal) drop(kind string) {
+	j.dropped[kind]++
+	j.lost++
+}
+
+// Dropped is how many lines were dropped since the start.
+func (j *Journal) Dropped() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.lost
+}
+
 func (j *Journal) put(kind string, line []byte) {
 	select {
 	case j.queue <- line:
 	default:
 		j.mu.Lock()
-		j.dropped[kind]++
+		j.drop(kind)
 		j.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/measurer/measurer.go
@@ -0,0 +1,173 @@
+// Package measurer has a host's metrics. Every one is listed in Instruments,
+// from which the table in docs/OPERATIONS.md is made.
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	prometheusexporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Instrument describes one metric.
+type Instrument struct {
+	Name, Kind, Label, Meaning string
+}
+
+// The names of all instruments.
+const (
+	requests        = "jackdawgate.requests"
+	requestDuration = "jackdawgate.request.duration"
+	storeCalls      = "jackdawgate.store.calls"
+	items           = "jackdawgate.items"
+	confirmationAge = "jackdawgate.confirmation.age"
+	knownServers    = "jackdawgate.servers"
+	heardHosts      = "jackdawgate.hosts.heard"
+	dials           = "jackdawgate.dials"
+	droppedLines    = "jackdawgate.log.dropped"
+)
+
+// Instruments lists all metrics.
+func Instruments() []Instrument {
+	return []Instrument{
+		{requests, "counter", "outcome", "Callers' requests that ended, by how: delivered, broken-off, left, or the status of a refusal."},
+		{requestDuration, "histogram, ms", "outcome", "How long they took on this host."},
+		{storeCalls, "counter", "call", "Calls to the platform's store, by kind; their answers do not matter."},
+		{items, "counter", "outcome", "Runs of batch items that ended, by how: completed, dead, failed, evicted, stopped."},
+		{confirmationAge, "gauge, ms", "", "How old this host's knowledge of the store is. Above 3,600 it admits no request with a key."},
+		{knownServers, "gauge", "", "Backend servers that this host knows."},
+		{heardHosts, "gauge", "", "Other hosts that this host heard within the last second."},
+		{dials, "counter", "", "Connections made to backend servers."},
+		{droppedLines, "counter", "", "Log lines that were dropped."},
+	}
+}
+
+// Table is the part of docs/OPERATIONS.md that lists all metrics.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| metric | kind | label | meaning |\n|---|---|---|---|\n")
+	for _, i := range Instruments() {
+		label := "none"
+		if i.Label != "" {
+			label = "`" + i.Label + "`"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", i.Name, i.Kind, label, i.Meaning)
+	}
+	return b.String()
+}
+
+// Observed are values that are read when the metrics are.
+type Observed struct {
+	ConfirmationAge func() timer.Millis
+	KnownServers    func() int
+	HeardHosts      func() int
+	Dials           func() uint64
+	DroppedLines    func() uint64
+}
+
+// Measurer counts. A nil Measurer counts nothing. It is safe for concurrent use.
+type Measurer struct {
+	meter    metric.Meter
+	provider *sdkmetric.MeterProvider
+	handler  http.Handler
+
+	requests, storeCalls, items metric.Int64Counter
+	requestDuration             metric.Int64Histogram
+}
+
+// durationBounds are the bounds of the histogram of requests, in milliseconds.
+var durationBounds = []float64{10, 20, 50, 100, 200, 300, 500, 1000, 2000, 5000, 10000}
+
+// New returns a Measurer with a registry of its own.
+func New() (*Measurer, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := prometheusexporter.New(prometheusexporter.WithRegisterer(registry))
+	if err != nil {
+		return nil, eris.Wrap(err, "metrics exporter")
+	}
+	p := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
+	m := &Measurer{
+		meter: p.Meter("github.com/jackdawgate/jackdawgate"), provider: p,
+		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	}
+	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items} {
+		if *to, err = m.meter.Int64Counter(name); err != nil {
+			return nil, eris.Wrap(err, "make counter")
+		}
+	}
+	m.requestDuration, err = m.meter.Int64Histogram(requestDuration, metric.WithExplicitBucketBoundaries(durationBounds...))
+	return m, eris.Wrap(err, "make histogram")
+}
+
+// Observe makes the metrics that are read from elsewhere.
+func (m *Measurer) Observe(o Observed) error {
+	gauges := map[string]func() int64{
+		confirmationAge: func() int64 { return int64(o.ConfirmationAge()) },
+		knownServers:    func() int64 { return int64(o.KnownServers()) },
+		heardHosts:      func() int64 { return int64(o.HeardHosts()) },
+	}
+	for name, read := range gauges {
+		_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe(read)))
+		if err != nil {
+			return eris.Wrap(err, "make gauge")
+		}
+	}
+	counters := map[string]func() uint64{dials: o.Dials, droppedLines: o.DroppedLines}
+	for name, read := range counters {
+		_, err := m.meter.Int64ObservableCounter(name, metric.WithInt64Callback(observe(func() int64 { return int64(read()) })))
+		if err != nil {
+			return eris.Wrap(err, "make counter")
+		}
+	}
+	return nil
+}
+
+func observe(read func() int64) metric.Int64Callback {
+	return func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(read())
+		return nil
+	}
+}
+
+// Request counts a caller's request that ended.
+func (m *Measurer) Request(outcome string, took timer.Millis) {
+	if m == nil {
+		return
+	}
+	label := metric.WithAttributes(attribute.String("outcome", outcome))
+	m.requests.Add(context.Background(), 1, label)
+	m.requestDuration.Record(context.Background(), int64(took), label)
+}
+
+// StoreCall counts a call to the platform's store.
+func (m *Measurer) StoreCall(call string) {
+	if m == nil {
+		return
+	}
+	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call)))
+}
+
+// Item counts a run of a batch item that ended.
+func (m *Measurer) Item(outcome string) {
+	if m == nil {
+		return
+	}
+	m.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// ServeHTTP implements http.Handler: it shows all metrics as text.
+func (m *Measurer) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
+
+// Close ends the metrics.
+func (m *Measurer) Close() error {
+	return eris.Wrap(m.provider.Shutdown(context.Background()), "end metrics")
+}
--- a/operator/program.go
+++ b/operator/program.go
@@ -11,7 +11,7 @@
 		Name:  "jackdawgate",
 		Short: "serves online and batch inference on one fleet",
 		Commands: []commander.Command{
-			&Dev{}, &Serve{}, &SettingsCheck{}, &Status{},
+			&Dev{}, &Serve{}, &SettingsCheck{}, &Status{}, &Explain{},
 			&WorkspaceCreate{}, &WorkspaceList{}, &LimitSet{},
 			&KeyGive{}, &KeyWithdraw{}, &KeyList{},
 			&PresetSet{}, &PresetDefine{}, &PresetShow{},
