--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -27,7 +27,7 @@
 }
 
 const (
-	callTimeout timer.Millis = 1500
+	callTimeout timer.Millis = 900
 	leastRetry  timer.Millis = 100
 	mostRetry   timer.Millis = 600
 )
--- /dev/null
+++ b/executor/executor_test.go
@@ -0,0 +1,262 @@
+package executor_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/executor"
+	"github.com/jackdawgate/jackdawgate/filler"
+	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+const (
+	lastEvent = 6
+	patience  = 20 * time.Second
+	often     = 5 * time.Millisecond
+)
+
+var names = speller.Names{
+	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
+	Signature: "Signature", NotRun: "Not-Run", ResumeAfter: "After",
+}
+
+// engine is a backend server that streams lastEvent events for each item.
+type engine struct {
+	mu sync.Mutex
+	// breaks are after which event the next runs break off; statuses are what
+	// the next runs answer; hold stops runs after their second event.
+	breaks   []int
+	statuses []int
+	hold     chan struct{}
+	runs     []string
+}
+
+func (e *engine) serve(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.answer(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (e *engine) next(q *http.Request, body string) (status, breakAfter int, hold chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs = append(e.runs, fmt.Sprint(q.Header.Get("Id"), " after ", q.Header.Get("After"), " ", body))
+	status, breakAfter = http.StatusOK, -1
+	if len(e.statuses) > 0 {
+		status, e.statuses = e.statuses[0], e.statuses[1:]
+	}
+	if len(e.breaks) > 0 {
+		breakAfter, e.breaks = e.breaks[0], e.breaks[1:]
+	}
+	return status, breakAfter, e.hold
+}
+
+func (e *engine) answer(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	q, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	body, _ := io.ReadAll(q.Body)
+	status, breakAfter, hold := e.next(q, string(body))
+	if status != http.StatusOK {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", status)
+		return
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+	first, _ := strconv.Atoi(q.Header.Get("After"))
+	for i := first + 1; i <= lastEvent; i++ {
+		if i == breakAfter {
+			return
+		}
+		if i == 3 && hold != nil {
+			<-hold
+		}
+		ev := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
+	}
+	_, _ = io.WriteString(c, "0\r\n\r\n")
+}
+
+func (e *engine) seen() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.runs...)
+}
+
+type fixture struct {
+	t        *testing.T
+	engine   *engine
+	queue    *queuer.Queue
+	executor *executor.Executor
+
+	mu     sync.Mutex
+	online int
+}
+
+func start(t *testing.T, e *engine) *fixture {
+	f := &fixture{t: t, engine: e}
+	route := cataloger.Route{Name: "r", Host: "h", Prefix: "/b/", Kind: cataloger.Batch, Shares: []cataloger.Share{{Service: "svc", Weight: 1}}}
+	s := cataloger.Snapshot{}.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{Version: 1, Routes: []cataloger.Route{route}}))
+	s = s.WithServer(cataloger.Server{ID: "s", Service: "svc", Address: e.serve(t), Slots: 4})
+	clock := timer.System()
+	ej := ejector.New(clock)
+	touch := func() {}
+	f.queue = queuer.New(zap.NewNop(), func() { touch() })
+	p := picker.New(picker.Options{
+		Snapshot: func() cataloger.Snapshot { return s }, Ejector: ej, Changed: func() {},
+		Others: func(string) gossiper.Load { return gossiper.Load{Online: f.onlineNow()} },
+	})
+	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
+	t.Cleanup(c.Close)
+	f.executor = executor.New(executor.Options{
+		Host: "self", Names: names, Snapshot: func() cataloger.Snapshot { return s }, Digests: func() []gossiper.Digest { return nil },
+		Picker: p, Conveyor: c, Ejector: ej, Clock: clock, Logger: zap.NewNop(), Policy: filler.Policy{},
+		Groups: []executor.Group{{Queue: f.queue, Propose: func(_ context.Context, data []byte) error {
+			f.queue.Apply(data)
+			return nil
+		}}},
+	})
+	t.Cleanup(f.executor.Close)
+	f.queue.Opened()
+	return f
+}
+
+func (f *fixture) onlineNow() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.online
+}
+
+func (f *fixture) setOnline(n int) {
+	f.mu.Lock()
+	f.online = n
+	f.mu.Unlock()
+	f.executor.Touch()
+}
+
+func (f *fixture) submit(items int) {
+	j := queuer.Job{ID: "j", Host: "h", Submitted: time.Now().UnixMilli(), RunObjective: 18000, Retention: 60000, MaxAttempts: 3}
+	for i := range items {
+		j.Items = append(j.Items, queuer.Item{ID: "i" + strconv.Itoa(i), Path: "/b/x", Body: []byte("body" + strconv.Itoa(i))})
+	}
+	data, err := queuer.Encode(queuer.Accepted{Job: j})
+	require.NoError(f.t, err)
+	f.queue.Apply(data)
+}
+
+func (f *fixture) results(n int) []queuer.Result {
+	f.t.Helper()
+	var r queuer.Results
+	require.Eventually(f.t, func() bool {
+		r, _, _ = f.queue.Results("j", 0, 1<<20)
+		return len(r.Results) >= n
+	}, patience, often)
+	return r.Results
+}
+
+func whole() string {
+	var parts []string
+	for i := 1; i <= lastEvent; i++ {
+		parts = append(parts, "e"+strconv.Itoa(i))
+	}
+	return strings.Join(parts, "\n")
+}
+
+func TestItemsRunOnceAndAreListedWhole(t *testing.T) {
+	e := &engine{}
+	f := start(t, e)
+	f.submit(6)
+	for _, r := range f.results(6) {
+		require.Equal(t, whole(), string(r.Output))
+		require.False(t, r.Dead)
+	}
+	require.Len(t, e.seen(), 6)
+	require.Contains(t, e.seen(), "i3 after  body3")
+}
+
+func TestBrokenItemGoesOnAfterItsLastEvent(t *testing.T) {
+	e := &engine{breaks: []int{4, 6, 1}}
+	f := start(t, e)
+	f.submit(1)
+	require.Equal(t, whole(), string(f.results(1)[0].Output))
+	require.Equal(t, []string{"i0 after  body0", "i0 after 3 body0", "i0 after 5 body0", "i0 after 5 body0"}[:len(e.seen())], e.seen())
+}
+
+func TestItemThatFailsTooOftenIsGivenUp(t *testing.T) {
+	e := &engine{statuses: []int{500, 500, 500}}
+	f := start(t, e)
+	f.submit(1)
+	require.True(t, f.results(1)[0].Dead)
+	require.Len(t, e.seen(), 3)
+}
+
+func TestItemThatCanNeverBeDoneIsGivenUpAtOnce(t *testing.T) {
+	e := &engine{statuses: []int{422}}
+	f := start(t, e)
+	f.submit(1)
+	require.True(t, f.results(1)[0].Dead)
+	require.Len(t, e.seen(), 1)
+}
+
+// Pattern: online calls fill the server while items run there.
+func TestItemsGiveWayToOnlineCallsAndGoOnLater(t *testing.T) {
+	e := &engine{hold: make(chan struct{})}
+	f := start(t, e)
+	f.submit(2)
+	require.Eventually(t, func() bool { return len(e.seen()) == 2 && f.executor.Backlog() == 0 }, patience, often)
+	f.setOnline(4)
+	require.Eventually(t, func() bool { return f.executor.Backlog() == 2 }, patience, often)
+	e.mu.Lock()
+	close(e.hold)
+	e.hold = nil
+	e.mu.Unlock()
+	f.setOnline(0)
+	for _, r := range f.results(2) {
+		require.Equal(t, whole(), string(r.Output))
+	}
+	require.Len(t, e.seen(), 4)
+}
+
+func TestEndedJobIsStopped(t *testing.T) {
+	e := &engine{hold: make(chan struct{})}
+	f := start(t, e)
+	f.submit(1)
+	require.Eventually(t, func() bool { return len(e.seen()) == 1 }, patience, often)
+	data, err := queuer.Encode(queuer.Ended{Job: "j"})
+	require.NoError(t, err)
+	f.queue.Apply(data)
+	f.executor.Touch()
+	close(e.hold)
+	f.executor.Close()
+	r, _, _ := f.queue.Results("j", 0, 1<<20)
+	require.Empty(t, r.Results)
+}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -173,11 +175,11 @@
 // cut is a store that one host does not reach.
 type cut struct {
 	storer.Ledger
-	on bool
+	on atomic.Bool
 }
 
 func (c *cut) Watch(ctx context.Context, prefix string, after storer.Revision, wait timer.Millis) (storer.Changes, error) {
-	if c.on {
+	if c.on.Load() {
 		return storer.Changes{}, &storer.UnavailableError{Call: "watch"}
 	}
 	return c.Ledger.Watch(ctx, prefix, after, wait)
@@ -189,6 +191,7 @@
 		ledger := storer.NewMemoryLedger(clock)
 		net := messenger.NewMemory()
 		var all []*follower.Follower
+		var mu sync.Mutex
 		var ledgers []*cut
 		for i := range 4 {
 			name := "h" + strconv.Itoa(i)
@@ -198,6 +201,8 @@
 			f := follower.New(follower.Options{
 				Ledger: l, Decoder: decoder{}, Clock: clock, Logger: zap.NewNop(),
 				Relay: &follower.Relay{Self: name, Caller: end, Candidates: func() []follower.Reader {
+					mu.Lock()
+					defer mu.Unlock()
 					var out []follower.Reader
 					for j, o := range all {
 						n := "h" + strconv.Itoa(j)
@@ -207,7 +212,9 @@
 				}},
 			})
 			f.Serve(end)
+			mu.Lock()
 			all = append(all, f)
+			mu.Unlock()
 		}
 		defer func() {
 			for _, f := range all {
@@ -221,7 +228,7 @@
 		set("1")
 		pass(3000)
 		for v := 2; v < 30; v++ {
-			ledgers[v%4].on = v%3 == 0
+			ledgers[v%4].on.Store(v%3 == 0)
 			ledger.SetAway(v%7 == 0)
 			if v%7 != 0 {
 				set(strconv.Itoa(v))
--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,131 @@
+package gossiper_test
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+type clock struct {
+	mu  sync.Mutex
+	now timer.Millis
+}
+
+func (c *clock) Now() timer.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) add(m timer.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += m
+}
+
+// conn is a net.PacketConn whose datagrams a test hands in.
+type conn struct {
+	in   chan []byte
+	done chan struct{}
+	once sync.Once
+}
+
+func newConn() *conn { return &conn{in: make(chan []byte), done: make(chan struct{})} }
+
+func (c *conn) ReadFrom(p []byte) (int, net.Addr, error) {
+	select {
+	case b := <-c.in:
+		return copy(p, b), nil, nil
+	case <-c.done:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (c *conn) WriteTo(p []byte, _ net.Addr) (int, error) { return len(p), nil }
+func (c *conn) Close() error                              { c.once.Do(func() { close(c.done) }); return nil }
+func (c *conn) LocalAddr() net.Addr                       { return nil }
+func (c *conn) SetDeadline(time.Time) error               { return nil }
+func (c *conn) SetReadDeadline(time.Time) error           { return nil }
+func (c *conn) SetWriteDeadline(time.Time) error          { return nil }
+
+type fixture struct {
+	t     *testing.T
+	clock *clock
+	conn  *conn
+	heard chan gossiper.Digest
+	g     *gossiper.Gossiper
+}
+
+func start(t *testing.T) *fixture {
+	f := &fixture{t: t, clock: &clock{now: 5000}, conn: newConn(), heard: make(chan gossiper.Digest, 16)}
+	f.g = gossiper.New(gossiper.Options{
+		Conn: f.conn, Clock: f.clock, Logger: zap.NewNop(),
+		Build: func() gossiper.Digest { return gossiper.Digest{Host: "self"} },
+		Peers: func() (near, far []netip.AddrPort) { return nil, nil },
+	}, func(d gossiper.Digest) { f.heard <- d })
+	t.Cleanup(f.g.Close)
+	return f
+}
+
+// hand hands a digest in; a marker behind it shows when it has been handled.
+func (f *fixture) hand(host, incarnation string, sequence uint64, online int) {
+	f.t.Helper()
+	for _, d := range []gossiper.Digest{
+		{Host: host, Incarnation: incarnation, Sequence: sequence, Loads: map[string]gossiper.Load{"s": {Online: online}}},
+		{Host: "marker", Incarnation: "1", Sequence: uint64(f.clock.Now())},
+	} {
+		b, err := cbor.Marshal(d)
+		require.NoError(f.t, err)
+		f.conn.in <- b
+	}
+	for d := range f.heard {
+		if d.Host == "marker" {
+			break
+		}
+	}
+	f.clock.add(1)
+}
+
+func TestNewestDigestOfEachHostCounts(t *testing.T) {
+	f := start(t)
+	f.hand("a", "1", 5, 3)
+	f.hand("b", "1", 1, 2)
+	require.Equal(t, 5, f.g.Others("s").Online)
+	f.hand("a", "1", 4, 9)
+	require.Equal(t, 5, f.g.Others("s").Online, "a datagram that was overtaken")
+	f.hand("a", "1", 6, 1)
+	require.Equal(t, 3, f.g.Others("s").Online)
+}
+
+func TestRestartedHostReplacesWhatItWas(t *testing.T) {
+	f := start(t)
+	f.hand("a", "1", 50, 3)
+	f.hand("a", "2", 1, 1)
+	require.Equal(t, 1, f.g.Others("s").Online)
+	f.hand("a", "1", 60, 7)
+	require.Equal(t, 1, f.g.Others("s").Online, "a late datagram of the process before")
+}
+
+// The time of day may step back between two starts of a host.
+func TestRestartedHostWithAnEarlierClockIsHeardAfterAWhile(t *testing.T) {
+	f := start(t)
+	f.hand("a", "9", 50, 3)
+	f.clock.add(1100)
+	f.hand("a", "2", 1, 1)
+	require.Equal(t, 1, f.g.Others("s").Online)
+}
+
+func TestUnreadableDatagramIsPassedOver(t *testing.T) {
+	f := start(t)
+	f.conn.in <- []byte{0xff, 0x00}
+	f.hand("a", "1", 1, 1)
+	require.Equal(t, 1, f.g.Others("s").Online)
+}
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -86,11 +87,9 @@
 	if err != nil {
 		return "", eris.Wrap(err, "name disk")
 	}
-	defer f.Close()
-	if _, err := f.WriteString(name + "\n"); err != nil {
-		return "", eris.Wrap(err, "name disk")
-	}
-	return name, eris.Wrap(f.Sync(), "name disk")
+	_, err = f.WriteString(name + "\n")
+	err = errors.Join(err, f.Sync(), f.Close())
+	return name, eris.Wrap(err, "name disk")
 }
 
 // open opens the logs of all groups.
--- a/mirrorer/fleet_test.go
+++ b/mirrorer/fleet_test.go
@@ -56,8 +56,9 @@
 	cancel           context.CancelFunc
 	polled           chan struct{}
 	// deaf hosts do not reach the store.
-	deaf bool
-	cut  map[string]bool
+	deaf    bool
+	leaving bool
+	cut     map[string]bool
 }
 
 // fleet is hosts with disks, on virtual time.
@@ -169,10 +170,11 @@
 func (f *fleet) view(h *host, g cataloger.Group, started timer.Millis) mirrorer.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := mirrorer.View{Copies: 2, Wanted: 3, Silences: make(map[string]timer.Millis)}
+	v := mirrorer.View{Copies: 2, Wanted: 3, Silences: make(map[string]timer.Millis), Leaving: make(map[string]bool)}
 	for _, o := range f.hosts {
 		if o.alive && !h.cut[o.name] {
 			v.Alive = append(v.Alive, o.disk)
+			v.Leaving[o.disk] = o.leaving
 		}
 	}
 	for _, d := range append([]string{g.Owner}, g.Holders...) {
@@ -192,6 +194,20 @@
 	f.net.Cut(b.name, a.name, on)
 }
 
+// setDeaf cuts a host from the store, or heals that.
+func (f *fleet) setDeaf(h *host, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.deaf = on
+}
+
+// setLeaving says that a host is about to stop.
+func (f *fleet) setLeaving(h *host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.leaving = true
+}
+
 // reach is the store as one host reaches it.
 type reach struct {
 	fleet *fleet
--- a/mirrorer/replica_test.go
+++ b/mirrorer/replica_test.go
@@ -54,14 +54,14 @@
 				f.setCut(o, h, true)
 			}
 		}
-		o.deaf = true
+		f.setDeaf(o, true)
 		require.Error(t, propose(o, "cut"))
 		sleep(1500)
 		require.False(t, o.replica.Serving(t.Context()))
 		next := f.awaitOwner(6000)
 		require.NotEqual(t, o.name, next.name)
 		require.NoError(t, propose(next, "after"))
-		o.deaf = false
+		f.setDeaf(o, false)
 		for _, h := range f.hosts {
 			if h != o {
 				f.setCut(o, h, false)
@@ -131,11 +131,16 @@
 	})
 }
 
-func TestPlannedStopHandsTheGroupOver(t *testing.T) {
+func TestHostThatLeavesHandsTheGroupOverWithoutAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
-		require.NoError(t, propose(f.awaitOwner(3000), "x"))
-		require.False(t, f.owner() == nil)
+		o := f.awaitOwner(3000)
+		require.NoError(t, propose(o, "x"))
+		f.setLeaving(o)
+		sleep(400)
+		next := f.awaitOwner(100)
+		require.NotEqual(t, o.name, next.name)
+		require.Equal(t, []string{"x"}, next.machine.list())
 	})
 }
 
@@ -200,7 +205,7 @@
 			f.setCut(h, o, true)
 		}
 	case 4:
-		h.deaf = !h.deaf
+		f.setDeaf(h, !h.deaf)
 	case 5:
 		f.ledger.LoseAnswers(1)
 	case 6:
@@ -213,7 +218,7 @@
 func (f *fleet) heal() {
 	f.ledger.LoseAnswers(0)
 	for i, h := range f.hosts {
-		h.deaf = false
+		f.setDeaf(h, false)
 		for _, o := range f.hosts[i+1:] {
 			f.setCut(h, o, false)
 		}
