--- a/mirrorer/fleet_test.go
+++ b/mirrorer/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -70,6 +71,8 @@
 
 	mu    sync.Mutex
 	hosts []*host
+	// changed is when a host last started or ended.
+	changed timer.Millis
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -104,6 +107,7 @@
 	h.starts++
 	incarnation := fmt.Sprintf("%s-%d", h.name, h.starts)
 	h.machine, h.alive = &recorder{}, true
+	f.changed = f.clock.Now()
 	f.mu.Unlock()
 	end := f.net.Host(h.name, messenger.Peer{Name: h.name, Incarnation: incarnation})
 	started := f.clock.Now()
@@ -125,6 +129,7 @@
 	f.mu.Lock()
 	was := h.alive
 	h.alive = false
+	f.changed = f.clock.Now()
 	f.mu.Unlock()
 	if !was {
 		return
@@ -170,9 +175,9 @@
 func (f *fleet) view(h *host, g cataloger.Group, started timer.Millis) mirrorer.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := mirrorer.View{Copies: 2, Wanted: 3, Silences: make(map[string]timer.Millis), Leaving: make(map[string]bool)}
+	v := mirrorer.View{Copies: 2, Wanted: 3, Settled: f.clock.Now()-f.changed > 3000, Silences: make(map[string]timer.Millis), Leaving: make(map[string]bool)}
 	for _, o := range f.hosts {
-		if o.alive && !h.cut[o.name] {
+		if o == h || (o.alive && !h.cut[o.name]) {
 			v.Alive = append(v.Alive, o.disk)
 			v.Leaving[o.disk] = o.leaving
 		}
@@ -208,6 +213,25 @@
 	h.leaving = true
 }
 
+// requireOnAllHolders checks that the disks which the manifest names have texts.
+func (f *fleet) requireOnAllHolders(want ...string) {
+	f.t.Helper()
+	g, _ := f.manifest(f.ledger)
+	for _, h := range f.hosts {
+		if !g.Holds(h.disk) {
+			continue
+		}
+		data, err := os.ReadFile(h.path)
+		require.NoError(f.t, err)
+		copied := filepath.Join(f.t.TempDir(), "copy")
+		require.NoError(f.t, os.WriteFile(copied, data, 0o600))
+		got := texts(f.t, open(f.t, copied))
+		for _, s := range want {
+			require.Contains(f.t, got, s, "disk %s is a holder", h.disk)
+		}
+	}
+}
+
 // reach is the store as one host reaches it.
 type reach struct {
 	fleet *fleet
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -204,9 +204,10 @@
 }
 
 // SetGroup tells the Replica of the manifest as it was read.
-func (r *Replica) SetGroup(g cataloger.Group) { r.post(func() { r.setGroup(g) }) }
+func (r *Replica) SetGroup(g cataloger.Group) { r.post(func() { r.setGroup(g, false) }) }
 
-func (r *Replica) setGroup(g cataloger.Group) {
+// setGroup takes a manifest that was read, or written by this process.
+func (r *Replica) setGroup(g cataloger.Group, written bool) {
 	if g.Revision <= r.group.Revision {
 		return
 	}
@@ -217,7 +218,7 @@
 	case g.Owner != r.options.Disk:
 		r.endSession()
 	case r.session == nil || before.Owner != r.options.Disk:
-		r.beginSession(before.Revision != 0 || g.Epoch == 1)
+		r.beginSession(before.Revision != 0 || written)
 	default:
 		r.session.goOn(g)
 	}
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -271,5 +271,5 @@
 	r.options.Logger.Info("manifest written", fields...)
 	g := w.Group
 	g.Revision = uint64(revision)
-	r.setGroup(g)
+	r.setGroup(g, true)
 }
--- a/mirrorer/plan.go
+++ b/mirrorer/plan.go
@@ -59,6 +59,8 @@
 // holders never falls below Copies.
 func Plan(v View) Step {
 	switch {
+	case !slices.Contains(v.Alive, v.Self):
+		return Stay{}
 	case len(v.Group.Holders) == 0:
 		return v.create()
 	case v.Group.Owner != v.Self:
--- a/mirrorer/replica_test.go
+++ b/mirrorer/replica_test.go
@@ -144,6 +144,36 @@
 	})
 }
 
+// Found by the model (spec/mirror.pml): an owner that started again while its
+// first manifest stood took no account of a transaction that the process before
+// it had sent, and committed without the disk which that made a holder.
+func TestRestartedOwnerHeedsWhatTheProcessBeforeItSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		third := f.hosts[2]
+		f.kill(third)
+		sleep(4000)
+		o := f.awaitOwner(5000)
+		g, _ := f.manifest(f.ledger)
+		require.Len(t, g.Holders, 2)
+		require.EqualValues(t, 1, g.Epoch)
+		f.ledger.HoldBack(100)
+		f.start(third)
+		sleep(400)
+		f.kill(third)
+		f.kill(o)
+		f.ledger.HoldBack(0)
+		f.start(o)
+		o = f.awaitOwner(5000)
+		require.NoError(t, propose(o, "committed"))
+		f.ledger.CarryOut()
+		f.requireOnAllHolders("committed")
+		f.start(third)
+		sleep(5000)
+		require.Equal(t, []string{"committed"}, f.awaitOwner(5000).machine.list())
+	})
+}
+
 // Hosts are killed, wiped, cut from each other and from the store at random, one
 // disk at a time. Whatever was acknowledged is applied on every later owner, in
 // one order, and nothing is applied twice.
@@ -190,7 +220,7 @@
 func (f *fleet) disturb(r *rand.Rand) {
 	h := f.hosts[r.IntN(len(f.hosts))]
 	o := f.hosts[r.IntN(len(f.hosts))]
-	switch r.IntN(7) {
+	switch r.IntN(9) {
 	case 0:
 		f.heal()
 		f.kill(h)
@@ -208,6 +238,10 @@
 		f.setDeaf(h, !h.deaf)
 	case 5:
 		f.ledger.LoseAnswers(1)
+	case 7:
+		f.ledger.HoldBack(1)
+	case 8:
+		f.ledger.CarryOut()
 	case 6:
 		f.kill(h)
 		f.start(h)
@@ -217,6 +251,7 @@
 // heal ends all faults and waits until copies are whole again.
 func (f *fleet) heal() {
 	f.ledger.LoseAnswers(0)
+	f.ledger.HoldBack(0)
 	for i, h := range f.hosts {
 		f.setDeaf(h, false)
 		for _, o := range f.hosts[i+1:] {
--- a/storer/memory_ledger.go
+++ b/storer/memory_ledger.go
@@ -27,6 +27,10 @@
 	changed  chan struct{}
 	away     bool
 	lost     int
+	// late are transactions that were not answered and not carried out yet; the
+	// next holding ones join them.
+	late    []Transaction
+	holding int
 }
 
 type memoryLease struct {
@@ -57,6 +61,26 @@
 	m.lost = n
 }
 
+// HoldBack leaves the next n transactions without an answer, and carries them out
+// at CarryOut, if their conditions hold then.
+func (m *MemoryLedger) HoldBack(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holding = n
+}
+
+// CarryOut carries out what was held back.
+func (m *MemoryLedger) CarryOut() {
+	m.mu.Lock()
+	late := m.late
+	m.late = nil
+	m.mu.Unlock()
+	for _, t := range late {
+		// One whose conditions no longer hold is not carried out.
+		_, _ = m.Commit(context.Background(), t)
+	}
+}
+
 // Forget drops the history, so that watches must begin anew.
 func (m *MemoryLedger) Forget() {
 	m.mu.Lock()
@@ -168,6 +192,11 @@
 	if err := m.enter(); err != nil {
 		return 0, err
 	}
+	if m.holding > 0 {
+		m.holding--
+		m.late = append(m.late, t)
+		return 0, &UnknownError{Call: "commit", Err: errAway}
+	}
 	for _, c := range t.Conditions {
 		if m.items[c.Key].Revision != c.Revision {
 			return 0, &ConflictError{Key: c.Key}
