--- a/executor/execute.go
+++ b/executor/execute.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -25,7 +24,6 @@
 	mostPause   timer.Millis = 2000
 	listRetry   timer.Millis = 150
 	listTimeout              = 3 * timer.Second
-	readSize                 = 4 << 10
 	// maxOutput bounds the output of an item, in bytes.
 	maxOutput = 4 << 20
 )
@@ -195,7 +193,7 @@
 		x.options.Ejector.Broke(v.ID)
 		return again{reason: "answer cannot be used: " + strconv.Itoa(a.Status), broke: true}
 	}
-	if err := x.take(t, v, a); err != nil {
+	if err := splitter.Read(a, func() { x.options.Ejector.Heard(v.ID) }, t.event); err != nil {
 		return x.broken(ctx, v, err)
 	}
 	x.options.Ejector.Answered(v.ID)
@@ -217,35 +215,10 @@
 }
 
 var (
-	errPartial  = errors.New("stream ended within an event")
 	errSequence = errors.New("stream does not go on after the last event")
 	errTooLong  = errors.New("output is too long")
 )
 
-// take adds the events of an answer to the item's output.
-func (x *Executor) take(t *task, v cataloger.Server, a *conveyor.Answer) error {
-	var s splitter.Splitter
-	buffer := make([]byte, readSize)
-	for {
-		n, err := a.Read(buffer)
-		if n > 0 {
-			x.options.Ejector.Heard(v.ID)
-			if failed := s.Feed(buffer[:n], t.event); failed != nil {
-				return failed
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			if s.Partial() {
-				return errPartial
-			}
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // event adds one event to the output.
 func (t *task) event(e splitter.Event) error {
 	t.putMu.Lock()
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -126,6 +126,9 @@
 	return strings.HasSuffix(l.Text("path"), "/"+id)
 }
 
+// leastMillis is by how much two lines differ whose order is known.
+const leastMillis = 0.001
+
 // align moves clocks so that a job was taken in before its caller was told.
 func (s *Story) align() {
 	taken := make(map[string]Line)
@@ -139,8 +142,8 @@
 		if l.Message != "job submitted" || !ok || t.Host == l.Host {
 			continue
 		}
-		if late := t.Millis - l.Millis; late > s.Shifts[l.Host] {
-			s.Shifts[l.Host] = late
+		if late := t.Millis - l.Millis; late >= s.Shifts[l.Host] {
+			s.Shifts[l.Host] = late + leastMillis
 		}
 	}
 }
--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,63 @@
+package explainer_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/explainer"
+	"github.com/stretchr/testify/require"
+)
+
+const logs = `12.1 e1 {"level":"info","ts":1000.0,"msg":"job submitted","host":"e1","request":"j1","status":202,"path":"/p/j1"}
+{"level":"info","ts":1030.5,"msg":"job taken in","host":"b1","job":"j1","items":2}
+{"level":"info","ts":1040,"msg":"item sent","host":"b1","item":"i1","job":"j1","server":"s1"}
+{"level":"info","ts":1041,"msg":"item sent","host":"b1","item":"i2","job":"j1","server":"s2"}
+{"level":"info","ts":1500,"msg":"server gone","host":"b1","server":"s1"}
+{"level":"info","ts":1501,"msg":"server gone","host":"b1","server":"s9"}
+not a log line {
+{"level":"info","ts":1600,"msg":"item listed","host":"b1","item":"i1","job":"j1","dead":true,"reason":"failed too often"}
+{"level":"info","ts":2000,"msg":"sent","host":"e1","request":"r1","server":"s1"}
+{"level":"warn","ts":2100,"msg":"log lines dropped","host":"e1","kinds":{"sent":3}}
+`
+
+func explain(t *testing.T, id string) (explainer.Story, string) {
+	t.Helper()
+	lines, err := explainer.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	s := explainer.Explain(id, lines)
+	var b strings.Builder
+	require.NoError(t, s.Write(&b))
+	return s, b.String()
+}
+
+func messages(lines []explainer.Line) []string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, l.Message)
+	}
+	return out
+}
+
+func TestItemsStoryHasItsJobAndServersInOrderAcrossClocks(t *testing.T) {
+	s, text := explain(t, "i1")
+	require.Equal(t, []string{"job taken in", "job submitted", "item sent", "item listed"}, messages(s.Lines))
+	require.InDelta(t, 30.5, s.Shifts["e1"], 0.01, "a caller is told after the job was taken in")
+	require.Equal(t, []string{"server gone", "log lines dropped"}, messages(s.Context))
+	require.Equal(t, "s1", s.Context[0].Text("server"))
+	require.Contains(t, text, "reason=failed too often")
+	require.NotContains(t, text, "i2")
+	require.Equal(t, []string{"host e1 dropped log lines at that time: map[sent:3]"}, s.Missing)
+}
+
+func TestStoryThatLacksItsEndSaysSo(t *testing.T) {
+	s, text := explain(t, "r1")
+	require.Len(t, s.Missing, 2)
+	require.Contains(t, text, "no line says how it ended")
+	require.Contains(t, text, "dropped log lines")
+}
+
+func TestUnknownIdentifierIsSaid(t *testing.T) {
+	s, _ := explain(t, "none")
+	require.Empty(t, s.Lines)
+	require.NotEmpty(t, s.Missing)
+}
--- /dev/null
+++ b/measurer/measurer_test.go
@@ -0,0 +1,47 @@
+package measurer_test
+
+import (
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/measurer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+func TestOperatorsPageListsAllMetrics(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	require.Contains(t, string(page), measurer.Table())
+}
+
+func TestEveryListedMetricIsShown(t *testing.T) {
+	m, err := measurer.New()
+	require.NoError(t, err)
+	defer func() { require.NoError(t, m.Close()) }()
+	one := func() uint64 { return 1 }
+	require.NoError(t, m.Observe(measurer.Observed{
+		ConfirmationAge: func() timer.Millis { return 1 }, KnownServers: func() int { return 1 },
+		HeardHosts: func() int { return 1 }, Dials: one, DroppedLines: one,
+	}))
+	m.Request("delivered", 55)
+	m.StoreCall("watch")
+	m.Item("completed")
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, i := range measurer.Instruments() {
+		require.Contains(t, w.Body.String(), strings.ReplaceAll(i.Name, ".", "_"))
+	}
+	require.Contains(t, w.Body.String(), `outcome="delivered"`)
+}
+
+func TestNoMeasurerCountsNothing(t *testing.T) {
+	var m *measurer.Measurer
+	require.NotPanics(t, func() {
+		m.Request("x", 1)
+		m.StoreCall("x")
+		m.Item("x")
+	})
+}
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -18,14 +18,12 @@
 	maxBody = 8 << 20
 	// maxRefusalBody bounds what is read of a refusal.
 	maxRefusalBody = 64 << 10
-	readSize       = 4 << 10
 )
 
 var (
 	errUnsigned = errors.New("success without the server's signature")
 	errEncoded  = errors.New("answer with an encoding that was not asked for")
 	errTooLong  = errors.New("answer is too long")
-	errPartial  = errors.New("stream ended within an event")
 	errSequence = errors.New("stream does not go on after the last event")
 	errCaller   = errors.New("caller is gone")
 )
@@ -116,26 +114,7 @@
 	if u.mayRepeat() && u.resumable {
 		a.SetSilence(moveAfter)
 	}
-	var s splitter.Splitter
-	buffer := make([]byte, readSize)
-	for {
-		n, err := a.Read(buffer)
-		if n > 0 {
-			u.relayer.options.Ejector.Heard(t.Server.ID)
-			if failed := s.Feed(buffer[:n], u.event); failed != nil {
-				return failed
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			if s.Partial() {
-				return errPartial
-			}
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+	return splitter.Read(a, func() { u.relayer.options.Ejector.Heard(t.Server.ID) }, u.event)
 }
 
 // event passes one event on.
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -3,6 +3,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"strconv"
 )
 
@@ -47,6 +49,38 @@
 	return nil
 }
 
+// readSize is how much is read of a stream at once, in bytes.
+const readSize = 4 << 10
+
+// PartialError says that a stream ended within an event.
+type PartialError struct{}
+
+func (*PartialError) Error() string { return "stream ended within an event" }
+
+// Read reads a stream to its end and calls each for every event, and heard
+// whenever bytes came. It returns nil only after a whole stream.
+func Read(r io.Reader, heard func(), each func(Event) error) error {
+	var s Splitter
+	buffer := make([]byte, readSize)
+	for {
+		n, err := r.Read(buffer)
+		if n > 0 {
+			heard()
+			if failed := s.Feed(buffer[:n], each); failed != nil {
+				return failed
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && s.Partial():
+			return &PartialError{}
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
 // Partial says whether an event has begun and not ended.
 func (s *Splitter) Partial() bool { return len(bytes.TrimSpace(s.held)) > 0 }
 
