Name another header in a test of keys in wrong places

The test's example was the platform's own name of the key's header, which may stand in platform/ only. Any header but the right one is what it checks: as strict as before.

--- a/server/path_test.go
+++ b/server/path_test.go
@@ -149,7 +149,7 @@
 		status     int
 	}{
 		"in its place":          {"/v1/chat/completions", chatBody, [2]string{}, 200},
-		"other header":          {"/dockets/1", "x", [2]string{"X-Api-Key", testKey}, 200},
+		"other header":          {"/dockets/1", "x", [2]string{"X-Other-Key", testKey}, 200},
 		"cookie":                {"/dockets/1", "x", [2]string{"Cookie", "k=" + testKey}, 200},
 		"header of other case":  {"/dockets/1", "x", [2]string{"aUTHORIZATION-cOPY", "Bearer " + testKey}, 200},
 		"forwarded header":      {"/dockets/1", "x", [2]string{"Traceparent", "00-" + testKey}, 400},
