--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -10,6 +10,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/jackdawgate/jackdawgate/timer"
 )
@@ -81,6 +82,10 @@
 	// Confirmed is when the question was sent whose answer gave or confirmed
 	// all of this, on the clock that counts suspended time; zero for never.
 	Confirmed timer.Millis
+
+	// services are the servers of each service, in the order of their
+	// identifiers. It is kept in step with Servers.
+	services map[string][]Server
 }
 
 // WithConfig returns s with c, or s itself when c is older than what it has.
@@ -93,18 +98,45 @@
 
 // WithServer returns s with v in place of its server of that identifier.
 func (s Snapshot) WithServer(v Server) Snapshot {
+	if s.Servers[v.ID] == v {
+		return s
+	}
+	s = s.WithoutServer(v.ID)
 	s.Servers = with(s.Servers, v.ID, v)
+	at, _ := slices.BinarySearchFunc(s.services[v.Service], v.ID, compareID)
+	s.services = with(s.services, v.Service, slices.Insert(slices.Clone(s.services[v.Service]), at, v))
+	return s
+}
+
+// WithServers returns s with list as all its servers. It takes list over.
+func (s Snapshot) WithServers(list []Server) Snapshot {
+	slices.SortFunc(list, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	s.Servers = make(map[string]Server, len(list))
+	s.services = make(map[string][]Server)
+	for _, v := range list {
+		s.Servers[v.ID] = v
+		s.services[v.Service] = append(s.services[v.Service], v)
+	}
 	return s
 }
 
 // WithoutServer returns s without the server id.
 func (s Snapshot) WithoutServer(id string) Snapshot {
+	v, ok := s.Servers[id]
+	if !ok {
+		return s
+	}
 	s.Servers = without(s.Servers, id)
+	rest := slices.DeleteFunc(slices.Clone(s.services[v.Service]), func(o Server) bool { return o.ID == id })
+	s.services = with(s.services, v.Service, rest)
 	return s
 }
 
 // WithMember returns s with m in place of its member of that name.
 func (s Snapshot) WithMember(m Member) Snapshot {
+	if s.Members[m.Name] == m {
+		return s
+	}
 	s.Members = with(s.Members, m.Name, m)
 	return s
 }
@@ -140,21 +172,10 @@
 }
 
 // ServersOf lists the servers of a service in the order of their identifiers.
-func (s Snapshot) ServersOf(service string) []Server {
-	var out []Server
-	for _, v := range s.Servers {
-		if v.Service == service {
-			out = append(out, v)
-		}
-	}
-	slices.SortFunc(out, func(a, b Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
+// The list must not be changed.
+func (s Snapshot) ServersOf(service string) []Server { return s.services[service] }
+
+func compareID(v Server, id string) int { return strings.Compare(v.ID, id) }
 
 // MemberWithDisk returns the member that has this disk.
 func (s Snapshot) MemberWithDisk(disk string) (Member, bool) {
--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -105,7 +105,6 @@
 	services   map[string]Service
 	workspaces map[string]*Workspace
 	keys       map[string]*Workspace
-	listed     []*Workspace
 	open       bool
 }
 
@@ -143,7 +142,6 @@
 	for i := range p.Workspaces {
 		w := &p.Workspaces[i]
 		c.workspaces[w.Name] = w
-		c.listed = append(c.listed, w)
 	}
 	for key, name := range p.Keys {
 		if w, ok := c.workspaces[name]; ok {
@@ -163,18 +161,6 @@
 	return nil, false
 }
 
-// RouteNamed returns the route with this name.
-func (c *Config) RouteNamed(name string) (*Route, bool) {
-	for _, list := range c.routes {
-		for _, r := range list {
-			if r.Name == name {
-				return r, true
-			}
-		}
-	}
-	return nil, false
-}
-
 // HasHost says whether any route has this host.
 func (c *Config) HasHost(host string) bool { return len(c.routes[host]) > 0 }
 
@@ -184,9 +170,6 @@
 	return w, ok
 }
 
-// Workspaces lists all workspaces.
-func (c *Config) Workspaces() []*Workspace { return c.listed }
-
 // Open says that the configuration knows no workspaces, so that no request
 // needs a key.
 func (c *Config) Open() bool { return c.open }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -274,6 +274,7 @@
 // load reads all keys anew.
 func (f *Follower) load(ctx context.Context, s cataloger.Snapshot) (cataloger.Snapshot, error) {
 	var from storer.Revision
+	var servers []cataloger.Server
 	fresh := cataloger.Snapshot{Config: s.Config, Confirmed: s.Confirmed}
 	for _, prefix := range f.options.Decoder.Prefixes() {
 		items, at, err := f.options.Ledger.Range(ctx, prefix)
@@ -284,9 +285,16 @@
 			from = at
 		}
 		for _, i := range items {
-			fresh = f.apply(fresh, storer.Change{Item: i})
+			switch t := f.decode(i).(type) {
+			case ServerFact:
+				delete(f.vanished, entry{name: t.Server.ID})
+				servers = append(servers, t.Server)
+			default:
+				fresh = f.believe(fresh, t)
+			}
 		}
 	}
+	fresh = fresh.WithServers(servers)
 	for id, v := range s.Servers {
 		if _, ok := fresh.Servers[id]; !ok && !v.Draining && f.mayBeOutage(s) {
 			fresh = fresh.WithServer(v)
@@ -309,11 +317,25 @@
 	if c.Deleted {
 		return f.removed(s, c.Key)
 	}
-	fact, err := f.options.Decoder.Decode(c.Item)
-	if err != nil {
-		f.options.Logger.Warn("unreadable entry in the store", zap.String("key", c.Key), zap.Error(err))
+	fact := f.decode(c.Item)
+	if fact == nil {
 		return f.removed(s, c.Key)
 	}
+	return f.believe(s, fact)
+}
+
+// decode returns what an item says, or nil when it cannot be read.
+func (f *Follower) decode(i storer.Item) Fact {
+	fact, err := f.options.Decoder.Decode(i)
+	if err != nil {
+		f.options.Logger.Warn("unreadable entry in the store", zap.String("key", i.Key), zap.Error(err))
+		return nil
+	}
+	return fact
+}
+
+// believe returns s with what one key says; nil says nothing.
+func (f *Follower) believe(s cataloger.Snapshot, fact Fact) cataloger.Snapshot {
 	switch t := fact.(type) {
 	case ConfigFact:
 		return s.WithConfig(t.Config)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -160,6 +160,24 @@
 	})
 }
 
+// The history of changes may be gone with the outage, so that the entry's return
+// is seen by a full read only.
+func TestEntryThatIsBackByAFullReadStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		l, err := x.ledger.Grant(t.Context(), 3000)
+		require.NoError(t, err)
+		x.set("servers/a", "ready", l)
+		pass(1000)
+		x.lapse()
+		pass(1000)
+		x.set("servers/a", "ready", 0)
+		x.ledger.Forget()
+		pass(4000)
+		require.Contains(t, x.f.Snapshot().Servers, "a")
+	})
+}
+
 func TestEntryThatGoesWithoutAnOutageIsGoneAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := start(t)
--- a/gatekeeper/visit.go
+++ b/gatekeeper/visit.go
@@ -36,7 +36,9 @@
 	began      timer.Millis
 	id         string
 	workspace  *cataloger.Workspace
-	route      *cataloger.Route
+	// route is nil for calls about existing jobs; job is nil for all others.
+	route *cataloger.Route
+	job   speller.JobCall
 }
 
 // refusal is an answer of this host's own.
@@ -56,19 +58,14 @@
 		v.refuse(f)
 		return
 	}
-	if call, ok := v.jobCall(); ok {
-		v.serveJob(call)
-		return
-	}
-	if v.route.Kind == cataloger.Batch {
+	switch {
+	case v.job != nil:
+		v.serveJob()
+	case v.route.Kind == cataloger.Batch:
 		v.submit(body)
-		return
+	default:
+		v.relay(body)
 	}
-	v.relay(body)
-}
-
-func (v *visit) jobCall() (speller.JobCall, bool) {
-	return v.gatekeeper.options.Names.Job(v.request.Method, v.request.URL.Path, v.request.URL.RawQuery)
 }
 
 // admit checks route, key and permission.
@@ -77,13 +74,8 @@
 	if c == nil {
 		return &refusal{http.StatusServiceUnavailable, "no configuration yet", retryUnsure}
 	}
-	host := hostOf(v.request.Host)
-	if _, ok := v.jobCall(); ok {
-		if !c.HasHost(host) {
-			return v.unknown(http.StatusNotFound, "no route has this host")
-		}
-	} else if v.route, ok = c.Match(host, v.request.URL.Path); !ok {
-		return v.unknown(http.StatusNotFound, "no route matches")
+	if f := v.address(c); f != nil {
+		return f
 	}
 	if c.Open() || (v.route != nil && v.route.Public) {
 		return nil
@@ -99,6 +91,23 @@
 	return nil
 }
 
+// address finds out which route or job the request is for.
+func (v *visit) address(c *cataloger.Config) *refusal {
+	host, to := hostOf(v.request.Host), v.request.URL
+	if call, ok := v.gatekeeper.options.Names.Job(v.request.Method, to.Path, to.RawQuery); ok {
+		v.job = call
+		if !c.HasHost(host) {
+			return v.unknown(http.StatusNotFound, "no route has this host")
+		}
+		return nil
+	}
+	var ok bool
+	if v.route, ok = c.Match(host, to.Path); !ok {
+		return v.unknown(http.StatusNotFound, "no route matches")
+	}
+	return nil
+}
+
 // unknown refuses a request that the configuration does not allow; a host that
 // may not have the newest one does not say so.
 func (v *visit) unknown(status int, reason string) *refusal {
--- a/gatekeeper/visit_job.go
+++ b/gatekeeper/visit_job.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/jackdawgate/jackdawgate/speller"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -22,9 +21,9 @@
 	}))
 }
 
-func (v *visit) serveJob(call speller.JobCall) {
+func (v *visit) serveJob() {
 	wait := v.request.Header.Get(v.gatekeeper.options.Names.Wait)
-	v.answer("job called", v.gatekeeper.options.Jobs.Serve(v.request.Context(), v.workspaceName(), call, wait))
+	v.answer("job called", v.gatekeeper.options.Jobs.Serve(v.request.Context(), v.workspaceName(), v.job, wait))
 }
 
 func (v *visit) answer(what string, a JobAnswer) {
--- /dev/null
+++ b/picker/picker_test.go
@@ -0,0 +1,78 @@
+package picker_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+func start(servers int, others map[string]gossiper.Load) (*picker.Picker, *int) {
+	list := make([]cataloger.Server, servers)
+	for i := range list {
+		list[i] = cataloger.Server{ID: fmt.Sprintf("s%05d", i), Service: "x", Slots: 4, DataCentre: "d"}
+	}
+	s := cataloger.Snapshot{}.WithServers(list)
+	changes := 0
+	return picker.New(picker.Options{
+		Snapshot: func() cataloger.Snapshot { return s }, Others: func(id string) gossiper.Load { return others[id] },
+		Ejector: ejector.New(timer.System()), Changed: func() { changes++ }, DataCentre: "d",
+	}), &changes
+}
+
+// Pattern: calls arrive together, before any of them has reached a server.
+func TestCallsThatComeTogetherSpread(t *testing.T) {
+	p, _ := start(3, nil)
+	seen := make(map[string]int)
+	for range 12 {
+		ticket, ok := p.Pick("x", selector.Request{})
+		require.True(t, ok)
+		seen[ticket.Server.ID]++
+		require.False(t, ticket.Crowded())
+	}
+	require.Equal(t, map[string]int{"s00000": 4, "s00001": 4, "s00002": 4}, seen)
+	ticket, ok := p.Pick("x", selector.Request{})
+	require.True(t, ok)
+	require.True(t, ticket.Crowded(), "all slots are taken")
+}
+
+func TestCallsOfOtherHostsCount(t *testing.T) {
+	p, _ := start(2, map[string]gossiper.Load{"s00000": {Online: 3}})
+	for range 3 {
+		ticket, ok := p.Pick("x", selector.Request{})
+		require.True(t, ok)
+		require.Equal(t, "s00001", ticket.Server.ID)
+	}
+}
+
+func TestEndedCallsNoLongerCount(t *testing.T) {
+	p, changes := start(1, nil)
+	ticket, ok := p.Pick("x", selector.Request{})
+	require.True(t, ok)
+	batch := p.Take(ticket.Server)
+	require.Equal(t, map[string]gossiper.Load{"s00000": {Online: 1, Batch: 1}}, p.Loads())
+	for range 2 {
+		ticket.End()
+		batch.End()
+	}
+	require.Empty(t, p.Loads())
+	require.Equal(t, 4, *changes)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{9, 90, 900, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, _ := start(n, nil)
+			for b.Loop() {
+				ticket, _ := p.Pick("x", selector.Request{Prompt: "p"})
+				ticket.End()
+			}
+		})
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -63,8 +63,6 @@
 type NotRun struct {
 	Reason     string
 	RetryAfter timer.Millis
-	// Crowded says that servers refused it because they were full.
-	Crowded bool
 }
 
 // Unknown is a call that may have run. Nothing was passed on.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -208,12 +208,7 @@
 			return nil, true
 		}
 	}
-	o := u.given("servers refused it", retryCrowded)
-	if n, ok := o.(NotRun); ok {
-		n.Crowded = true
-		return n, false
-	}
-	return o, false
+	return u.given("servers refused it", retryCrowded), false
 }
 
 func splitList(list string) iter.Seq[string] {
--- a/speller/speller.go
+++ b/speller/speller.go
@@ -16,8 +16,6 @@
 	Workspace string
 	// ExpectServer carries the identifier of the backend server that may run a call.
 	ExpectServer string
-	// Server carries the identifier of the backend server that answered.
-	Server string
 	// Signature carries a backend server's signature of its answer.
 	Signature string
 	// NotRun says in an answer that the call was not run.
@@ -26,8 +24,6 @@
 	ResumeAfter string
 	// Wait carries how many milliseconds a read may wait for news.
 	Wait string
-	// Tokens carries prompt and greatest output tokens of a call.
-	Tokens string
 	// Prompt carries the parts of a call's prompt.
 	Prompt string
 	// Job finds out what a caller's call asks of a batch job.
