Apply the configuration's limits on headers and idle time to callers' connections

Ruled out: changing net/http's fields while it serves (a data race); one server rebuilt with all connections closed at a change (would cut requests under way). What is built: acceptor gives connections to a server per set of header limits and closes idle connections itself, never earlier than the limit that was in force when their last request began; a body that pauses for longer than the idle limit is refused with 408, not run, and when to come back.

--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -90,6 +90,13 @@
 	f.snapshot = f.snapshot.WithConfig(c).WithConfirmed(f.clock.now)
 }
 
+// limit replaces the configuration's limits.
+func (f *fixture) limit(l cataloger.Limits) {
+	c := *f.snapshot.Config
+	c.Version, c.Limits = c.Version+1, l
+	f.snapshot = f.snapshot.WithConfig(&c)
+}
+
 func (f *fixture) call(path, key string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
 	r.Header.Set("Key", key)
--- a/gatekeeper/visit.go
+++ b/gatekeeper/visit.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -21,8 +20,6 @@
 	retryUnsure timer.Millis = 250
 	// retryUnpermitted is the same for a host without permission.
 	retryUnpermitted timer.Millis = 150
-	// defaultBodyBytes bounds a body where the configuration does not.
-	defaultBodyBytes = 4 << 20
 	// defaultTimeout is for routes and callers that state none.
 	defaultTimeout = 30 * timer.Second
 )
@@ -124,26 +121,6 @@
 	return host
 }
 
-// body reads the whole body.
-func (v *visit) body() ([]byte, *refusal) {
-	most := v.snapshot.Config.Limits.BodyBytes
-	if most <= 0 {
-		most = defaultBodyBytes
-	}
-	if v.request.ContentLength > most {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too long"}
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(v.writer, v.request.Body, most))
-	var long *http.MaxBytesError
-	switch {
-	case errors.As(err, &long):
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too long"}
-	case err != nil:
-		return nil, &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
-	}
-	return body, nil
-}
-
 // ended counts the request in the metrics.
 func (v *visit) ended(outcome string) {
 	v.gatekeeper.options.Measurer.Request(outcome, v.gatekeeper.options.Clock.Now()-v.began)
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
+	"github.com/jackdawgate/jackdawgate/acceptor"
 	"github.com/jackdawgate/jackdawgate/broker"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/checker"
+	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/rationer"
@@ -41,7 +41,7 @@
 	*base
 	rationer   *rationer.Rationer
 	gatekeeper *gatekeeper.Gatekeeper
-	servers    []*http.Server
+	acceptors  []*acceptor.Acceptor
 	leaving    atomic.Bool
 	cancel     context.CancelFunc
 	done       chan struct{}
@@ -97,29 +97,34 @@
 	return nil
 }
 
-// Bounds on callers' connections. The configuration's idle timeout may change
-// while connections are open, so this one is longer than any.
+// Bounds on callers' connections where the configuration states none.
 const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 120 * time.Second
-	maxHeaderBytes = 64 << 10
+	defaultHeaderTimeout = 10 * timer.Second
+	defaultIdleTimeout   = 120 * timer.Second
+	defaultHeaderBytes   = 64 << 10
 )
 
+// limits are the bounds on callers' connections under a configuration.
+func limits(c *cataloger.Config) acceptor.Limits {
+	var l acceptor.Limits
+	if c != nil {
+		l = acceptor.Limits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout}
+	}
+	defaulter.Set(&l.HeaderBytes, defaultHeaderBytes)
+	defaulter.Set(&l.HeaderTimeout, defaultHeaderTimeout)
+	defaulter.Set(&l.IdleTimeout, defaultIdleTimeout)
+	return l
+}
+
+// serve answers requests at address by h.
 func (e *EntryHost) serve(address string, h http.Handler) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return eris.Wrap(err, "listen at "+address)
 	}
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(e.logger),
-	}
-	e.servers = append(e.servers, s)
-	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			e.logger.Error("listener ended", zap.String("address", address), zap.Error(err))
-		}
-	}()
+	a := acceptor.New(l, h, limits(e.follower.Snapshot().Config), e.clock, e.logger)
+	e.acceptors = append(e.acceptors, a)
+	e.follower.Notify(func(s cataloger.Snapshot) { a.SetLimits(limits(s.Config)) })
 	return nil
 }
 
@@ -167,8 +172,8 @@
 	timer.Sleep(context.Background(), timer.Millis(float64(grace)*lingerShare))
 	ctx, cancel := context.WithTimeout(context.Background(), (grace - (e.clock.Now() - began) - endReserve).Duration())
 	defer cancel()
-	for _, s := range e.servers {
-		_ = s.Shutdown(ctx)
+	for _, a := range e.acceptors {
+		a.Shutdown(ctx)
 	}
 	e.gatekeeper.Wait(ctx)
 	e.cancel()
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -34,7 +34,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, b.platform.Measurer)
-	b.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	b.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout.Duration()}
 	go func() {
 		if err := b.metrics.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			b.logger.Error("metrics are no longer served", zap.Error(err))
