Tell other data centres of load in bundles, by two speakers each

Ruled out: sums by data centre (quotas and readiness need the hosts one by one); one speaker (its freeze would silence a data centre for as long as hosts are taken for silent); agreement on speakers (nothing depends on it). Before and after: go test ./gossiper, three times the hosts cost less than four times the bytes, where sending to each fails that test; freezing speakers one after the other leaves no host unheard for 700 ms. Also here: a test that no line of a request holds a key.

--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -55,14 +55,16 @@
 	gate     *gatekeeper.Gatekeeper
 }
 
-func newFixture() *fixture {
+func newFixture() *fixture { return newLoggedFixture(zap.NewNop()) }
+
+func newLoggedFixture(l *zap.Logger) *fixture {
 	f := &fixture{clock: &clock{now: 100000}, relay: &relay{outcome: relayer.Delivered{Status: 200}}, jobs: &jobs{}}
 	r := rationer.New(f.clock)
 	f.clock.now += 10 * timer.Second
 	f.gate = gatekeeper.New(gatekeeper.Options{
 		Names:    speller.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", Job: jobCall},
 		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs,
-		Clock: f.clock, Logger: zap.NewNop(), Permission: 3600,
+		Clock: f.clock, Logger: l, Permission: 3600,
 	})
 	return f
 }
@@ -76,18 +78,22 @@
 
 // configure puts a configuration in force, confirmed now.
 func (f *fixture) configure() {
-	c := cataloger.NewConfig(cataloger.ConfigParts{
-		Version: 1,
+	f.snapshot = f.snapshot.WithConfig(configuration(1, map[string]string{"k": "w"})).WithConfirmed(f.clock.now)
+}
+
+func configuration(version int64, keys map[string]string) *cataloger.Config {
+	shares := []cataloger.Share{{Service: "s", Weight: 1}}
+	return cataloger.NewConfig(cataloger.ConfigParts{
+		Version: version,
 		Routes: []cataloger.Route{
-			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: cataloger.Stream, Timeout: 5000, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1},
-			{Name: "deep", Host: "h", Prefix: "/chat/deep/", Kind: cataloger.Stream, Timeout: 900, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1},
-			{Name: "open", Host: "h", Prefix: "/open/", Kind: cataloger.Idempotent, Public: true, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1},
-			{Name: "batch", Host: "h", Prefix: "/batch/", Kind: cataloger.Batch, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 3},
+			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: cataloger.Stream, Timeout: 5000, Shares: shares, MaxAttempts: 1},
+			{Name: "deep", Host: "h", Prefix: "/chat/deep/", Kind: cataloger.Stream, Timeout: 900, Shares: shares, MaxAttempts: 1},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: cataloger.Idempotent, Public: true, Shares: shares, MaxAttempts: 1},
+			{Name: "batch", Host: "h", Prefix: "/batch/", Kind: cataloger.Batch, Shares: shares, MaxAttempts: 3},
 		},
 		Workspaces: []cataloger.Workspace{{Name: "w", Rate: 1, Burst: 2}},
-		Keys:       map[string]string{"k": "w"},
+		Keys:       keys,
 	})
-	f.snapshot = f.snapshot.WithConfig(c).WithConfirmed(f.clock.now)
 }
 
 // limit replaces the configuration's limits.
--- /dev/null
+++ b/gatekeeper/log_test.go
@@ -0,0 +1,75 @@
+package gatekeeper_test
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// heldKey is held by a workspace, strangeKey by none.
+	heldKey    = "n2ctnfzs989anu6wsjnb"
+	strangeKey = "i9n73hh2b9wu3fexd9dn"
+)
+
+// logged returns all that is logged, at any level, while calls end in each way.
+func logged(t *testing.T) string {
+	var out bytes.Buffer
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(&out), zapcore.DebugLevel)
+	f := newLoggedFixture(zap.New(core))
+	f.call("/chat/1", heldKey)
+	f.configure()
+	f.holders(map[string]string{heldKey: "w"})
+	outcomes := []relayer.Outcome{
+		relayer.Delivered{Status: 200, Server: "s", Servers: 1}, relayer.NotRun{Reason: "r", RetryAfter: 100},
+		relayer.Unknown{Reason: "r"}, relayer.BrokenOff{Reason: "r"}, relayer.Left{},
+	}
+	for _, o := range outcomes {
+		f.relay.outcome = o
+		f.clock.now += 10000
+		f.snapshot = f.snapshot.WithConfirmed(f.clock.now)
+		for _, key := range []string{heldKey, strangeKey} {
+			for _, path := range []string{"/chat/1", "/none", "/batch/1", "/jobs/1"} {
+				f.callOrAbort(path, key)
+			}
+		}
+	}
+	f.clock.now += 20000
+	f.relay.outcome = outcomes[0]
+	f.call("/chat/1", heldKey)
+	for range 40 {
+		f.snapshot = f.snapshot.WithConfirmed(f.clock.now)
+		f.call("/chat/1", heldKey)
+	}
+	for _, line := range []string{"over quota", "refused", "delivered", "broken off", "caller left", "job submitted", "job called"} {
+		require.True(t, strings.Contains(out.String(), `"msg":"`+line+`"`), line)
+	}
+	return out.String()
+}
+
+func TestNoLineHoldsAKey(t *testing.T) {
+	lines := logged(t)
+	require.False(t, strings.Contains(lines, heldKey))
+	require.False(t, strings.Contains(lines, strangeKey))
+}
+
+// holders replaces the keys of the configuration.
+func (f *fixture) holders(keys map[string]string) {
+	f.snapshot = f.snapshot.WithConfig(configuration(2, keys)).WithConfirmed(f.clock.now)
+}
+
+// callOrAbort calls, and expects that the connection may be aborted.
+func (f *fixture) callOrAbort(path, key string) {
+	defer func() { _ = recover() }()
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
+	r.Header.Set("Key", key)
+	f.gate.ServeHTTP(httptest.NewRecorder(), r)
+}
+
--- /dev/null
+++ b/gossiper/fleet_test.go
@@ -0,0 +1,214 @@
+package gossiper_test
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+// hub carries datagrams between the hosts of a test, without a network.
+type hub struct {
+	mu    sync.Mutex
+	hosts map[string]*node
+	// far counts bytes between data centres.
+	far int
+}
+
+// node is one host; down, it neither sends nor hears.
+type node struct {
+	hub   *hub
+	peer  gossiper.Peer
+	in    chan []byte
+	done  chan struct{}
+	once  sync.Once
+	down  bool
+	deaf  map[string]bool
+	calls int
+	g     *gossiper.Gossiper
+}
+
+func (n *node) ReadFrom(p []byte) (int, net.Addr, error) {
+	select {
+	case b := <-n.in:
+		return copy(p, b), nil, nil
+	case <-n.done:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (n *node) WriteTo(p []byte, to net.Addr) (int, error) {
+	n.hub.mu.Lock()
+	defer n.hub.mu.Unlock()
+	o, ok := n.hub.hosts[to.String()]
+	if !ok || n.down || o.down || o.deaf[n.peer.Name] {
+		return len(p), nil
+	}
+	if o.peer.DataCentre != n.peer.DataCentre {
+		n.hub.far += len(p)
+	}
+	select {
+	case o.in <- append([]byte(nil), p...):
+	default:
+	}
+	return len(p), nil
+}
+
+func (n *node) Close() error                     { n.once.Do(func() { close(n.done) }); return nil }
+func (n *node) LocalAddr() net.Addr              { return nil }
+func (n *node) SetDeadline(time.Time) error      { return nil }
+func (n *node) SetReadDeadline(time.Time) error  { return nil }
+func (n *node) SetWriteDeadline(time.Time) error { return nil }
+
+// fleet is a fleet of three data centres, the first host of each being mutual.
+type fleet struct {
+	hub   *hub
+	nodes []*node
+}
+
+func startFleet(hosts int) *fleet {
+	f := &fleet{hub: &hub{hosts: make(map[string]*node)}}
+	for i := range hosts {
+		n := &node{hub: f.hub, in: make(chan []byte, 256), done: make(chan struct{}), deaf: make(map[string]bool)}
+		n.peer = gossiper.Peer{
+			Name: fmt.Sprintf("h%02d", i), DataCentre: fmt.Sprintf("d%d", i%3), Mutual: i < 3,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
+		}
+		f.hub.hosts[n.peer.Address.String()] = n
+		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
+		n.g = gossiper.New(gossiper.Options{
+			Conn: n, Clock: timer.System(), Logger: zap.NewNop(), Self: n.peer,
+			Build: func() gossiper.Digest { return n.digest() },
+			Peers: func() []gossiper.Peer { return f.others(n) },
+		}, func(gossiper.Digest) {})
+	}
+	return f
+}
+
+func (n *node) digest() gossiper.Digest {
+	n.hub.mu.Lock()
+	defer n.hub.mu.Unlock()
+	return gossiper.Digest{Host: n.peer.Name, Incarnation: "1", Loads: map[string]gossiper.Load{"s": {Online: n.calls}}}
+}
+
+func (f *fleet) others(n *node) []gossiper.Peer {
+	var out []gossiper.Peer
+	for _, o := range f.nodes {
+		if o != n {
+			out = append(out, o.peer)
+		}
+	}
+	return out
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		n.g.Close()
+	}
+}
+
+// set does something to a node while no datagram moves.
+func (f *fleet) set(i int, do func(n *node)) {
+	f.hub.mu.Lock()
+	defer f.hub.mu.Unlock()
+	do(f.nodes[i])
+}
+
+// oldest is how long ago, at most, a host that is up was last heard by another.
+func (f *fleet) oldest() timer.Millis {
+	now, oldest := timer.System().Now(), timer.Millis(0)
+	for _, n := range f.nodes {
+		for _, o := range f.nodes {
+			if n == o || n.down || o.down {
+				continue
+			}
+			at, _ := n.g.Heard(o.peer.Name)
+			oldest = max(oldest, now-at)
+		}
+	}
+	return oldest
+}
+
+func (f *fleet) bytesInASecond() int {
+	f.set(0, func(n *node) { n.hub.far = 0 })
+	time.Sleep(time.Second)
+	f.hub.mu.Lock()
+	defer f.hub.mu.Unlock()
+	return f.hub.far
+}
+
+func TestAllHostsOfALargeFleetAreHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(30)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		for i := range f.nodes {
+			f.set(i, func(n *node) { n.calls = 1 })
+			f.nodes[i].g.Touch()
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, n := range f.nodes {
+			require.Equal(t, 29, n.g.Others("s").Online, n.peer.Name)
+		}
+		require.LessOrEqual(t, f.oldest(), timer.Millis(300))
+	})
+}
+
+// Pattern: each host telling each other one costs bytes between data centres
+// that grow with the square of the fleet.
+func TestBytesBetweenDataCentresGrowWithHostsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		small := startFleet(30)
+		time.Sleep(2 * time.Second)
+		before := small.bytesInASecond()
+		small.close()
+		large := startFleet(90)
+		defer large.close()
+		time.Sleep(2 * time.Second)
+		require.Less(t, large.bytesInASecond(), 4*before)
+	})
+}
+
+// Pattern: the hosts that speak for a data centre freeze, one after the other.
+func TestHostsAreHeardWhileSpeakersFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(30)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		for i := 3; i < 12; i += 3 {
+			f.set(i, func(n *node) { n.down = true })
+			for range 30 {
+				time.Sleep(50 * time.Millisecond)
+				synctest.Wait()
+				require.Less(t, f.oldest(), timer.Millis(700), "hosts are taken for silent after 700 ms")
+			}
+		}
+	})
+}
+
+// Pattern: a host is cut off from a mutual one, and both are heard by all others.
+func TestMutualHostsHeedOnlyWhatTheySentThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(30)
+		defer f.close()
+		time.Sleep(2 * time.Second)
+		f.set(0, func(n *node) { n.deaf["h01"], n.deaf["h13"] = true, true })
+		time.Sleep(2 * time.Second)
+		_, heard := f.nodes[0].g.Heard("h01")
+		require.False(t, heard)
+		_, heard = f.nodes[0].g.Heard("h13")
+		require.True(t, heard, "the others may be heard through anyone")
+		_, heard = f.nodes[3].g.Heard("h01")
+		require.True(t, heard)
+	})
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -1,19 +1,28 @@
 // Package gossiper tells hosts of one another's load by datagrams.
 //
-// Each host sends its Digest to every other host whenever it changed, at most
-// once each MinGap (to hosts of other data centres, each FarGap), and at least
-// once each MaxGap. A Digest is a state, not a change: a lost or repeated
-// datagram does no harm, and the newest one wins by incarnation and sequence.
-// Counts by workspace are left out while they have not changed lately; every
-// FullGap all are told. Nothing is decided by what a Digest says alone:
-// it steers load, and limits tolerate its delay.
+// Each host sends its Digest to every other host of its data centre whenever it
+// changed, at most once each MinGap and at least once each MaxGap. A Digest is a
+// state, not a change: a lost or repeated datagram does no harm, and the newest
+// one wins by incarnation and sequence. Counts by workspace are left out while
+// they have not changed lately; every FullGap all are told. Nothing is decided by
+// what a Digest says alone: it steers load, and limits tolerate its delay.
+//
+// To other data centres a small fleet sends each Digest directly, at most once
+// each FarGap. In a large one two hosts of each data centre, the speakers, send
+// the Digests that changed there as one bundle to one host each of every other
+// data centre, which passes it on to its own. Who speaks follows from the names
+// of the hosts that are heard, and so differs for a moment between hosts: then
+// one more speaks, or one fewer. A receiver changes each second, so that no one
+// broken path silences a data centre. Mutual hosts, whose silence decides
+// something, also send to one another directly and heed nothing else of each
+// other.
 package gossiper
 
 import (
 	"context"
 	"net"
-	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/defaulter"
@@ -30,10 +39,11 @@
 
 // Digest is what one host tells of itself.
 type Digest struct {
-	_           struct{} `cbor:",toarray"`
-	Host        string
-	Incarnation string
-	Sequence    uint64
+	_ struct{} `cbor:",toarray"`
+	// Host, Incarnation and Sequence travel in the envelope.
+	Host        string `cbor:"-"`
+	Incarnation string `cbor:"-"`
+	Sequence    uint64 `cbor:"-"`
 	// Ready says that the host takes callers' requests.
 	Ready bool
 	// Age is how old the host's knowledge of the store is.
@@ -63,9 +73,10 @@
 	Clock timer.Clock
 	// Build returns what this host tells now; Sequence is set by the Gossiper.
 	Build func() Digest
-	// Peers returns the addresses of the other hosts: those of this data centre
-	// and those of others.
-	Peers  func() (near, far []netip.AddrPort)
+	// Self is this host; its Address is not needed.
+	Self Peer
+	// Peers returns the other hosts.
+	Peers  func() []Peer
 	Logger *zap.Logger
 	// MinGap and MaxGap bound the time between two Digests; defaults 10 and 200 ms.
 	MinGap, MaxGap timer.Millis
@@ -87,16 +98,19 @@
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
 
+	plan atomic.Pointer[plan]
+
 	mu       sync.Mutex
 	heard    map[string]*hearing
 	sums     map[string]Load
 	listener func(Digest)
 }
 
-// hearing is the newest Digest of one host.
+// hearing is the newest Digest of one host, and how it was encoded.
 type hearing struct {
-	digest Digest
-	at     timer.Millis
+	digest   Digest
+	envelope envelope
+	at       timer.Millis
 }
 
 // New returns a Gossiper that runs until Close. listener is called with each
@@ -109,6 +123,7 @@
 		options: o, touched: make(chan struct{}, 1), listener: listener,
 		heard: make(map[string]*hearing), sums: make(map[string]Load),
 	}
+	g.plan.Store(&plan{})
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.workers.Go(func() { g.send(ctx) })
@@ -172,18 +187,39 @@
 	return h.digest, true
 }
 
+func (g *Gossiper) currentPlan() *plan { return g.plan.Load() }
+
+// onlyDirect says that a host counts only by what it sent itself.
+func (g *Gossiper) onlyDirect(host string) bool { return g.currentPlan().mutual[host] }
+
+// envelopes lists the newest Digests of these hosts, as they were encoded.
+func (g *Gossiper) envelopes(hosts map[string]bool) []envelope {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]envelope, 0, len(hosts)+1)
+	for name := range hosts {
+		if h, ok := g.heard[name]; ok {
+			out = append(out, h.envelope)
+		}
+	}
+	return out
+}
+
 func (g *Gossiper) send(ctx context.Context) {
-	v := &sender{options: &g.options, counts: make(map[string]counted)}
+	v := newSender(g)
+	touched := true
 	for {
 		g.forgetStale()
-		wait := v.tell()
+		wait := v.tell(touched)
 		if !timer.Sleep(ctx, g.options.MinGap) {
 			return
 		}
 		limited, cancel := context.WithTimeout(ctx, max(wait-g.options.MinGap, 0).Duration())
 		select {
 		case <-g.touched:
+			touched = true
 		case <-limited.Done():
+			touched = false
 		}
 		cancel()
 		if ctx.Err() != nil {
@@ -199,35 +235,66 @@
 		if err != nil {
 			return
 		}
-		var d Digest
-		if err := cbor.Unmarshal(buffer[:n], &d); err != nil {
-			g.options.Logger.Warn("unreadable digest", zap.Error(err))
+		var p packet
+		if err := cbor.Unmarshal(buffer[:n], &p); err != nil {
+			g.options.Logger.Warn("unreadable datagram", zap.Error(err))
 			continue
 		}
-		if g.take(d) {
-			g.listener(d)
+		for _, e := range p.Envelopes {
+			g.open(e, p.Relayed)
 		}
+		if p.PassOn {
+			g.passOn(p)
+		}
+	}
+}
+
+// open takes a Digest that is newer than what is known of its host.
+func (g *Gossiper) open(e envelope, relayed bool) {
+	if !g.isNews(e, relayed) {
+		return
+	}
+	var d Digest
+	if err := cbor.Unmarshal(e.Body, &d); err != nil {
+		g.options.Logger.Warn("unreadable digest", zap.String("member", e.Host), zap.Error(err))
+		return
 	}
+	d.Host, d.Incarnation, d.Sequence = e.Host, e.Incarnation, e.Sequence
+	g.take(d, e)
+	g.listener(d)
+}
+
+// passOn sends a bundle to the other hosts of this data centre.
+func (g *Gossiper) passOn(p packet) {
+	p.PassOn = false
+	g.write(p, g.currentPlan().near)
 }
 
-// take keeps d if it is newer than what is known of its host.
-func (g *Gossiper) take(d Digest) bool {
+// isNews says whether e is newer than what is known of its host, and counts here.
+func (g *Gossiper) isNews(e envelope, relayed bool) bool {
+	if e.Host == g.options.Self.Name || (relayed && g.onlyDirect(e.Host)) {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.options.Clock.Now()
-	h, ok := g.heard[d.Host]
-	if ok && h.digest.Incarnation == d.Incarnation && h.digest.Sequence >= d.Sequence {
-		return false
+	h, ok := g.heard[e.Host]
+	if !ok {
+		return true
 	}
-	if ok && h.digest.Incarnation != d.Incarnation && d.Incarnation < h.digest.Incarnation && now-h.at < staleAfter {
-		return false
+	if h.envelope.Incarnation == e.Incarnation {
+		return e.Sequence > h.envelope.Sequence
 	}
-	if ok {
+	return e.Incarnation > h.envelope.Incarnation || g.options.Clock.Now()-h.at >= staleAfter
+}
+
+func (g *Gossiper) take(d Digest, e envelope) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if h, ok := g.heard[d.Host]; ok {
 		g.add(h.digest, -1)
 	}
-	g.heard[d.Host] = &hearing{digest: d, at: now}
+	g.heard[d.Host] = &hearing{digest: d, envelope: e, at: g.options.Clock.Now()}
 	g.add(d, 1)
-	return true
 }
 
 // add adds the loads of d to the sums, or takes them away.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -62,27 +61,55 @@
 	conn  *conn
 	heard chan gossiper.Digest
 	g     *gossiper.Gossiper
+	peers []gossiper.Peer
 }
 
-func start(t *testing.T) *fixture {
-	f := &fixture{t: t, clock: &clock{now: 5000}, conn: newConn(), heard: make(chan gossiper.Digest, 16)}
+// packet and envelope are what lies in a datagram.
+type packet struct {
+	_         struct{} `cbor:",toarray"`
+	Relayed   bool
+	PassOn    bool
+	Envelopes []envelope
+}
+
+type envelope struct {
+	_           struct{} `cbor:",toarray"`
+	Host        string
+	Incarnation string
+	Sequence    uint64
+	Body        cbor.RawMessage
+}
+
+func start(t *testing.T, peers ...gossiper.Peer) *fixture {
+	f := &fixture{t: t, clock: &clock{now: 5000}, conn: newConn(), heard: make(chan gossiper.Digest, 16), peers: peers}
 	f.g = gossiper.New(gossiper.Options{
 		Conn: f.conn, Clock: f.clock, Logger: zap.NewNop(),
 		Build: func() gossiper.Digest { return gossiper.Digest{Host: "self"} },
-		Peers: func() (near, far []netip.AddrPort) { return nil, nil },
+		Self:  gossiper.Peer{Name: "self", DataCentre: "d", Mutual: true},
+		Peers: func() []gossiper.Peer { return f.peers },
 	}, func(d gossiper.Digest) { f.heard <- d })
 	t.Cleanup(f.g.Close)
 	return f
 }
 
-// hand hands a digest in; a marker behind it shows when it has been handled.
+// hand hands a digest in.
 func (f *fixture) hand(host, incarnation string, sequence uint64, online int) {
 	f.t.Helper()
-	for _, d := range []gossiper.Digest{
-		{Host: host, Incarnation: incarnation, Sequence: sequence, Loads: map[string]gossiper.Load{"s": {Online: online}}},
-		{Host: "marker", Incarnation: "1", Sequence: uint64(f.clock.Now())},
+	f.handPacket(false, host, incarnation, sequence, online)
+}
+
+// handPacket hands a digest in; a marker behind it shows when it has been handled.
+func (f *fixture) handPacket(relayed bool, host, incarnation string, sequence uint64, online int) {
+	f.t.Helper()
+	body, err := cbor.Marshal(gossiper.Digest{Loads: map[string]gossiper.Load{"s": {Online: online}}})
+	require.NoError(f.t, err)
+	empty, err := cbor.Marshal(gossiper.Digest{})
+	require.NoError(f.t, err)
+	for _, p := range []packet{
+		{Relayed: relayed, Envelopes: []envelope{{Host: host, Incarnation: incarnation, Sequence: sequence, Body: body}}},
+		{Envelopes: []envelope{{Host: "marker", Incarnation: "1", Sequence: uint64(f.clock.Now()), Body: empty}}},
 	} {
-		b, err := cbor.Marshal(d)
+		b, err := cbor.Marshal(p)
 		require.NoError(f.t, err)
 		f.conn.in <- b
 	}
--- a/gossiper/sender.go
+++ b/gossiper/sender.go
@@ -1,57 +1,121 @@
 package gossiper
 
 import (
-	"net"
-	"net/netip"
-
-	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
 
+// planGap is how often a plan is made.
+const planGap timer.Millis = 100
+
 // counted is a count by workspace as it was last told.
 type counted struct {
 	count   uint64
 	changed timer.Millis
 }
 
-// sender sends one host's Digests. It is used by one goroutine.
+// stamp says which Digest of a host was bundled last.
+type stamp struct {
+	incarnation string
+	sequence    uint64
+}
+
+// sender sends one host's Digests, and bundles where it speaks for its data
+// centre. It is used by one goroutine.
 type sender struct {
-	options  *Options
+	gossiper *Gossiper
 	sequence uint64
 	counts   map[string]counted
-	full     timer.Millis
-	far      timer.Millis
+	// own is the newest Digest; unsent says that it has not gone far yet.
+	own    envelope
+	unsent bool
+	// The times of what was done last.
+	full, near, far, planned timer.Millis
+	// bundled is by data centre and host.
+	bundled map[string]map[string]stamp
+}
+
+func newSender(g *Gossiper) *sender {
+	return &sender{gossiper: g, counts: make(map[string]counted), bundled: make(map[string]map[string]stamp)}
+}
+
+// tell sends what is due, and returns how long the next time may wait. touched
+// says that the Digest changed.
+func (v *sender) tell(touched bool) timer.Millis {
+	o := &v.gossiper.options
+	now := o.Clock.Now()
+	p := v.plan(now)
+	if touched || now-v.near >= o.MaxGap {
+		v.renew(now)
+		v.gossiper.write(packet{Envelopes: []envelope{v.own}}, p.near)
+		v.near = now
+	}
+	if now-v.far >= o.FarGap {
+		v.tellFar(p)
+		v.far = now
+	}
+	next := v.near + o.MaxGap
+	if v.unsent || len(p.bundles) > 0 {
+		next = min(next, v.far+o.FarGap)
+	}
+	return next - now
 }
 
-// tell sends the Digest to those who are due, and returns how long the next one
-// may wait.
-func (v *sender) tell() timer.Millis {
-	now := v.options.Clock.Now()
-	d := v.options.Build()
+// renew makes the Digest anew.
+func (v *sender) renew(now timer.Millis) {
+	d := v.gossiper.options.Build()
 	v.sequence++
 	d.Sequence = v.sequence
 	d.Admitted = v.recent(d.Admitted, now)
-	b, err := cbor.Marshal(d)
+	e, err := seal(d)
 	if err != nil {
-		v.options.Logger.Error("digest not encoded", zap.Error(err))
-		return v.options.MaxGap
+		v.gossiper.options.Logger.Error("digest not encoded", zap.Error(err))
+		return
 	}
-	near, far := v.options.Peers()
-	v.send(b, near)
-	if due := v.far + v.options.FarGap; now < due {
-		return due - now
+	v.own, v.unsent = e, true
+}
+
+func (v *sender) tellFar(p *plan) {
+	if v.unsent {
+		v.gossiper.write(packet{Envelopes: []envelope{v.own}}, p.far)
+		v.unsent = false
+	}
+	for _, t := range p.bundles {
+		v.gossiper.writeBundle(v.bundle(t.dataCentre, p), t.address)
+	}
+}
+
+// bundle lists the Digests of this data centre that are newer than what was
+// bundled for another one.
+func (v *sender) bundle(dataCentre string, p *plan) []envelope {
+	done, ok := v.bundled[dataCentre]
+	if !ok {
+		done = make(map[string]stamp)
+		v.bundled[dataCentre] = done
+	}
+	var out []envelope
+	for _, e := range append(v.gossiper.envelopes(p.nearNames), v.own) {
+		s := stamp{e.Incarnation, e.Sequence}
+		if e.Host != "" && done[e.Host] != s {
+			out = append(out, e)
+			done[e.Host] = s
+		}
 	}
-	v.send(b, far)
-	v.far = now
-	return v.options.MaxGap
+	return out
 }
 
-func (v *sender) send(b []byte, to []netip.AddrPort) {
-	for _, p := range to {
-		// A datagram that cannot be sent is as good as lost.
-		_, _ = v.options.Conn.WriteTo(b, net.UDPAddrFromAddrPort(p))
+// plan returns the current plan, made anew when it is due.
+func (v *sender) plan(now timer.Millis) *plan {
+	g := v.gossiper
+	if v.planned == 0 || now-v.planned >= planGap {
+		alive := func(name string) bool {
+			at, ok := g.Heard(name)
+			return ok && now-at < speakerSilence
+		}
+		g.plan.Store(makePlan(g.options.Self, g.options.Peers(), alive, now))
+		v.planned = now
 	}
+	return g.currentPlan()
 }
 
 // recent returns the counts that changed lately, or all when those are due.
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -118,7 +118,7 @@
 		Ejector: b.ejector, Changed: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
 	})
 	b.gossiper = gossiper.New(gossiper.Options{
-		Conn: datagrams, Clock: clock, Build: build, Peers: b.peers, Logger: l,
+		Conn: datagrams, Clock: clock, Build: build, Self: asPeer(m), Peers: b.peers, Logger: l,
 	}, hear)
 	close(heard)
 	b.follower.Notify(b.forgetServers)
@@ -167,19 +167,26 @@
 	return out
 }
 
-// peers are the addresses of the other hosts, of this data centre and of others.
-func (b *base) peers() (near, far []netip.AddrPort) {
-	for name, m := range b.follower.Snapshot().Members {
+// asPeer is a host as others are told of its load. Bulk hosts decide by one
+// another's silence.
+func asPeer(m cataloger.Member) gossiper.Peer {
+	return gossiper.Peer{Name: m.Name, DataCentre: m.DataCentre, Mutual: m.Role == cataloger.Bulk}
+}
+
+// peers are the other hosts.
+func (b *base) peers() []gossiper.Peer {
+	members := b.follower.Snapshot().Members
+	out := make([]gossiper.Peer, 0, len(members))
+	for name, m := range members {
 		a, err := netip.ParseAddrPort(m.Peers)
-		switch {
-		case name == b.member.Name || err != nil:
-		case m.DataCentre == b.member.DataCentre:
-			near = append(near, a)
-		default:
-			far = append(far, a)
+		if name == b.member.Name || err != nil {
+			continue
 		}
+		p := asPeer(m)
+		p.Address = a
+		out = append(out, p)
 	}
-	return near, far
+	return out
 }
 
 // forgetServers drops what is kept of servers that are gone.
