Keep calls apart under which servers fail, on the users' platform too

What is built: a Witness on each host records calls that a server broke off or left before any answer, tells the others in its digest for 1.5 s, and refuses a call for 30 s after its third such server, as not run and with when to come back; an answer clears it; items of batch jobs rest likewise. The table of deaths and survivals is the one that serve has. Ruled out: counting calls that were broken off midway (a crashed server breaks all of its streams); two failures (a crash of many servers meets innocent calls twice); telling by calls to every host (288 records when 36 servers crash).

--- a/dispatcher/separate_test.go
+++ b/dispatcher/separate_test.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/metric/noop"
 	"go.uber.org/zap"
 
+	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/dispatcher"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/requester"
@@ -32,7 +33,7 @@
 		})
 		h := f.hosts["h0"]
 		peer := f.network.Host("separate", messenger.Peer{Name: "h0", Incarnation: "1"})
-		s := suspector.New(h.viewer, peer, peer, f.clock, zap.NewNop(), noop.Meter{})
+		s := suspector.New(coordinator.Hosts{Viewer: h.viewer}, peer, peer, f.clock, zap.NewNop(), noop.Meter{})
 		defer s.Close()
 		d, err := dispatcher.New(dispatcher.Options{
 			Viewer: h.viewer, Caller: peer, Registry: peer, Exchanger: h.exchanger, Slots: h.slots,
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -8,8 +8,10 @@
 package ejector
 
 import (
+	"errors"
 	"sync"
 
+	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -111,6 +113,18 @@
 	r.until, r.next, r.breaks = 0, leastTime, 0
 }
 
+// Failed records an exchange that ended with err. Whoever was not reached, or was
+// silent, is not reachable for others either.
+func (e *Ejector) Failed(server string, err error) {
+	var notSent *conveyor.NotSentError
+	var silent *conveyor.SilentError
+	if errors.As(err, &notSent) || errors.As(err, &silent) {
+		e.Unreachable(server)
+		return
+	}
+	e.Broke(server)
+}
+
 // Unreachable says that no connection to a server could be made.
 func (e *Ejector) Unreachable(server string) {
 	e.mu.Lock()
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/splitter"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -39,6 +40,8 @@
 		reason string
 		pause  bool
 		broke  bool
+		// after is how long to wait at least.
+		after timer.Millis
 	}
 	failed struct{ status int }
 	dead   struct{ reason string }
@@ -106,7 +109,7 @@
 		t.breaks++
 	}
 	if o.pause || o.broke {
-		t.notBefore = x.options.Clock.Now() + min(leastPause<<min(t.breaks, 5), mostPause)
+		t.notBefore = x.options.Clock.Now() + max(o.after, min(leastPause<<min(t.breaks, 5), mostPause))
 	}
 	x.Touch()
 }
@@ -145,6 +148,11 @@
 	}
 }
 
+// fingerprint names the item as if it were an online call.
+func (t *task) fingerprint() uint64 {
+	return suspector.Fingerprint(t.of.Workspace, t.of.Host+t.item().Path, t.item().Body)
+}
+
 func (x *Executor) request(t *task, v cataloger.Server, left timer.Millis) *conveyor.Request {
 	item, names := t.item(), x.options.Names
 	h := make(http.Header, len(item.Headers)+5)
@@ -176,9 +184,14 @@
 	if t.of.Retention <= 0 {
 		left = 10 * 60 * timer.Second
 	}
+	fingerprint := t.fingerprint()
+	if wait, refused := x.options.Witness.Refused(fingerprint); refused {
+		return again{reason: "servers failed under this item lately", pause: true, after: min(wait, left)}
+	}
+	begun := t.begun()
 	a, err := x.options.Conveyor.Send(ctx, x.request(t, v, left), silence)
 	if err != nil {
-		return x.broken(ctx, v, err)
+		return x.broken(ctx, t, v, begun, err)
 	}
 	defer a.Close()
 	x.options.Ejector.Heard(v.ID)
@@ -194,22 +207,22 @@
 		return again{reason: "answer cannot be used: " + strconv.Itoa(a.Status), broke: true}
 	}
 	if err := splitter.Read(a, func() { x.options.Ejector.Heard(v.ID) }, t.event); err != nil {
-		return x.broken(ctx, v, err)
+		return x.broken(ctx, t, v, begun, err)
 	}
 	x.options.Ejector.Answered(v.ID)
+	x.options.Witness.Survived(fingerprint)
 	return complete{}
 }
 
-func (x *Executor) broken(ctx context.Context, v cataloger.Server, err error) ending {
+// broken records a failed run of an item that had put out begun events before.
+func (x *Executor) broken(ctx context.Context, t *task, v cataloger.Server, begun int, err error) ending {
 	if ctx.Err() != nil {
 		return again{reason: "evicted"}
 	}
+	x.options.Ejector.Failed(v.ID, err)
 	var notSent *conveyor.NotSentError
-	var silent *conveyor.SilentError
-	if errors.As(err, &notSent) || errors.As(err, &silent) {
-		x.options.Ejector.Unreachable(v.ID)
-	} else {
-		x.options.Ejector.Broke(v.ID)
+	if !errors.As(err, &notSent) && t.begun() == begun {
+		x.options.Witness.Failed(v.ID, t.fingerprint())
 	}
 	return again{reason: err.Error(), broke: true}
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -22,6 +22,7 @@
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -139,7 +140,7 @@
 	t.Cleanup(c.Close)
 	f.executor = executor.New(executor.Options{
 		Host: "self", Names: names, Snapshot: func() cataloger.Snapshot { return s }, Digests: func() []gossiper.Digest { return nil },
-		Picker: p, Conveyor: c, Ejector: ej, Clock: clock, Logger: zap.NewNop(), Policy: filler.Policy{},
+		Picker: p, Conveyor: c, Ejector: ej, Witness: suspector.NewWitness("1", clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop(), Policy: filler.Policy{},
 		Groups: []executor.Group{{Queue: f.queue, Propose: func(_ context.Context, data []byte) error {
 			f.queue.Apply(data)
 			return nil
@@ -219,6 +220,17 @@
 	require.Len(t, e.seen(), 3)
 }
 
+// Pattern: an item that crashes each server that begins to run it. The other
+// items of its job go on.
+func TestItemUnderWhichServersFailIsKeptApart(t *testing.T) {
+	e := &engine{breaks: []int{1, 1, 1}}
+	f := start(t, e)
+	f.submit(1)
+	require.Eventually(t, func() bool { return len(e.seen()) == 3 }, patience, often)
+	time.Sleep(500 * time.Millisecond)
+	require.Len(t, e.seen(), 3, "refused for half a minute")
+}
+
 func TestItemThatCanNeverBeDoneIsGivenUpAtOnce(t *testing.T) {
 	e := &engine{statuses: []int{422}}
 	f := start(t, e)
--- a/gatekeeper/log_test.go
+++ b/gatekeeper/log_test.go
@@ -72,4 +72,3 @@
 	r.Header.Set("Key", key)
 	f.gate.ServeHTTP(httptest.NewRecorder(), r)
 }
-
--- a/gatekeeper/visit.go
+++ b/gatekeeper/visit.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -178,9 +179,8 @@
 		ID: v.id, Method: v.request.Method, Target: v.request.RequestURI, Host: v.request.Host, Header: h, Body: body,
 		Route: v.route, Service: v.route.Pick(rand.Float64()), Deadline: v.deadline(), Prompt: prompt,
 	}
-	if v.workspace != nil {
-		c.Workspace = v.workspace.Name
-	}
+	c.Workspace = v.workspaceName()
+	c.Fingerprint = suspector.Fingerprint(c.Workspace, c.Host+c.Target, body)
 	return c
 }
 
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -28,6 +28,7 @@
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/speller"
 	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -76,6 +77,7 @@
 	messenger *messenger.Host
 	streams   net.Listener
 	ejector   *ejector.Ejector
+	witness   *suspector.Witness
 	picker    *picker.Picker
 	conveyor  *conveyor.Conveyor
 }
@@ -112,6 +114,7 @@
 	})
 	b.follower.Serve(b.messenger)
 	b.ejector = ejector.New(clock)
+	b.witness = suspector.NewWitness(m.Incarnation, clock, l)
 	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
 	b.picker = picker.New(picker.Options{
 		Snapshot: b.follower.Snapshot, Others: func(id string) gossiper.Load { return b.gossiper.Others(id) },
@@ -119,7 +122,10 @@
 	})
 	b.gossiper = gossiper.New(gossiper.Options{
 		Conn: datagrams, Clock: clock, Build: build, Self: asPeer(m), Peers: b.peers, Logger: l,
-	}, hear)
+	}, func(d gossiper.Digest) {
+		b.witness.Hear(d.Suspects)
+		hear(d)
+	})
 	close(heard)
 	b.follower.Notify(b.forgetServers)
 	if err := b.showMetrics(); err != nil {
@@ -145,7 +151,10 @@
 
 // digest is the part of a digest that both kinds of hosts tell.
 func (b *base) digest() gossiper.Digest {
-	return gossiper.Digest{Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Loads: b.picker.Loads()}
+	return gossiper.Digest{
+		Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Loads: b.picker.Loads(),
+		Suspects: b.witness.Told(),
+	}
 }
 
 // age is how old the host's knowledge of the store is.
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -45,15 +45,16 @@
 	switch {
 	case err == nil:
 		u.relayer.options.Ejector.Answered(t.Server.ID)
+		u.relayer.options.Witness.Survived(u.call.Fingerprint)
 		return Delivered{Status: a.Status, Server: t.Server.ID, Servers: u.servers + 1}, false
 	case errors.Is(err, errCaller):
 		return Left{}, false
 	case u.begun && !u.resumable:
 		u.servers++
-		u.judge(t.Server.ID, err)
 		if ctx.Err() != nil {
 			return u.stopped(ctx), false
 		}
+		u.judge(t.Server.ID, err)
 		return BrokenOff{Reason: err.Error()}, false
 	}
 	return u.failed(ctx, t, err)
@@ -126,6 +127,7 @@
 		}
 		u.lastEvent = e.ID
 	}
+	u.events++
 	if u.sink.Write(e.Raw) != nil {
 		return errCaller
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -36,6 +37,8 @@
 	Workspace string
 	// Deadline is when the caller's time or the route's is over.
 	Deadline timer.Millis
+	// Fingerprint is the same when the same call comes again.
+	Fingerprint uint64
 	// Prompt names the part of the prompt that the call shares with others.
 	Prompt string
 }
@@ -90,6 +93,7 @@
 	Conveyor *conveyor.Conveyor
 	Picker   *picker.Picker
 	Ejector  *ejector.Ejector
+	Witness  *suspector.Witness
 	Clock    timer.Clock
 	Logger   *zap.Logger
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/speller"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -58,7 +59,7 @@
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
-	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Clock: clock, Logger: zap.NewNop()})
+	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness("1", clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
 
@@ -286,3 +287,37 @@
 	relayer.RemoveHopHeaders(h)
 	require.Equal(t, http.Header{"Other": {"2"}}, h)
 }
+
+// Pattern: a call that crashes each server that begins to run it comes again and
+// again.
+func TestCallUnderWhichServersFailIsRefusedAsNotRun(t *testing.T) {
+	f := newFixture(t, 6, events(1, 0, false), breakOff, breakOff)
+	o, _ := f.run(route(cataloger.Stream, false, 1))
+	require.IsType(t, relayer.BrokenOff{}, o)
+	o, _ = f.run(route(cataloger.Idempotent, false, 2))
+	require.IsType(t, relayer.Unknown{}, o)
+	require.Len(t, f.seen(), 3)
+	o, _ = f.run(route(cataloger.Idempotent, false, 2))
+	require.IsType(t, relayer.NotRun{}, o)
+	require.Positive(t, o.(relayer.NotRun).RetryAfter)
+	require.Len(t, f.seen(), 3)
+}
+
+// Pattern: servers crash in the middle of streams. The calls are not to blame.
+func TestServersThatFailMidwayDoNotGetTheCallRefused(t *testing.T) {
+	f := newFixture(t, 6, events(1, 2, false), events(1, 2, false), events(1, 2, false), events(1, 2, true))
+	for range 3 {
+		o, _ := f.run(route(cataloger.Stream, false, 1))
+		require.IsType(t, relayer.BrokenOff{}, o)
+	}
+	o, _ := f.run(route(cataloger.Stream, false, 1))
+	require.IsType(t, relayer.Delivered{}, o)
+}
+
+func TestAnswerClearsACallUnderWhichServersFailed(t *testing.T) {
+	f := newFixture(t, 6, breakOff, breakOff, text("200 OK", signed, "a"), breakOff, text("200 OK", signed, "b"))
+	o, _ := f.run(route(cataloger.Idempotent, false, 3))
+	require.IsType(t, relayer.Delivered{}, o)
+	o, _ = f.run(route(cataloger.Idempotent, false, 3))
+	require.IsType(t, relayer.Delivered{}, o)
+}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -43,6 +43,8 @@
 	begun     bool
 	lastEvent int64
 	resumable bool
+	// events counts those that came from the server that the call is at.
+	events int
 }
 
 // Run carries c out and passes its answer to s. It ends when ctx does.
@@ -67,11 +69,15 @@
 	if left < leastTime {
 		return u.over("no time left"), false
 	}
+	if again, refused := o.Witness.Refused(u.call.Fingerprint); refused {
+		return u.given("servers failed under this call lately", again), false
+	}
 	ticket, ok := o.Picker.Pick(u.call.Service, selector.Request{Prompt: u.call.Prompt, Excluded: u.excluded})
 	if !ok {
 		return u.given("no server to send to", retryNoServer), false
 	}
 	defer ticket.End()
+	u.events = 0
 	o.Ejector.Begin(ticket.Server.ID)
 	defer o.Ejector.End(ticket.Server.ID)
 	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", ticket.Server.ID),
@@ -144,15 +150,14 @@
 	return u.given("the server broke the call off", 0), false
 }
 
+// judge records what a failed exchange says of the server and of the call.
 func (u *run) judge(server string, err error) {
-	e := u.relayer.options.Ejector
+	o := u.relayer.options
+	o.Ejector.Failed(server, err)
 	var notSent *conveyor.NotSentError
-	var silent *conveyor.SilentError
-	if errors.As(err, &notSent) || errors.As(err, &silent) {
-		e.Unreachable(server)
-		return
+	if !errors.As(err, &notSent) && u.events == 0 {
+		o.Witness.Failed(server, u.call.Fingerprint)
 	}
-	e.Broke(server)
 }
 
 // stopped is the outcome of a call whose context ended.
--- a/runner/parts.go
+++ b/runner/parts.go
@@ -87,7 +87,7 @@
 		route = router.DefaultPolicy()
 	}
 	chooser := router.NewChooser(route, h.clock)
-	h.suspector = suspector.New(h.controller, h.messenger, h.messenger, h.clock, h.logger, h.meters.meter)
+	h.suspector = suspector.New(coordinator.Hosts{Viewer: h.controller}, h.messenger, h.messenger, h.clock, h.logger, h.meters.meter)
 	var err error
 	h.dispatcher, err = dispatcher.New(dispatcher.Options{
 		Viewer: h.controller, Caller: h.messenger, Registry: h.messenger, Exchanger: h.exchanger, Slots: h.ledgers,
--- a/suspector/runtime.go
+++ b/suspector/runtime.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,7 +13,6 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
 
-	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
@@ -30,16 +28,23 @@
 	compareInterval = 10 * timer.Second
 )
 
+// Fleet is what a Suspector asks about the hosts.
+type Fleet interface {
+	// Incarnation is this host's own.
+	Incarnation() string
+	// Others returns the addresses of the other hosts.
+	Others() []string
+}
+
 // Suspector knows the calls that may have crashed backend servers. It is safe
 // for concurrent use; reading verdicts takes no lock and no message.
 type Suspector struct {
-	viewer coordinator.Viewer
+	*book
+	fleet  Fleet
 	caller messenger.Caller
-	clock  timer.Clock
 	logger *zap.Logger
 	deaths metric.Int64Counter
 
-	table   atomic.Pointer[Table]
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -54,15 +59,14 @@
 
 // New registers the handlers and starts comparing records with other hosts.
 func New(
-	viewer coordinator.Viewer, caller messenger.Caller, registry messenger.Registry,
+	fleet Fleet, caller messenger.Caller, registry messenger.Registry,
 	clock timer.Clock, logger *zap.Logger, meter metric.Meter,
 ) *Suspector {
-	s := &Suspector{viewer: viewer, caller: caller, clock: clock, logger: logger, held: make(map[string]uint64)}
+	s := &Suspector{book: newBook(Table{}, clock), fleet: fleet, caller: caller, logger: logger, held: make(map[string]uint64)}
 	var err error
 	if s.deaths, err = meter.Int64Counter("jackdawgate.suspector.deaths"); err != nil {
 		logger.Error("suspector has no metrics", zap.Error(err))
 	}
-	s.table.Store(&Table{})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	registry.Handle(tellMethod, s.handleTell)
 	registry.Handle(compareMethod, s.handleCompare)
@@ -88,23 +92,12 @@
 	}
 }
 
-// Verdict returns what is known of a fingerprint.
-func (s *Suspector) Verdict(fingerprint uint64) Verdict {
-	return s.table.Load().Verdict(fingerprint, s.clock.Now())
-}
-
-// Refused says whether calls with this fingerprint are refused, and for how long.
-func (s *Suspector) Refused(fingerprint uint64) (timer.Millis, bool) {
-	r, ok := s.Verdict(fingerprint).(Refused)
-	return r.RetryAfter, ok
-}
-
 // InFlightAtDeath records that server died with these calls in flight and tells
 // all members.
 func (s *Suspector) InFlightAtDeath(server string, fingerprints []uint64) {
 	s.mu.Lock()
 	s.seq++
-	id := s.viewer.View().Self.Incarnation + "-" + strconv.Itoa(s.seq)
+	id := s.fleet.Incarnation() + "-" + strconv.Itoa(s.seq)
 	s.mu.Unlock()
 	if s.deaths != nil {
 		s.deaths.Add(s.ctx, 1)
@@ -150,17 +143,6 @@
 	}
 }
 
-// add takes records in and says whether any was new.
-func (s *Suspector) add(r Records) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next, news := s.table.Load().WithRecords(r, s.clock.Now())
-	if news {
-		s.table.Store(&next)
-	}
-	return news
-}
-
 // publish takes records in and tells every other member.
 func (s *Suspector) publish(r Records) {
 	if !s.add(r) {
@@ -171,16 +153,12 @@
 
 // tell sends records to every other member.
 func (s *Suspector) tell(r Records) {
-	v := s.viewer.View()
 	var telling sync.WaitGroup
 	slots := make(chan struct{}, tellers)
-	for _, m := range v.Record.Members {
-		if m.Name == v.Self.Name {
-			continue
-		}
+	for _, address := range s.fleet.Others() {
 		slots <- struct{}{}
 		telling.Go(func() {
-			_ = s.call(m.PeerAddress, tellMethod, r, nil)
+			_ = s.call(address, tellMethod, r, nil)
 			<-slots
 		})
 	}
@@ -202,16 +180,12 @@
 }
 
 func (s *Suspector) compare() {
-	v := s.viewer.View()
-	if len(v.Record.Members) == 0 {
-		return
-	}
-	m := v.Record.Members[rand.IntN(len(v.Record.Members))]
-	if m.Name == v.Self.Name {
+	others := s.fleet.Others()
+	if len(others) == 0 {
 		return
 	}
 	var r Records
-	if s.call(m.PeerAddress, compareMethod, s.table.Load().Digest(), &r) == nil {
+	if s.call(others[rand.IntN(len(others))], compareMethod, s.table.Load().Digest(), &r) == nil {
 		s.add(r)
 	}
 }
--- a/suspector/suspector.go
+++ b/suspector/suspector.go
@@ -27,11 +27,20 @@
 // longest stream, for each suspect of each death.
 //
 // The records are bounded: the oldest deaths are forgotten first.
+//
+// # Without owners of servers
+//
+// Where no host keeps a server's ledger, a Witness takes the place of the
+// Suspector. It sees only its own host's calls, and a death in its records is one
+// call that a server broke off, or left, before any answer. So neighbours are not
+// blamed, but a failing network may be; three deaths are asked for then.
 package suspector
 
 import "github.com/jackdawgate/jackdawgate/timer"
 
 const (
+	// defaultDeaths is how many deaths get a fingerprint refused.
+	defaultDeaths = 2
 	// suspectTime is how long a death counts.
 	suspectTime = 600 * timer.Second
 	// blameTime is how long a call is refused that was the only suspect in
--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -117,7 +117,7 @@
 	for _, m := range record.Members {
 		h := network.Host(m.PeerAddress, messenger.Peer{Name: m.Name})
 		v := view{coordinator.Snapshot{Self: m}.WithRecord(record)}
-		out = append(out, suspector.New(v, h, h, timer.System(), zap.NewNop(), noop.Meter{}))
+		out = append(out, suspector.New(coordinator.Hosts{Viewer: v}, h, h, timer.System(), zap.NewNop(), noop.Meter{}))
 	}
 	return network, out
 }
@@ -211,3 +211,76 @@
 	require.Less(t, size, uint64(8<<20))
 	runtime.KeepAlive(table)
 }
+
+type clock struct{ now timer.Millis }
+
+func (c *clock) Now() timer.Millis { return c.now }
+
+// Pattern: the same call comes to one host after the other, each of which sees
+// one server fail under it.
+func TestWitnessesCountTogetherAndTellWhatTheySaw(t *testing.T) {
+	c := &clock{now: 1000}
+	hosts := make([]*suspector.Witness, 4)
+	for i := range hosts {
+		hosts[i] = suspector.NewWitness(fmt.Sprint(i), c, zap.NewNop())
+	}
+	// Each datagram is sent twice, and one host gets none.
+	tell := func() {
+		for _, from := range hosts {
+			for _, to := range append(hosts[:3:3], hosts[:3]...) {
+				to.Hear(from.Told())
+			}
+		}
+	}
+	for i := range 2 {
+		hosts[i].Failed("s", culprit)
+		tell()
+		_, refused := hosts[0].Refused(culprit)
+		require.False(t, refused)
+	}
+	hosts[2].Failed("s", culprit)
+	tell()
+	for _, h := range hosts[:3] {
+		after, refused := h.Refused(culprit)
+		require.True(t, refused)
+		require.Equal(t, 30*timer.Second, after)
+	}
+	_, refused := hosts[3].Refused(culprit)
+	require.False(t, refused)
+
+	c.now += 31 * timer.Second
+	_, refused = hosts[0].Refused(culprit)
+	require.False(t, refused, "tried again after a while")
+	require.Empty(t, hosts[0].Told().Deaths, "told for a while only")
+	hosts[1].Failed("s", culprit)
+	tell()
+	_, refused = hosts[0].Refused(culprit)
+	require.True(t, refused, "at the next failure")
+}
+
+func TestSurvivalAtOneHostClearsACallAtAll(t *testing.T) {
+	c := &clock{now: 1000}
+	a, b := suspector.NewWitness("a", c, zap.NewNop()), suspector.NewWitness("b", c, zap.NewNop())
+	for range 2 {
+		a.Failed("s", 7)
+	}
+	b.Hear(a.Told())
+	b.Survived(7)
+	a.Hear(b.Told())
+	a.Failed("s", 7)
+	_, refused := a.Refused(7)
+	require.False(t, refused)
+	b.Survived(8)
+	require.Len(t, b.Told().Survivals, 1, "nothing is said of calls that are not suspected")
+}
+
+func TestFingerprintTellsCallsApart(t *testing.T) {
+	one := suspector.Fingerprint("w", "/p", []byte("body"))
+	require.Equal(t, one, suspector.Fingerprint("w", "/p", []byte("body")))
+	for _, other := range []uint64{
+		suspector.Fingerprint("v", "/p", []byte("body")), suspector.Fingerprint("w", "/q", []byte("body")),
+		suspector.Fingerprint("w", "/p", []byte("bod")), suspector.Fingerprint("w/", "p", []byte("body")),
+	} {
+		require.NotEqual(t, one, other)
+	}
+}
--- a/suspector/table.go
+++ b/suspector/table.go
@@ -11,12 +11,26 @@
 // Table has the records of one host and the verdicts that follow from them. It
 // is immutable: the With methods return another one. The zero Table is empty.
 type Table struct {
+	rules  Rules
 	deaths []known
 	// survivals has when each was on this host's clock.
 	survivals map[survived]timer.Millis
 	verdicts  map[uint64]standing
 }
 
+// Rules say when a fingerprint is refused. Zero fields take the defaults.
+type Rules struct {
+	// Deaths is how many get it refused; default 2.
+	Deaths int
+	// BlameTime is how long a call is refused that was the only suspect in flight
+	// at its last death; default 10 minutes. AmbiguousTime is for one that was
+	// not; default a minute.
+	BlameTime, AmbiguousTime timer.Millis
+}
+
+// NewTable returns an empty table with these rules.
+func NewTable(r Rules) Table { return Table{rules: r} }
+
 // known is a death and when it was on this host's clock.
 type known struct {
 	Death
@@ -178,21 +192,21 @@
 		for _, f := range d.Fingerprints {
 			if t.counts(d, f) {
 				counted[f]++
-				t.verdicts[f] = standingAfter(t.verdicts[f], d.at, counted[f], suspects)
+				t.verdicts[f] = t.standingAfter(t.verdicts[f], d.at, counted[f], suspects)
 			}
 		}
 	}
 	return t
 }
 
-func standingAfter(s standing, at timer.Millis, deaths, suspects int) standing {
+func (t Table) standingAfter(s standing, at timer.Millis, deaths, suspects int) standing {
 	s.suspected = max(s.suspected, at+suspectTime)
 	switch {
-	case deaths < 2:
+	case deaths < cmp.Or(t.rules.Deaths, defaultDeaths):
 	case suspects == 1:
-		s.refused = max(s.refused, at+blameTime)
+		s.refused = max(s.refused, at+cmp.Or(t.rules.BlameTime, blameTime))
 	default:
-		s.refused = max(s.refused, at+ambiguousTime)
+		s.refused = max(s.refused, at+cmp.Or(t.rules.AmbiguousTime, ambiguousTime))
 	}
 	return s
 }
