Compact the logs of groups by checkpoints that are entries themselves

What is built: when a log has doubled, and by 4 MB at least, its owner lets proposals wait until all is committed, appends entries that list the whole state, and drops what lies before them once all holders have them; holders drop it when they hear the owner's base. A disk that lacks dropped entries is no holder and begins anew. A checkpoint that a crash cut short changes nothing. Before and after: go test ./mirrorer ./queuer; all tests of failures run again with logs that compact every few entries and messages of one entry; dropping before the checkpoint is committed fails TestOwnerThatDiesWhileItsCheckpointIsOnItsWayLosesNothing, making it before all is committed fails the random faults.

--- a/gatekeeper/log_test.go
+++ b/gatekeeper/log_test.go
@@ -28,8 +28,11 @@
 	f.configure()
 	f.holders(map[string]string{heldKey: "w"})
 	outcomes := []relayer.Outcome{
-		relayer.Delivered{Status: 200, Server: "s", Servers: 1}, relayer.NotRun{Reason: "r", RetryAfter: 100},
-		relayer.Unknown{Reason: "r"}, relayer.BrokenOff{Reason: "r"}, relayer.Left{},
+		relayer.Delivered{Status: 200, Server: "s", Servers: 1},
+		relayer.NotRun{Reason: "r", RetryAfter: 100},
+		relayer.Unknown{Reason: "r"},
+		relayer.BrokenOff{Reason: "r"},
+		relayer.Left{},
 	}
 	for _, o := range outcomes {
 		f.relay.outcome = o
--- a/mirrorer/fleet_test.go
+++ b/mirrorer/fleet_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -23,18 +24,64 @@
 
 // recorder is a Machine that keeps what was applied.
 type recorder struct {
-	mu      sync.Mutex
-	applied []string
-	opened  bool
+	mu sync.Mutex
+	applier
+	opened bool
 }
 
-func (r *recorder) Reset()  { r.set(func() { r.applied, r.opened = nil, false }) }
+func (r *recorder) Reset()  { r.set(func() { r.applier, r.opened = applier{}, false }) }
 func (r *recorder) Opened() { r.set(func() { r.opened = true }) }
 func (r *recorder) Ended()  { r.set(func() { r.opened = false }) }
+
+// checkpointEntries is how many entries a checkpoint has.
+const checkpointEntries = 3
+
+// applier is what was applied, and a checkpoint that has come in part.
+type applier struct {
+	texts, part []string
+	left        int
+}
+
+// with returns what is applied after one more entry.
+func (a applier) with(text string) applier {
+	if !strings.HasPrefix(text, "=") {
+		return applier{texts: append(a.texts, text)}
+	}
+	head, list, _ := strings.Cut(text[1:], ":#")
+	var left int
+	var first bool
+	_, _ = fmt.Sscanf(head, "%d:%t", &left, &first)
+	switch {
+	case first:
+		a.part = []string{}
+	case a.part == nil || left != a.left-1:
+		a.part = nil
+		return a
+	}
+	a.part, a.left = append(slices.Clone(a.part), strings.Fields(list)...), left
+	if left == 0 {
+		return applier{texts: a.part}
+	}
+	return a
+}
+
 func (r *recorder) Apply(data []byte) {
-	r.set(func() { r.applied = append(r.applied, string(data)) })
+	r.set(func() { r.applier = r.applier.with(string(data)) })
 }
 
+func (r *recorder) Checkpoint() [][]byte {
+	list := r.list()
+	var out [][]byte
+	for i := range checkpointEntries {
+		part := list[len(list)*i/checkpointEntries : len(list)*(i+1)/checkpointEntries]
+		out = append(out, fmt.Appendf(nil, "=%d:%t:#%s", checkpointEntries-1-i, i == 0, strings.Join(part, " ")))
+	}
+	return out
+}
+
+// compactAfter and maxAppend are what the replicas of a fleet are started with.
+var compactAfter, maxAppend int64
+
 func (r *recorder) set(f func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -44,7 +91,7 @@
 func (r *recorder) list() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.applied)
+	return slices.Clone(r.texts)
 }
 
 // host is one host of a fleet that has one group.
@@ -113,7 +160,7 @@
 	started := f.clock.Now()
 	h.replica = mirrorer.New(mirrorer.Options{
 		Group: 0, Disk: h.disk, Incarnation: incarnation, Log: log, Machine: h.machine, Ledger: &reach{f, h}, Key: manifestKey,
-		Caller: end, Clock: f.clock, Logger: zap.NewNop(),
+		Caller: slow{end}, Clock: f.clock, Logger: zap.NewNop(), CompactAfter: compactAfter, MaxAppend: maxAppend,
 		View:    func(g cataloger.Group) mirrorer.View { return f.view(h, g, started) },
 		Address: f.address,
 	})
@@ -225,13 +272,28 @@
 		require.NoError(f.t, err)
 		copied := filepath.Join(f.t.TempDir(), "copy")
 		require.NoError(f.t, os.WriteFile(copied, data, 0o600))
-		got := texts(f.t, open(f.t, copied))
+		var got applier
+		for _, s := range texts(f.t, open(f.t, copied)) {
+			got = got.with(s)
+		}
 		for _, s := range want {
-			require.Contains(f.t, got, s, "disk %s is a holder", h.disk)
+			require.Contains(f.t, got.texts, s, "disk %s is a holder", h.disk)
 		}
 	}
 }
 
+// callDelay is how long a message between hosts takes.
+const callDelay timer.Millis = 4
+
+// slow is a Caller whose messages take time, so that faults fall between them.
+type slow struct{ messenger.Caller }
+
+// Call implements messenger.Caller.
+func (s slow) Call(ctx context.Context, address string, m messenger.Method, body []byte, each func([]byte) error) error {
+	timer.Sleep(ctx, callDelay)
+	return s.Caller.Call(ctx, address, m, body, each)
+}
+
 // reach is the store as one host reaches it.
 type reach struct {
 	fleet *fleet
--- a/mirrorer/holder.go
+++ b/mirrorer/holder.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 )
 
 // Serve registers the handler by which the replicas of a host, which find
@@ -61,18 +62,37 @@
 	if r.session != nil {
 		return appendReply{Refused: true, Epoch: r.highest}
 	}
-	if m.Previous > log.Last() {
+	switch {
+	case m.Previous >= log.Base() && m.Previous <= log.Last() && log.TermAt(m.Previous) == m.PreviousTerm:
+	case m.Previous == m.Base:
+		if !r.restart(m) {
+			return appendReply{Refused: true, Epoch: r.highest}
+		}
+	case m.Previous < log.Base():
+		return appendReply{Next: 1}
+	case m.Previous > log.Last():
 		return appendReply{Next: log.Last() + 1}
-	}
-	if m.Previous > 0 && log.TermAt(m.Previous) != m.PreviousTerm {
+	default:
 		return appendReply{Next: log.FirstOf(m.Previous)}
 	}
 	if !r.adopt(m) {
 		return appendReply{Refused: true, Epoch: r.highest}
 	}
+	r.trim(m.Base)
 	return appendReply{Matched: true, Next: log.Last() + 1}
 }
 
+// restart drops a log that lacks what the owner has dropped.
+func (r *Replica) restart(m appendRequest) bool {
+	r.options.Logger.Info("log begun anew", zap.Int("group", r.options.Group), zap.Uint64("last", r.options.Log.Last()), zap.Uint64("base", m.Base))
+	if err := r.options.Log.Restart(m.Base, m.PreviousTerm); err != nil {
+		r.failed = true
+		r.options.Logger.Error("log cannot be begun anew", zap.Int("group", r.options.Group), zap.Error(err))
+		return false
+	}
+	return true
+}
+
 // adopt appends those of the owner's entries that are missing here, and cuts off
 // what differs from them.
 func (r *Replica) adopt(m appendRequest) bool {
--- a/mirrorer/log.go
+++ b/mirrorer/log.go
@@ -31,16 +31,27 @@
 	size   int64
 }
 
-// Log is one group's log in a file. Entries are numbered from one. It is used by
-// one goroutine.
+// Log is one group's log in a file. Entries are numbered from one; those up to
+// the base have been dropped. It is used by one goroutine.
 type Log struct {
 	file *os.File
+	path string
 	seed uint64
-	// marks[i] is of entry i+1; end is where the next entry goes.
+	// base is the last entry that was dropped, and baseTerm its term.
+	base     uint64
+	baseTerm Term
+	// marks[i] is of entry base+i+1; end is where the next entry goes.
 	marks []mark
 	end   int64
 }
 
+// head begins the file of a log that was trimmed, as its record zero.
+type head struct {
+	_    struct{} `cbor:",toarray"`
+	Base uint64
+	Term Term
+}
+
 // OpenLog opens or creates the log at path. A torn or missing end, which a loss
 // of power leaves of what was not synced, is cut off.
 func OpenLog(path, name string) (*Log, error) {
@@ -48,7 +59,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "open log")
 	}
-	l := &Log{file: f, seed: framer.Seed(name)}
+	l := &Log{file: f, path: path, seed: framer.Seed(name)}
 	if err := l.scan(); err != nil {
 		_ = f.Close()
 		return nil, err
@@ -57,7 +68,11 @@
 }
 
 func (l *Log) scan() error {
-	s := framer.Scanner{File: l.file, Seed: l.seed, Sequence: 1}
+	start, err := l.readHead()
+	if err != nil {
+		return err
+	}
+	s := framer.Scanner{File: l.file, Seed: l.seed, Sequence: l.base + 1, Offset: start}
 	for {
 		offset := s.Offset
 		content, _, size, err := s.Next()
@@ -73,27 +88,52 @@
 	}
 }
 
+// readHead reads what stands before the entries, and returns where these begin.
+func (l *Log) readHead() (int64, error) {
+	s := framer.Scanner{File: l.file, Seed: l.seed}
+	content, _, size, err := s.Next()
+	if err != nil {
+		return 0, eris.Wrap(err, "read head of log")
+	}
+	var h head
+	if content == nil || cbor.Unmarshal(content, &h) != nil {
+		return 0, nil
+	}
+	l.base, l.baseTerm = h.Base, h.Term
+	return size, nil
+}
+
 // Close closes the file.
 func (l *Log) Close() error { return eris.Wrap(l.file.Close(), "close log") }
 
 // Last returns the index of the last entry, zero when there is none.
-func (l *Log) Last() uint64 { return uint64(len(l.marks)) }
+func (l *Log) Last() uint64 { return l.base + uint64(len(l.marks)) }
+
+// Base returns the index of the last entry that was dropped, zero when none was.
+func (l *Log) Base() uint64 { return l.base }
 
 // Bytes is how long the log is.
 func (l *Log) Bytes() int64 { return l.end }
 
-// TermAt returns the term of an entry; that of index zero is the zero Term.
+// TermAt returns the term of an entry from the base on; that of index zero is
+// the zero Term.
 func (l *Log) TermAt(index uint64) Term {
-	if index == 0 || index > l.Last() {
+	switch {
+	case index == l.base:
+		return l.baseTerm
+	case index < l.base || index > l.Last():
 		return Term{}
 	}
-	return l.marks[index-1].term
+	return l.mark(index).term
 }
 
+// mark is where the entry at index lies, which must exist.
+func (l *Log) mark(index uint64) mark { return l.marks[index-l.base-1] }
+
 // FirstOf returns the first index of the run of entries that have the term of
 // the entry at index.
 func (l *Log) FirstOf(index uint64) uint64 {
-	for index > 1 && l.TermAt(index-1) == l.TermAt(index) {
+	for index > l.base+1 && l.TermAt(index-1) == l.TermAt(index) {
 		index--
 	}
 	return index
@@ -127,13 +167,13 @@
 	return nil
 }
 
-// Truncate removes all entries after index.
+// Truncate removes all entries after index, which is not before the base.
 func (l *Log) Truncate(index uint64) error {
-	if index >= l.Last() {
+	if index >= l.Last() || index < l.base {
 		return nil
 	}
-	l.end = l.marks[index].offset
-	l.marks = l.marks[:index]
+	l.end = l.mark(index + 1).offset
+	l.marks = l.marks[:index-l.base]
 	return eris.Wrap(l.file.Truncate(l.end), "cut log")
 }
 
@@ -141,12 +181,12 @@
 // fit into most bytes.
 func (l *Log) Read(index uint64, most int64) ([]Entry, error) {
 	var out []Entry
-	if index == 0 || index > l.Last() {
+	if index <= l.base || index > l.Last() {
 		return nil, nil
 	}
-	s := framer.Scanner{File: l.file, Seed: l.seed, Sequence: index, Offset: l.marks[index-1].offset}
+	s := framer.Scanner{File: l.file, Seed: l.seed, Sequence: index, Offset: l.mark(index).offset}
 	for total := int64(0); index <= l.Last(); index++ {
-		size := l.marks[index-1].size
+		size := l.mark(index).size
 		if total += size; total > most && len(out) > 0 {
 			return out, nil
 		}
--- a/mirrorer/log_test.go
+++ b/mirrorer/log_test.go
@@ -27,7 +27,7 @@
 func texts(t *testing.T, l *mirrorer.Log) []string {
 	t.Helper()
 	var out []string
-	for from := uint64(1); from <= l.Last(); {
+	for from := l.Base() + 1; from <= l.Last(); {
 		list, err := l.Read(from, 10)
 		require.NoError(t, err)
 		require.NotEmpty(t, list)
@@ -82,3 +82,65 @@
 	require.NoError(t, l.Close())
 	require.Equal(t, []string{"a", "d"}, texts(t, open(t, path)))
 }
+
+func TestTrimmedLogGoesOn(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	l := open(t, path)
+	require.NoError(t, l.Append(entries(1, "a", "b")))
+	require.NoError(t, l.Append(entries(2, "c", "d")))
+	before := l.Bytes()
+	require.NoError(t, l.Trim(2))
+	require.NoError(t, l.Append(entries(2, "e")))
+	check := func(want ...string) {
+		t.Helper()
+		require.EqualValues(t, 2, l.Base())
+		require.EqualValues(t, 1, l.TermAt(2).Epoch, "the term at the base is kept")
+		require.Equal(t, want, texts(t, l))
+	}
+	check("c", "d", "e")
+	require.Less(t, l.Bytes(), 2*before)
+	require.NoError(t, l.Close())
+	l = open(t, path)
+	check("c", "d", "e")
+	require.EqualValues(t, 5, l.Last())
+	require.EqualValues(t, 3, l.FirstOf(5))
+	require.NoError(t, l.Truncate(3))
+	check("c")
+	require.NoError(t, l.Append(entries(3, "f")))
+	require.NoError(t, l.Close())
+	l = open(t, path)
+	check("c", "f")
+	require.NoError(t, l.Trim(4))
+	require.NoError(t, l.Append(entries(3, "g")))
+	require.NoError(t, l.Close())
+	l = open(t, path)
+	require.EqualValues(t, 4, l.Base())
+	require.Equal(t, []string{"g"}, texts(t, l))
+}
+
+func TestRestartedLogBeginsAfterItsBase(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	l := open(t, path)
+	require.NoError(t, l.Append(entries(1, "a", "b")))
+	require.NoError(t, l.Restart(7, entries(4, "x")[0].Term))
+	require.EqualValues(t, 7, l.Last())
+	require.NoError(t, l.Append(entries(5, "c")))
+	require.NoError(t, l.Close())
+	l = open(t, path)
+	require.EqualValues(t, 8, l.Last())
+	require.EqualValues(t, 4, l.TermAt(7).Epoch)
+	require.Equal(t, []string{"c"}, texts(t, l))
+}
+
+// A loss of power leaves the old file, and perhaps a new one that is not whole.
+func TestLogOutlivesATrimThatWasCutShort(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	l := open(t, path)
+	require.NoError(t, l.Append(entries(1, "a", "b")))
+	require.NoError(t, os.WriteFile(path+".new", []byte("half"), 0o600))
+	require.NoError(t, l.Close())
+	l = open(t, path)
+	require.Equal(t, []string{"a", "b"}, texts(t, l))
+	require.NoError(t, l.Trim(1))
+	require.Equal(t, []string{"b"}, texts(t, l))
+}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -22,6 +22,8 @@
 //   - An owner answers reads only while all holders lately answered it. A new
 //     owner is a holder of the old one's manifest, and refuses the old one.
 //   - A disk that was replaced by an empty one has a new name and is no holder.
+//   - Entries are dropped only up to a checkpoint that all holders have. A disk
+//     that lacks entries which were dropped is no holder and begins anew.
 package mirrorer
 
 import (
@@ -29,6 +31,7 @@
 	"fmt"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -42,6 +45,10 @@
 	Reset()
 	// Apply applies the next committed entry.
 	Apply(data []byte)
+	// Checkpoint returns entries that, applied to a Machine in any state, make it
+	// what this one is. They are applied here too, and may be cut short by a
+	// crash; then they must change nothing.
+	Checkpoint() [][]byte
 	// Opened says that all that was committed by earlier sessions has been
 	// applied, and Ended that this host no longer owns the group.
 	Opened()
@@ -79,6 +86,12 @@
 	Address func(disk string) (string, bool)
 	Clock   timer.Clock
 	Logger  *zap.Logger
+	// CompactAfter is how many bytes the log grows, at least, before it is
+	// compacted; default 4 MB. A log that is longer doubles first.
+	CompactAfter int64
+	// MaxAppend is how many bytes one message carries, and one entry at least;
+	// default 1 MB.
+	MaxAppend int64
 }
 
 // Constants of the protocol.
@@ -86,13 +99,13 @@
 	// heartbeat is how often an owner asks idle holders.
 	heartbeat timer.Millis = 250
 	// ServingLease is how lately all holders must have answered an owner.
-	ServingLease timer.Millis = 900
-	callTimeout  timer.Millis = 700
-	retryPause   timer.Millis = 100
-	storeTimeout timer.Millis = 1200
-	tick         timer.Millis = 100
-	maxAppend                 = 1 << 20
-	inboxSize                 = 256
+	ServingLease     timer.Millis = 900
+	callTimeout      timer.Millis = 700
+	retryPause       timer.Millis = 100
+	storeTimeout     timer.Millis = 1200
+	tick             timer.Millis = 100
+	defaultMaxAppend              = 1 << 20
+	inboxSize                     = 256
 )
 
 // Replica is one host's part in one group. Its methods are safe for concurrent
@@ -114,6 +127,8 @@
 	writing bool
 	planned timer.Millis
 	failed  bool
+	// compacted is how long the log was after it was last trimmed, in bytes.
+	compacted int64
 }
 
 // session is this host's time as owner.
@@ -131,6 +146,17 @@
 	began, committed uint64
 	waiting          map[uint64]chan error
 	opened, closing  bool
+	// checkpoint is one that is not committed yet. While pausing, proposals wait
+	// in paused for a checkpoint to be appended.
+	checkpoint *checkpoint
+	pausing    bool
+	paused     []proposal
+}
+
+// proposal is an entry that is to be appended.
+type proposal struct {
+	data []byte
+	done chan error
 }
 
 // fellow is another disk as the owner knows it.
@@ -148,6 +174,8 @@
 
 // New starts a Replica.
 func New(o Options) *Replica {
+	defaulter.Set(&o.CompactAfter, defaultCompactAfter)
+	defaulter.Set(&o.MaxAppend, defaultMaxAppend)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Replica{options: o, inbox: make(chan func(), inboxSize), ctx: ctx, cancel: cancel, done: make(chan struct{})}
 	r.highest = o.Log.TermAt(o.Log.Last()).Epoch
@@ -173,6 +201,7 @@
 		}
 		cancel()
 		r.pump()
+		r.compact()
 		r.plan()
 	}
 	r.endSession()
@@ -239,7 +268,7 @@
 	term := Term{Epoch: r.group.Epoch, Incarnation: r.options.Incarnation}
 	s := &session{
 		term: term, settled: settled, followers: make(map[string]*fellow),
-		pledged: make(map[string]bool), waiting: make(map[uint64]chan error),
+		pledged: make(map[string]bool), waiting: make(map[uint64]chan error), committed: r.options.Log.Base(),
 	}
 	if !r.write([]Entry{{Term: term}}) {
 		return
@@ -259,6 +288,9 @@
 	for _, done := range s.waiting {
 		done <- &UncertainError{Group: r.options.Group}
 	}
+	for _, p := range s.paused {
+		p.done <- &NotOwnerError{Group: r.options.Group}
+	}
 	r.options.Machine.Ended()
 	r.options.Logger.Info("group given up", zap.Int("group", r.options.Group), zap.Uint64("epoch", s.term.Epoch))
 }
@@ -299,6 +331,10 @@
 		done <- &NotOwnerError{Group: r.options.Group}
 		return
 	}
+	if s.pausing {
+		s.paused = append(s.paused, proposal{data, done})
+		return
+	}
 	if !r.write([]Entry{{Term: s.term, Data: data}}) {
 		// A write that failed may have reached the disk in part.
 		done <- &UncertainError{Group: r.options.Group}
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -43,13 +43,14 @@
 	if f.busy || now < f.pausedUntil || (!due && (!f.known || f.next > log.Last())) {
 		return
 	}
+	f.next = max(f.next, log.Base()+1)
 	m := appendRequest{
 		Group: r.options.Group, Epoch: s.term.Epoch, Owner: r.options.Disk, To: disk,
-		Previous: f.next - 1, PreviousTerm: log.TermAt(f.next - 1),
+		Base: log.Base(), Previous: f.next - 1, PreviousTerm: log.TermAt(f.next - 1),
 	}
 	if f.known {
 		var err error
-		if m.Entries, err = log.Read(f.next, maxAppend); err != nil {
+		if m.Entries, err = log.Read(f.next, r.options.MaxAppend); err != nil {
 			r.options.Logger.Error("log cannot be read", zap.Int("group", r.options.Group), zap.Error(err))
 			r.endSession()
 			return
@@ -104,7 +105,7 @@
 	}
 	f.known, f.answered = true, f.sent
 	if !reply.Matched {
-		f.next = max(1, min(reply.Next, f.next))
+		f.next = max(r.options.Log.Base()+1, min(reply.Next, f.next))
 		r.pump()
 		return
 	}
@@ -128,7 +129,7 @@
 		return
 	}
 	for s.committed < all {
-		entries, err := log.Read(s.committed+1, maxAppend)
+		entries, err := log.Read(s.committed+1, r.options.MaxAppend)
 		if err != nil || len(entries) == 0 {
 			r.options.Logger.Error("log cannot be read", zap.Int("group", r.options.Group), zap.Error(err))
 			r.endSession()
--- a/mirrorer/wire.go
+++ b/mirrorer/wire.go
@@ -12,7 +12,10 @@
 	Group int
 	Epoch uint64
 	// Owner and To are disks.
-	Owner, To    string
+	Owner, To string
+	// Base is the last entry that the owner has dropped. What follows it begins
+	// with a checkpoint that all holders have.
+	Base         uint64
 	Previous     uint64
 	PreviousTerm Term
 	Entries      []Entry
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -55,7 +55,9 @@
 type kept struct {
 	job     *Job
 	results []Result
-	done    []bool
+	// listed are the items' places in the job, in the order of results.
+	listed []int
+	done   []bool
 	// saved is by the item's place; items without any are missing.
 	saved map[int]Progress
 	ended bool
@@ -65,28 +67,35 @@
 
 func (k *kept) open() bool { return !k.ended && len(k.results) < len(k.job.Items) }
 
+// jobs are the jobs of a group, by identifier.
+type jobs map[string]*kept
+
 // Queue implements mirrorer.Machine. It is safe for concurrent use.
 type Queue struct {
 	logger  *zap.Logger
 	changed func()
 
 	mu      sync.Mutex
-	jobs    map[string]*kept
+	jobs    jobs
 	serving bool
+	// restoring is a checkpoint that has been read in part, of which left
+	// records are to come.
+	restoring jobs
+	left      int
 	// reserved are tokens of jobs whose acceptance is under way.
 	reserved map[QueueKey]int64
 }
 
 // New returns an empty Queue. changed is called after each change.
 func New(l *zap.Logger, changed func()) *Queue {
-	return &Queue{logger: l, changed: changed, jobs: make(map[string]*kept), reserved: make(map[QueueKey]int64)}
+	return &Queue{logger: l, changed: changed, jobs: make(jobs), reserved: make(map[QueueKey]int64)}
 }
 
 // Reset implements mirrorer.Machine.
 func (q *Queue) Reset() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.jobs, q.serving = make(map[string]*kept), false
+	q.jobs, q.restoring, q.serving = make(jobs), nil, false
 }
 
 // Opened implements mirrorer.Machine.
@@ -123,30 +132,39 @@
 }
 
 func (q *Queue) apply(r Record) {
+	if t, ok := r.(Restored); ok {
+		q.restore(t)
+		return
+	}
+	q.restoring = nil
+	q.jobs.apply(r)
+}
+
+func (j jobs) apply(r Record) {
 	switch t := r.(type) {
 	case Accepted:
-		if _, ok := q.jobs[t.Job.ID]; !ok {
-			q.jobs[t.Job.ID] = &kept{job: &t.Job, done: make([]bool, len(t.Job.Items)), saved: make(map[int]Progress), news: make(chan struct{})}
+		if _, ok := j[t.Job.ID]; !ok {
+			j[t.Job.ID] = &kept{job: &t.Job, done: make([]bool, len(t.Job.Items)), saved: make(map[int]Progress), news: make(chan struct{})}
 		}
 	case Finished:
-		q.finish(t)
+		j.finish(t)
 	case Ended:
-		if k, ok := q.jobs[t.Job]; ok {
+		if k, ok := j[t.Job]; ok {
 			k.ended = true
 			clear(k.saved)
 			k.dropBodies(func(int) bool { return true })
 		}
 	case Dropped:
-		delete(q.jobs, t.Job)
+		delete(j, t.Job)
 	case Saved:
 		for _, p := range t.Parts {
-			q.save(p)
+			j.save(p)
 		}
 	}
 }
 
-func (q *Queue) save(p Part) {
-	k, ok := q.jobs[p.Job]
+func (j jobs) save(p Part) {
+	k, ok := j[p.Job]
 	if !ok || p.Item >= len(k.done) || k.done[p.Item] || k.ended || p.From > len(k.saved[p.Item].Output) {
 		return
 	}
@@ -159,8 +177,8 @@
 	return append(before[:min(from, len(before)):min(from, len(before))], more...)
 }
 
-func (q *Queue) finish(f Finished) {
-	k, ok := q.jobs[f.Job]
+func (j jobs) finish(f Finished) {
+	k, ok := j[f.Job]
 	if !ok || f.Item >= len(k.done) || k.done[f.Item] || f.From > len(k.saved[f.Item].Output) {
 		return
 	}
@@ -170,7 +188,7 @@
 	}
 	k.done[f.Item] = true
 	delete(k.saved, f.Item)
-	k.results = append(k.results, r)
+	k.results, k.listed = append(k.results, r), append(k.listed, f.Item)
 	k.dropBodies(func(i int) bool { return i == f.Item })
 	close(k.news)
 	k.news = make(chan struct{})
--- a/queuer/record.go
+++ b/queuer/record.go
@@ -87,25 +87,52 @@
 // Dropped forgets a job.
 type Dropped struct{ Job string }
 
+// Restored is one record of a checkpoint, which lists all that is kept.
+type Restored struct {
+	// First says that a checkpoint begins, Left how many of its records follow.
+	First bool
+	Left  int
+	// Record is nil when nothing is kept.
+	Record Record
+}
+
 func (Accepted) record() {}
 func (Finished) record() {}
 func (Saved) record()    {}
 func (Ended) record()    {}
 func (Dropped) record()  {}
+func (Restored) record() {}
+
+// restored marks a Record as part of a checkpoint.
+type restored struct {
+	_     struct{} `cbor:",toarray"`
+	First bool
+	Left  int
+}
 
-// envelope is a Record as it is stored: one field is set.
+// envelope is a Record as it is stored: one field is set, and Restored beside it
+// for a record of a checkpoint.
 type envelope struct {
 	Accepted *Accepted `cbor:"1,keyasint,omitempty"`
 	Finished *Finished `cbor:"2,keyasint,omitempty"`
 	Ended    *Ended    `cbor:"3,keyasint,omitempty"`
 	Dropped  *Dropped  `cbor:"4,keyasint,omitempty"`
 	Saved    *Saved    `cbor:"5,keyasint,omitempty"`
+	Restored *restored `cbor:"6,keyasint,omitempty"`
 }
 
 // Encode returns r as it is stored.
 func Encode(r Record) ([]byte, error) {
+	b, err := cbor.Marshal(seal(r))
+	return b, eris.Wrap(err, "encode record")
+}
+
+func seal(r Record) envelope {
 	var e envelope
 	switch t := r.(type) {
+	case Restored:
+		e = seal(t.Record)
+		e.Restored = &restored{First: t.First, Left: t.Left}
 	case Accepted:
 		e.Accepted = &t
 	case Finished:
@@ -117,8 +144,7 @@
 	case Saved:
 		e.Saved = &t
 	}
-	b, err := cbor.Marshal(e)
-	return b, eris.Wrap(err, "encode record")
+	return e
 }
 
 // Decode returns the Record that Encode was given.
@@ -127,17 +153,29 @@
 	if err := cbor.Unmarshal(data, &e); err != nil {
 		return nil, eris.Wrap(err, "decode record")
 	}
+	r, ok := e.record()
+	if e.Restored != nil {
+		return Restored{First: e.Restored.First, Left: e.Restored.Left, Record: r}, nil
+	}
+	if !ok {
+		return nil, eris.New("record of no kind")
+	}
+	return r, nil
+}
+
+// record returns the Record without the mark of a checkpoint.
+func (e *envelope) record() (Record, bool) {
 	switch {
 	case e.Accepted != nil:
-		return *e.Accepted, nil
+		return *e.Accepted, true
 	case e.Finished != nil:
-		return *e.Finished, nil
+		return *e.Finished, true
 	case e.Ended != nil:
-		return *e.Ended, nil
+		return *e.Ended, true
 	case e.Dropped != nil:
-		return *e.Dropped, nil
+		return *e.Dropped, true
 	case e.Saved != nil:
-		return *e.Saved, nil
+		return *e.Saved, true
 	}
-	return nil, eris.New("record of no kind")
+	return nil, false
 }
