Let a host's lease grow with the fleet

Ruled out: leases kept by bulk hosts for others (an entry would then say that the keeper lives); a longer lease everywhere (small fleets forget a lost host late, and its equal part of quotas is held back so long). What is built: a quarter of a second for each known host, between 6 and 60 s; a host grants itself another lease when what it should be doubles or halves. Before and after: go test ./enroller; 3,600 hosts renew each 20 s, 180 a second.

--- a/checker/member.go
+++ b/checker/member.go
@@ -37,7 +37,7 @@
 // MemberStore says how to reach the platform's store.
 type MemberStore struct {
 	Address  string       `key:"address" check:"address" doc:"IP address and port of the store's HTTP API."`
-	LeaseTTL timer.Millis `key:"lease-ttl" default:"6s" check:"positive" doc:"How long the host's entry outlives its last renewal."`
+	LeaseTTL timer.Millis `key:"lease-ttl" default:"6s" check:"positive" doc:"How long the host's entry outlives its last renewal, at least; it grows with the fleet."`
 }
 
 // MemberBounds are what operators hold the fleet to.
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -21,8 +21,11 @@
 	Ledger storer.Ledger
 	// Key is where the entry lies.
 	Key string
-	// TTL is how long the entry outlives its last renewal.
-	TTL    timer.Millis
+	// TTL is how long the entry outlives its last renewal, at least.
+	TTL timer.Millis
+	// Hosts returns how many hosts are known. The lease grows with them, so that
+	// the store takes about as many renewals from any fleet.
+	Hosts  func() int
 	Logger *zap.Logger
 }
 
@@ -30,6 +33,10 @@
 	callTimeout timer.Millis = 900
 	leastRetry  timer.Millis = 100
 	mostRetry   timer.Millis = 600
+	// ttlPerHost is how much of the lease each host stands for, mostTTL the
+	// longest lease.
+	ttlPerHost timer.Millis = 250
+	mostTTL                 = 60 * timer.Second
 )
 
 // Enroller writes and renews one entry until Close.
@@ -44,6 +51,7 @@
 
 	// lease and written belong to the goroutine run.
 	lease   storer.Lease
+	ttl     timer.Millis
 	written cataloger.Member
 }
 
@@ -76,8 +84,9 @@
 	defer close(e.done)
 	retry := leastRetry
 	for ctx.Err() == nil {
-		wait := e.options.TTL / 3
-		if err := e.step(ctx); err != nil {
+		err := e.step(ctx)
+		wait := e.ttl / 3
+		if err != nil {
 			e.options.Logger.Warn("entry not renewed", zap.Error(err))
 			retry = min(2*retry, mostRetry)
 			wait = retry/2 + rand.N(retry)
@@ -109,12 +118,14 @@
 func (e *Enroller) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	if e.lease == 0 {
-		l, err := e.options.Ledger.Grant(ctx, e.options.TTL)
+	if ttl := e.wantedTTL(); e.lease == 0 || ttl > 2*e.ttl || 2*ttl < e.ttl {
+		l, err := e.options.Ledger.Grant(ctx, ttl)
 		if err != nil {
 			return err
 		}
-		e.lease, e.written = l, cataloger.Member{}
+		// The lease before it, if there is one, ends by itself; the entry will
+		// not depend on it any more.
+		e.lease, e.ttl, e.written = l, ttl, cataloger.Member{}
 	}
 	e.mu.Lock()
 	m := e.member
@@ -133,6 +144,11 @@
 	return err
 }
 
+// wantedTTL is how long the lease of one of so many hosts should be.
+func (e *Enroller) wantedTTL() timer.Millis {
+	return min(max(e.options.TTL, timer.Millis(e.options.Hosts())*ttlPerHost), mostTTL)
+}
+
 func (e *Enroller) write(ctx context.Context, m cataloger.Member) error {
 	value, err := cbor.Marshal(m)
 	if err != nil {
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -29,8 +30,47 @@
 	return m, true
 }
 
-func start(l storer.Ledger) *enroller.Enroller {
-	return enroller.New(enroller.Options{Ledger: l, Key: "hosts/a", TTL: 3000, Logger: zap.NewNop()}, cataloger.Member{Name: "a"})
+func start(l storer.Ledger) *enroller.Enroller { return startAmong(l, func() int { return 1 }) }
+
+func startAmong(l storer.Ledger, hosts func() int) *enroller.Enroller {
+	return enroller.New(enroller.Options{Ledger: l, Key: "hosts/a", TTL: 3000, Hosts: hosts, Logger: zap.NewNop()}, cataloger.Member{Name: "a"})
+}
+
+// counted counts the renewals that a store takes.
+type counted struct {
+	*storer.MemoryLedger
+	renewals atomic.Int64
+}
+
+func (c *counted) Renew(ctx context.Context, l storer.Lease) error {
+	c.renewals.Add(1)
+	return c.MemoryLedger.Renew(ctx, l)
+}
+
+// Pattern: thousands of hosts renew at one store. A host knows of no other when
+// it starts.
+func TestLeaseGrowsWithTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &counted{MemoryLedger: storer.NewMemoryLedger(timer.System())}
+		var hosts atomic.Int64
+		e := startAmong(l, func() int { return int(hosts.Load()) })
+		defer e.Close()
+		pass(10000)
+		few := l.renewals.Swap(0)
+		require.InDelta(t, 10, few, 2)
+		hosts.Store(3600)
+		pass(10000)
+		l.renewals.Store(0)
+		pass(120000)
+		require.LessOrEqual(t, l.renewals.Load(), int64(6))
+		_, ok := entry(t, l)
+		require.True(t, ok, "the lease before it has run out")
+		hosts.Store(9)
+		pass(25000)
+		l.renewals.Store(0)
+		pass(10000)
+		require.InDelta(t, 10, l.renewals.Load(), 2)
+	})
 }
 
 func TestEntryLivesAsLongAsItsHost(t *testing.T) {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -131,7 +131,10 @@
 	if err := b.showMetrics(); err != nil {
 		return nil, err
 	}
-	b.enroller = enroller.New(enroller.Options{Ledger: p.Ledger, Key: p.MemberKey(m.Name), TTL: s.Store.LeaseTTL, Logger: l}, m)
+	b.enroller = enroller.New(enroller.Options{
+		Ledger: p.Ledger, Key: p.MemberKey(m.Name), TTL: s.Store.LeaseTTL,
+		Hosts: func() int { return len(b.follower.Snapshot().Members) }, Logger: l,
+	}, m)
 	return b, nil
 }
 
