Replace a lease only when its length is off by four times

Ruled out: waiting for the first reading before the lease (others learn of the host later). Before and after: go test ./enroller.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -37,6 +37,9 @@
 	// longest lease.
 	ttlPerHost timer.Millis = 250
 	mostTTL                 = 60 * timer.Second
+	// regrant is by which factor a lease must be too long or too short to be
+	// replaced by another one, which costs two writes.
+	regrant = 4
 )
 
 // Enroller writes and renews one entry until Close.
@@ -118,7 +121,7 @@
 func (e *Enroller) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	if ttl := e.wantedTTL(); e.lease == 0 || ttl > 2*e.ttl || 2*ttl < e.ttl {
+	if ttl := e.wantedTTL(); e.lease == 0 || ttl > regrant*e.ttl || regrant*ttl < e.ttl {
 		l, err := e.options.Ledger.Grant(ctx, ttl)
 		if err != nil {
 			return err
