Blame a call only for servers that were well when it was sent; find another server for an item that failed

And an item that failed went back to the server with most room, often the same one. What is built: an incarnation of a server counts once for a call, and only if it was not known to fail when the call was sent; a call is refused for 5 s at first, four times as long after each further server. Items find a server where they have not failed, for 300 ms beyond their pause; then any will do. Ruled out: closing those servers in the plan of all items (others may fail elsewhere).

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -21,9 +21,12 @@
 	// silence is how long a server may send nothing to an item.
 	silence timer.Millis = 1500
 	// Pauses before an item that failed or was refused is tried again.
-	leastPause  timer.Millis = 100
-	mostPause   timer.Millis = 2000
-	listRetry   timer.Millis = 150
+	leastPause timer.Millis = 100
+	mostPause  timer.Millis = 2000
+	listRetry  timer.Millis = 150
+	// avoidTime is for how long, after its pause, an item waits for another
+	// server than the one where it failed.
+	avoidTime   timer.Millis = 300
 	listTimeout              = 3 * timer.Second
 	// maxOutput bounds the output of an item, in bytes.
 	maxOutput = 4 << 20
@@ -110,6 +113,8 @@
 	}
 	if o.pause || o.broke {
 		t.notBefore = x.options.Clock.Now() + max(o.after, min(leastPause<<min(t.breaks, 5), mostPause))
+		t.failedAt[t.server] = true
+		t.avoidUntil = t.notBefore + avoidTime
 	}
 	x.Touch()
 }
@@ -188,13 +193,14 @@
 	if wait, refused := x.options.Witness.Refused(fingerprint); refused {
 		return again{reason: "servers failed under this item lately", pause: true, after: min(wait, left)}
 	}
-	begun := t.begun()
+	begun, sent := t.begun(), x.options.Clock.Now()
 	a, err := x.options.Conveyor.Send(ctx, x.request(t, v, left), silence)
 	if err != nil {
-		return x.broken(ctx, t, v, begun, err)
+		return x.broken(ctx, t, v, runStart{begun, sent}, err)
 	}
 	defer a.Close()
 	x.options.Ejector.Heard(v.ID)
+	x.options.Witness.Answered(v.ID)
 	switch {
 	case a.Header.Get(x.options.Names.NotRun) != "" || a.Status == http.StatusMisdirectedRequest:
 		return again{reason: "server refused it", pause: true}
@@ -207,22 +213,28 @@
 		return again{reason: "answer cannot be used: " + strconv.Itoa(a.Status), broke: true}
 	}
 	if err := splitter.Read(a, func() { x.options.Ejector.Heard(v.ID) }, t.event); err != nil {
-		return x.broken(ctx, t, v, begun, err)
+		return x.broken(ctx, t, v, runStart{begun, sent}, err)
 	}
 	x.options.Ejector.Answered(v.ID)
 	x.options.Witness.Survived(fingerprint)
 	return complete{}
 }
 
-// broken records a failed run of an item that had put out begun events before.
-func (x *Executor) broken(ctx context.Context, t *task, v cataloger.Server, begun int, err error) ending {
+// runStart is what an item had put out when a run began, in events, and when.
+type runStart struct {
+	begun int
+	at    timer.Millis
+}
+
+// broken records a failed run of an item.
+func (x *Executor) broken(ctx context.Context, t *task, v cataloger.Server, s runStart, err error) ending {
 	if ctx.Err() != nil {
 		return again{reason: "evicted"}
 	}
 	x.options.Ejector.Failed(v.ID, err)
 	var notSent *conveyor.NotSentError
-	if !errors.As(err, &notSent) && t.begun() == begun {
-		x.options.Witness.Failed(v.ID, t.fingerprint())
+	if !errors.As(err, &notSent) && t.begun() == s.begun {
+		x.options.Witness.Failed(v.ID, t.fingerprint(), s.at)
 	}
 	return again{reason: err.Error(), broke: true}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -72,11 +73,14 @@
 	server  string
 	started timer.Millis
 	cancel  context.CancelFunc
-	// notBefore is when the item may be started again.
-	notBefore timer.Millis
-	failures  int
-	breaks    int
-	evicted   int
+	// notBefore is when the item may be started again; until avoidUntil not at
+	// a server of failedAt.
+	notBefore  timer.Millis
+	failedAt   map[string]bool
+	avoidUntil timer.Millis
+	failures   int
+	breaks     int
+	evicted    int
 	// routeless is since when no route leads to the item.
 	routeless timer.Millis
 
@@ -197,7 +201,7 @@
 			seen[k] = true
 			t, ok := x.tasks[k]
 			if !ok {
-				t = &task{key: k, group: g, of: p.Of}
+				t = &task{key: k, group: g, of: p.Of, failedAt: make(map[string]bool)}
 				t.output, t.events, t.last, t.saved = slices.Clone(p.Saved.Output), p.Saved.Events, p.Saved.Last, len(p.Saved.Output)
 				x.tasks[k] = t
 			}
@@ -303,15 +307,50 @@
 	for id, n := range evict {
 		x.evict(id, n)
 	}
+	rest := x.assign(ctx, start, ready, servers)
+	if avoided := x.avoided(rest); len(avoided) > 0 {
+		// Others than the servers at which these items failed may have room too.
+		for i, v := range in.Servers {
+			in.Servers[i].Closed = v.Closed || avoided[v.ID]
+			v.Batch[x.options.Host] += start[v.ID]
+		}
+		more, _ := filler.Plan(in)
+		x.assign(ctx, more, rest, servers)
+	}
+}
+
+// assign starts items at servers, none at one where it failed lately, and returns
+// those that it did not start.
+func (x *Executor) assign(ctx context.Context, start filler.Counts, ready []*task, servers map[string]cataloger.Server) []*task {
+	now := x.options.Clock.Now()
 	for id, n := range start {
 		for range n {
-			if len(ready) == 0 {
-				return
+			i := slices.IndexFunc(ready, func(t *task) bool { return !t.avoids(id, now) })
+			if i < 0 {
+				break
 			}
-			x.start(ctx, ready[0], servers[id])
-			ready = ready[1:]
+			x.start(ctx, ready[i], servers[id])
+			ready = slices.Delete(ready, i, i+1)
+		}
+	}
+	return ready
+}
+
+// avoided are the servers at which items of list failed lately.
+func (x *Executor) avoided(list []*task) map[string]bool {
+	out := make(map[string]bool)
+	now := x.options.Clock.Now()
+	for _, t := range list {
+		if now < t.avoidUntil {
+			maps.Copy(out, t.failedAt)
 		}
 	}
+	return out
+}
+
+// avoids says whether another server should be found for the item.
+func (t *task) avoids(server string, now timer.Millis) bool {
+	return now < t.avoidUntil && t.failedAt[server]
 }
 
 // evict cancels the items at a server that are due last and have least to lose.
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -114,7 +114,7 @@
 	})
 	b.follower.Serve(b.messenger)
 	b.ejector = ejector.New(clock)
-	b.witness = suspector.NewWitness(m.Incarnation, clock, l)
+	b.witness = suspector.NewWitness(clock, l)
 	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
 	b.picker = picker.New(picker.Options{
 		Snapshot: b.follower.Snapshot, Others: func(id string) gossiper.Load { return b.gossiper.Others(id) },
@@ -206,6 +206,7 @@
 	known := func(id string) bool { _, ok := s.Servers[id]; return ok }
 	b.conveyor.Forget(known)
 	b.ejector.Forget(known)
+	b.witness.Forget(known)
 }
 
 // leave says in the store that the host is about to stop.
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -170,6 +170,8 @@
 	sent, answered timer.Millis
 	// pausedUntil is when a disk that gave no answer is asked again.
 	pausedUntil timer.Millis
+	// failures are those in a row.
+	failures int
 }
 
 // New starts a Replica.
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -69,6 +69,9 @@
 		}
 		if err != nil || reply.Refused {
 			f.pausedUntil = r.options.Clock.Now() + retryPause
+			r.unanswered(f, disk, reply, err)
+		} else {
+			f.failures = 0
 		}
 		if err == nil {
 			r.answered(f, m, reply)
@@ -76,6 +79,19 @@
 	})
 }
 
+// failuresLogged is after how many failures in a row each further line is written.
+const failuresLogged = 50
+
+// unanswered logs that a disk does not take the log: the first time, and now and
+// then while that goes on.
+func (r *Replica) unanswered(f *fellow, disk string, reply appendReply, err error) {
+	if f.failures%failuresLogged == 0 {
+		r.options.Logger.Warn("disk does not take the log", zap.Int("group", r.options.Group), zap.String("disk", disk),
+			zap.Int("failures", f.failures), zap.Bool("refused", reply.Refused), zap.Uint64("epoch", reply.Epoch), zap.Error(err))
+	}
+	f.failures++
+}
+
 var errNoAddress = errors.New("the disk's host is not known")
 
 func (r *Replica) exchange(disk string, m appendRequest) (appendReply, error) {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -43,8 +43,10 @@
 	begun     bool
 	lastEvent int64
 	resumable bool
-	// events counts those that came from the server that the call is at.
+	// events counts those that came from the server that the call is at, to which
+	// it was sent at sent.
 	events int
+	sent   timer.Millis
 }
 
 // Run carries c out and passes its answer to s. It ends when ctx does.
@@ -77,7 +79,7 @@
 		return u.given("no server to send to", retryNoServer), false
 	}
 	defer ticket.End()
-	u.events = 0
+	u.events, u.sent = 0, o.Clock.Now()
 	o.Ejector.Begin(ticket.Server.ID)
 	defer o.Ejector.End(ticket.Server.ID)
 	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", ticket.Server.ID),
@@ -89,6 +91,7 @@
 	}
 	defer answer.Close()
 	o.Ejector.Heard(ticket.Server.ID)
+	o.Witness.Answered(ticket.Server.ID)
 	return u.answered(ctx, ticket, answer)
 }
 
@@ -156,7 +159,7 @@
 	o.Ejector.Failed(server, err)
 	var notSent *conveyor.NotSentError
 	if !errors.As(err, &notSent) && u.events == 0 {
-		o.Witness.Failed(server, u.call.Fingerprint)
+		o.Witness.Failed(server, u.call.Fingerprint, u.sent)
 	}
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -18,7 +18,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -98,7 +97,7 @@
 		if i >= s.options.Entries {
 			h.name, h.role = fmt.Sprintf("bulk-%d", i-s.options.Entries), bulkRole
 		}
-		if err := h.place(store); err != nil {
+		if err := h.place(i, store); err != nil {
 			return err
 		}
 		s.world.hosts = append(s.world.hosts, h)
@@ -106,18 +105,20 @@
 	return nil
 }
 
-// place gives a host its addresses and settings.
-func (h *host) place(store string) error {
-	for _, a := range []*string{&h.callers, &h.ready, &h.dir, &h.peers} {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		*a = l.Addr().String()
-		if err := l.Close(); err != nil {
-			return err
-		}
-	}
+// Ports of a host, on a loopback address of its own, where nobody else listens.
+const (
+	callersPort = 7001 + iota
+	readyPort
+	directoryPort
+	peersPort
+)
+
+// place gives the host with this number its addresses and settings. Soaks that
+// run beside one another have different process ids.
+func (h *host) place(number int, store string) error {
+	id := os.Getpid()
+	at := func(port int) string { return fmt.Sprintf("127.%d.%d.%d:%d", 1+(id>>8)%254, id%256, 1+number, port) }
+	h.callers, h.ready, h.dir, h.peers = at(callersPort), at(readyPort), at(directoryPort), at(peersPort)
 	var err error
 	if h.store, err = newProxy(store); err != nil {
 		return err
--- a/suspector/suspector.go
+++ b/suspector/suspector.go
@@ -32,8 +32,11 @@
 //
 // Where no host keeps a server's ledger, a Witness takes the place of the
 // Suspector. It sees only its own host's calls, and a death in its records is one
-// call that a server broke off, or left, before any answer. So neighbours are not
-// blamed, but a failing network may be; three deaths are asked for then.
+// call that an incarnation of a server broke off, or left, before any answer. What
+// was sent to a server that had failed before, and had not answered since, says
+// nothing of the call. A crash of many servers or a failing network still blames
+// calls that are innocent, so three servers must have failed, and a call is
+// refused for some seconds first, four times as long after each further one.
 package suspector
 
 import "github.com/jackdawgate/jackdawgate/timer"
--- a/suspector/table.go
+++ b/suspector/table.go
@@ -26,6 +26,20 @@
 	// at its last death; default 10 minutes. AmbiguousTime is for one that was
 	// not; default a minute.
 	BlameTime, AmbiguousTime timer.Millis
+	// Growth multiplies the times with each further death; default 1.
+	Growth int
+}
+
+// refusal is how long a call is refused after so many deaths.
+func (r Rules) refusal(deaths int, alone bool) timer.Millis {
+	out := cmp.Or(r.AmbiguousTime, ambiguousTime)
+	if alone {
+		out = cmp.Or(r.BlameTime, blameTime)
+	}
+	for range deaths - cmp.Or(r.Deaths, defaultDeaths) {
+		out = min(out*timer.Millis(cmp.Or(r.Growth, 1)), suspectTime)
+	}
+	return out
 }
 
 // NewTable returns an empty table with these rules.
@@ -201,12 +215,8 @@
 
 func (t Table) standingAfter(s standing, at timer.Millis, deaths, suspects int) standing {
 	s.suspected = max(s.suspected, at+suspectTime)
-	switch {
-	case deaths < cmp.Or(t.rules.Deaths, defaultDeaths):
-	case suspects == 1:
-		s.refused = max(s.refused, at+cmp.Or(t.rules.BlameTime, blameTime))
-	default:
-		s.refused = max(s.refused, at+cmp.Or(t.rules.AmbiguousTime, ambiguousTime))
+	if deaths >= cmp.Or(t.rules.Deaths, defaultDeaths) {
+		s.refused = max(s.refused, at+t.rules.refusal(deaths, suspects == 1))
 	}
 	return s
 }
--- a/suspector/witness.go
+++ b/suspector/witness.go
@@ -12,9 +12,9 @@
 // tellFor is for how long a record is told to the other hosts.
 const tellFor timer.Millis = 1500
 
-// witnessRules refuse a call for a short time only: when many servers fail at
+// witnessRules refuse a call for a short time first: when many servers fail at
 // once, those under which three of them failed are not all to blame.
-var witnessRules = Rules{Deaths: 3, BlameTime: 30 * timer.Second, AmbiguousTime: 30 * timer.Second}
+var witnessRules = Rules{Deaths: 3, BlameTime: 5 * timer.Second, AmbiguousTime: 5 * timer.Second, Growth: 4}
 
 // Fingerprint names a call by what makes it the same when it comes again.
 func Fingerprint(workspace, target string, body []byte) uint64 {
@@ -31,11 +31,11 @@
 // and what others tell. It is safe for concurrent use.
 type Witness struct {
 	*book
-	self   string
 	logger *zap.Logger
 
-	mu       sync.Mutex
-	sequence int
+	mu sync.Mutex
+	// failing is since when servers have failed and not answered.
+	failing map[string]timer.Millis
 	// own are this host's records of the last tellFor, oldest first.
 	own []ownRecord
 }
@@ -46,17 +46,48 @@
 	at      timer.Millis
 }
 
-// NewWitness returns a Witness of the host whose incarnation is self.
-func NewWitness(self string, c timer.Clock, l *zap.Logger) *Witness {
-	return &Witness{book: newBook(NewTable(witnessRules), c), self: self, logger: l}
+// NewWitness returns a Witness that knows nothing.
+func NewWitness(c timer.Clock, l *zap.Logger) *Witness {
+	return &Witness{book: newBook(NewTable(witnessRules), c), logger: l, failing: make(map[string]timer.Millis)}
 }
 
-// Failed records that a server broke a call off, or left it, before any answer.
-func (w *Witness) Failed(server string, fingerprint uint64) {
+// Answered records that a server sent something.
+func (w *Witness) Answered(server string) {
 	w.mu.Lock()
-	w.sequence++
-	id := w.self + "-" + strconv.Itoa(w.sequence)
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	delete(w.failing, server)
+}
+
+// Forget drops what is known of servers for which known says no.
+func (w *Witness) Forget(known func(server string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id := range w.failing {
+		if !known(id) {
+			delete(w.failing, id)
+		}
+	}
+}
+
+// wasFailing says whether a server was known to fail at an instant, and notes
+// that it fails now.
+func (w *Witness) wasFailing(server string, at timer.Millis) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	since, ok := w.failing[server]
+	if !ok {
+		w.failing[server] = w.clock.Now()
+	}
+	return ok && at >= since
+}
+
+// Failed records that an incarnation of a server broke off a call, or left it,
+// that had been sent at an instant and had no answer yet.
+func (w *Witness) Failed(server string, fingerprint uint64, sent timer.Millis) {
+	if w.wasFailing(server, sent) {
+		return
+	}
+	id := server + "-" + strconv.FormatUint(fingerprint, 16)
 	w.record(Records{Deaths: []Death{{ID: id, Server: server, Fingerprints: []uint64{fingerprint}}}})
 	if d, refused := w.Refused(fingerprint); refused {
 		w.logger.Warn("servers fail under a call", zap.String("server", server), zap.Uint64("fingerprint", fingerprint), zap.Int64("refused-ms", int64(d)))
