--- a/messenger/host.go
+++ b/messenger/host.go
@@ -270,7 +270,7 @@
 
 // sweep closes connections that no call has used for a while.
 func (h *Host) sweep() {
-	t := time.NewTicker(sweepInterval)
+	t := time.NewTicker(min(sweepInterval, h.options.KeepUnused.Duration()))
 	defer t.Stop()
 	for {
 		select {
@@ -283,18 +283,28 @@
 }
 
 func (h *Host) closeUnused() {
+	for _, c := range h.takeUnused() {
+		c.fail(errClosed)
+	}
+}
+
+// takeUnused removes the connections that no call has used for a while. They are
+// closed without the lock, which the end of a connection takes itself.
+func (h *Host) takeUnused() []*connection {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	var out []*connection
 	for r, d := range h.dialled {
 		select {
 		case <-d.ready:
 			if d.conn != nil && d.conn.unused() > h.options.KeepUnused.Duration() {
 				delete(h.dialled, r)
-				d.conn.fail(errClosed)
+				out = append(out, d.conn)
 			}
 		default:
 		}
 	}
+	return out
 }
 
 // Close ends all connections and waits for their handlers.
--- a/messenger/host_test.go
+++ b/messenger/host_test.go
@@ -238,3 +238,18 @@
 	var n *messenger.NotSentError
 	require.ErrorAs(t, a.Call(t.Context(), "b:1", "test/stream", nil, nil), &n)
 }
+
+// Found while a stall was sought: the sweep of unused connections took the lock
+// that the end of a connection takes too, and no call was made after that.
+func TestHostWhoseConnectionWasUnusedCallsAgain(t *testing.T) {
+	const keep timer.Millis = 30
+	_, address := startHost(t, "b", map[messenger.Method]messenger.Handler{"test/stream": stream(1)})
+	a := messenger.New(messenger.Options{Self: messenger.Peer{Name: "a", Incarnation: "1"}, KeepUnused: keep})
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), (5 * timer.Second).Duration())
+		require.NoError(t, a.Call(ctx, address, "test/stream", nil, nil))
+		cancel()
+		timer.Sleep(t.Context(), 5*keep)
+	}
+	require.NoError(t, a.Close())
+}
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -34,8 +34,12 @@
 	paused   bool
 }
 
-// write writes the host's settings.
+// write writes the host's settings and gives it an empty disk, whatever an
+// earlier soak left there: its store knows nothing of what that was.
 func (h *host) write() error {
+	if err := os.RemoveAll(h.disk()); err != nil {
+		return err
+	}
 	text := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\n\n[listen]\npeers = %s\n", h.name, dataCentreOf(h.name), h.peers)
 	if h.role == entryRole {
 		text += fmt.Sprintf("callers = %s\nready = %s\ndirectory = %s\n", h.callers, h.ready, h.dir)
