A setting for when logs are compacted; the soak compacts all the time

Cause: the soak's runs of half a minute never reached 4 MB of log, so real processes were not seen to compact under kills and lost disks.

--- a/checker/member.go
+++ b/checker/member.go
@@ -51,6 +51,8 @@
 type MemberDisk struct {
 	Folder string `key:"folder" default:"" check:"any" doc:"Folder for batch jobs; empty on hosts without a disk."`
 	Losses int    `key:"losses" default:"1" check:"any" doc:"How many disks may be lost at once without losing a batch job."`
+	// CompactAfter is in bytes.
+	CompactAfter int `key:"compact-after" default:"4194304" check:"positive" doc:"How many bytes the log of a group of batch jobs grows, at least, before it is compacted."`
 }
 
 // MemberOptions lists all settings of MemberSettings in the order of the struct.
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -106,6 +106,7 @@
 			Group: n, Disk: disk, Incarnation: h.member.Incarnation, Log: log, Machine: q,
 			Ledger: h.platform.Ledger, Key: h.platform.GroupKey(n), Caller: h.messenger,
 			View: h.fleet.view, Address: h.fleet.address, Clock: h.clock, Logger: h.logger,
+			CompactAfter: int64(h.settings.Disk.CompactAfter),
 		}))
 	}
 	return nil
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -17,6 +17,9 @@
 	recover = 15 * time.Second
 )
 
+// compactAfter makes hosts compact their logs every few jobs, in bytes.
+const compactAfter = 2000
+
 // host is one host of the fleet: a process, a disk and a way to the store.
 type host struct {
 	name, role, folder  string
@@ -46,7 +49,7 @@
 	}
 	text += fmt.Sprintf("\n[store]\naddress = %s\n\n[bounds]\nrevoke = %dms\ngrace = %dms\n", h.store.address(), revoke.Milliseconds(), grace.Milliseconds())
 	if h.role == bulkRole {
-		text += fmt.Sprintf("\n[disk]\nfolder = %s\nlosses = 1\n", h.disk())
+		text += fmt.Sprintf("\n[disk]\nfolder = %s\nlosses = 1\ncompact-after = %d\n", h.disk(), compactAfter)
 		if err := os.MkdirAll(h.disk(), 0o700); err != nil {
 			return err
 		}
