--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -68,12 +68,12 @@
 func (t *troubler) begin(kind int, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 7))
 	h := t.world.hosts[r.IntN(len(t.world.hosts))]
-	for_ := time.Duration(200+r.IntN(4000)) * time.Millisecond
+	span := time.Duration(200+r.IntN(4000)) * time.Millisecond
 	switch kind {
 	case 0, 1:
-		t.atHost(h, "kill", func() { t.kill(h, r.IntN(3) == 0, for_/4) })
+		t.atHost(h, "kill", func() { t.kill(h, r.IntN(3) == 0, span/4) })
 	case 2, 3:
-		t.atHost(h, "pause", func() { t.pause(h, for_) })
+		t.atHost(h, "pause", func() { t.pause(h, span) })
 	case 4:
 		t.atHost(h, "stop", func() { t.stop(h) })
 	case 5:
@@ -81,11 +81,11 @@
 		t.note("reload %s", h.name)
 		h.signal(syscall.SIGHUP)
 	case 6, 7:
-		t.atHost(h, "store-cut", func() { t.disturb(h.store, r, for_) })
+		t.atHost(h, "store-cut", func() { t.disturb(h.store, r, span) })
 	case 8:
-		t.atStore(r, for_)
+		t.atStore(r, span)
 	case 9, 10:
-		t.atServer(r, for_)
+		t.atServer(r, span)
 	case 11:
 		t.running.Go(func() { t.change(r) })
 	}
@@ -132,9 +132,9 @@
 	return true
 }
 
-func (t *troubler) pause(h *host, for_ time.Duration) {
+func (t *troubler) pause(h *host, span time.Duration) {
 	h.signal(syscall.SIGSTOP)
-	time.Sleep(for_)
+	time.Sleep(span)
 	h.signal(syscall.SIGCONT)
 }
 
@@ -152,15 +152,15 @@
 }
 
 // disturb disturbs connections for a while.
-func (t *troubler) disturb(p *proxy, r *rand.Rand, for_ time.Duration) {
+func (t *troubler) disturb(p *proxy, r *rand.Rand, span time.Duration) {
 	kinds := []disturbance{silence{}, oneWay{}, reset{}, delay{by: time.Duration(20+r.IntN(300)) * time.Millisecond}}
 	p.set(kinds[r.IntN(len(kinds))])
-	time.Sleep(for_)
+	time.Sleep(span)
 	p.set(none{})
 }
 
 // atStore troubles the store for all.
-func (t *troubler) atStore(r *rand.Rand, for_ time.Duration) {
+func (t *troubler) atStore(r *rand.Rand, span time.Duration) {
 	if !t.take("store") {
 		return
 	}
@@ -171,7 +171,7 @@
 		switch what {
 		case 0:
 			t.world.ledger.SetAway(true)
-			time.Sleep(for_)
+			time.Sleep(span)
 			t.world.ledger.SetAway(false)
 		case 1:
 			t.world.ledger.LoseAnswers(3)
@@ -182,7 +182,7 @@
 }
 
 // atServer troubles one backend server, if others are left.
-func (t *troubler) atServer(r *rand.Rand, for_ time.Duration) {
+func (t *troubler) atServer(r *rand.Rand, span time.Duration) {
 	list := t.world.allServers()
 	s := list[r.IntN(len(list))]
 	what := r.IntN(4)
@@ -200,10 +200,10 @@
 			t.replace(s, true)
 		case 2:
 			thaw := s.Freeze()
-			time.Sleep(for_)
+			time.Sleep(span)
 			thaw()
 		case 3:
-			t.disturb(s.proxy, r, for_)
+			t.disturb(s.proxy, r, span)
 		}
 		s.disturbed(time.Now())
 	})
@@ -242,7 +242,7 @@
 
 // change withdraws a key or rewrites the configuration.
 func (t *troubler) change(r *rand.Rand) {
-	ctx, cancel := context.WithTimeout(context.Background(), recover)
+	ctx, cancel := context.WithTimeout(context.Background(), recoverWithin)
 	defer cancel()
 	workspace := []string{plain, greedy}[r.IntN(2)]
 	if r.IntN(3) > 0 {
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -12,9 +12,9 @@
 
 // Bounds that the hosts of a soak are held to.
 const (
-	revoke  = 5 * time.Second
-	grace   = 8 * time.Second
-	recover = 15 * time.Second
+	revoke        = 5 * time.Second
+	grace         = 8 * time.Second
+	recoverWithin = 15 * time.Second
 )
 
 // compactAfter makes hosts compact their logs every few jobs, in bytes.
@@ -22,10 +22,10 @@
 
 // host is one host of the fleet: a process, a disk and a way to the store.
 type host struct {
-	name, role, folder  string
-	callers, ready, dir string
-	peers               string
-	store               *proxy
+	name, role, folder        string
+	callers, ready, directory string
+	peers                     string
+	store                     *proxy
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -45,7 +45,7 @@
 	}
 	text := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\n\n[listen]\npeers = %s\n", h.name, dataCentreOf(h.name), h.peers)
 	if h.role == entryRole {
-		text += fmt.Sprintf("callers = %s\nready = %s\ndirectory = %s\n", h.callers, h.ready, h.dir)
+		text += fmt.Sprintf("callers = %s\nready = %s\ndirectory = %s\n", h.callers, h.ready, h.directory)
 	}
 	text += fmt.Sprintf("\n[store]\naddress = %s\n\n[bounds]\nrevoke = %dms\ngrace = %dms\n", h.store.address(), revoke.Milliseconds(), grace.Milliseconds())
 	if h.role == bulkRole {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -118,7 +118,7 @@
 func (h *host) place(number int, store string) error {
 	id := os.Getpid()
 	at := func(port int) string { return fmt.Sprintf("127.%d.%d.%d:%d", 1+(id>>8)%254, id%256, 1+number, port) }
-	h.callers, h.ready, h.dir, h.peers = at(callersPort), at(readyPort), at(directoryPort), at(peersPort)
+	h.callers, h.ready, h.directory, h.peers = at(callersPort), at(readyPort), at(directoryPort), at(peersPort)
 	var err error
 	if h.store, err = newProxy(store); err != nil {
 		return err
@@ -132,7 +132,7 @@
 			return err
 		}
 	}
-	if !s.awaitReady(recover) {
+	if !s.awaitReady(recoverWithin) {
 		return errors.New("fleet does not become ready")
 	}
 	return nil
@@ -180,7 +180,7 @@
 		if h.role != entryRole {
 			continue
 		}
-		list, err := c.Resolve(ctx, h.dir)
+		list, err := c.Resolve(ctx, h.directory)
 		if err != nil || len(list) != s.options.Entries || !c.Ready(ctx, h.ready) {
 			return false
 		}
@@ -199,8 +199,8 @@
 	t.run(troubling)
 	endTrouble()
 	s.note("healed")
-	if !s.awaitReady(recover) {
-		s.world.judge.breaks("the fleet recovers in time", "not every host is ready and named after %v", recover)
+	if !s.awaitReady(recoverWithin) {
+		s.world.judge.breaks("the fleet recovers in time", "not every host is ready and named after %v", recoverWithin)
 	}
 	endLoad()
 	s.load.running.Wait()
@@ -218,7 +218,7 @@
 			continue
 		}
 		answered := false
-		for end := time.Now().Add(recover); !answered && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for end := time.Now().Add(recoverWithin); !answered && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			key, _ := s.world.key(r, plain)
 			a := standin.Attempt{ID: s.load.id("e"), Key: key, Address: h.callers, Route: standin.Idempotent}
 			a.Path = a.Route.Prefix + a.ID
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -292,7 +292,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		list, err := c.Resolve(ctx, h.dir)
+		list, err := c.Resolve(ctx, h.directory)
 		cancel()
 		if err == nil && len(list) > 0 {
 			w.mu.Lock()
