Eject servers that break calls off at several hosts on all of them

Ruled out: ejecting at the first break (servers that fail a few calls in a hundred are needed); believing any host that tells of silence or of refused connections (hosts that are cut off from servers would keep the others away). What is built: digests carry how many calls each server broke off lately; three within a second, at two hosts, eject it here too; after that one is enough until it answers; a host that it answered lately says that it is well.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -5,6 +5,12 @@
 // it, is ejected at once. One that broke answers off is ejected after several in
 // a row, so that a server which fails a small part of its calls goes on. The
 // time doubles with each ejection that follows soon, and any answer ends it.
+//
+// Hosts tell one another of calls that servers broke off, since a server that
+// fails all at once looks idle to each host until it has failed there too. One
+// from which several hosts tell of breaks is ejected here as well, unless a host
+// says that it is well: so neither a host that is cut off from servers nor a
+// server that fails a small part of its calls keeps the others away.
 package ejector
 
 import (
@@ -32,6 +38,8 @@
 
 	mu      sync.Mutex
 	servers map[string]*record
+	// told is how many breaks other hosts told of last.
+	told map[teller]uint32
 }
 
 type record struct {
@@ -42,11 +50,12 @@
 	// or since when calls wait without any.
 	waiting int
 	heard   timer.Millis
+	shared
 }
 
 // New returns an Ejector.
 func New(clock timer.Clock) *Ejector {
-	return &Ejector{clock: clock, servers: make(map[string]*record)}
+	return &Ejector{clock: clock, servers: make(map[string]*record), told: make(map[teller]uint32)}
 }
 
 func (e *Ejector) record(server string) *record {
@@ -110,7 +119,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.record(server)
-	r.until, r.next, r.breaks = 0, leastTime, 0
+	r.answer(e.clock.Now())
 }
 
 // Failed records an exchange that ended with err. Whoever was not reached, or was
@@ -138,9 +147,13 @@
 	defer e.mu.Unlock()
 	r := e.record(server)
 	r.breaks++
+	now := e.clock.Now()
+	r.broke, r.brokeAt = r.broke+1, now
 	if r.breaks >= breaksInRow {
-		r.eject(e.clock.Now())
+		r.eject(now)
+		return
 	}
+	r.suspect(now, ownBreaks)
 }
 
 // Forget drops what is known of servers for which known says no.
@@ -152,6 +165,17 @@
 			delete(e.servers, id)
 		}
 	}
+	for t := range e.told {
+		if !known(t.server) {
+			delete(e.told, t)
+		}
+	}
+}
+
+// answer notes a whole answer.
+func (r *record) answer(now timer.Millis) {
+	r.until, r.next, r.breaks = 0, leastTime, 0
+	r.answered, r.recent = now, nil
 }
 
 func (r *record) eject(now timer.Millis) {
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -70,3 +70,100 @@
 	e.Forget(func(string) bool { return false })
 	require.True(t, e.Usable("s", false))
 }
+
+// fleet is several hosts whose reports reach one another.
+type fleet struct {
+	c     *clock
+	hosts []*ejector.Ejector
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{c: &clock{now: 1000}}
+	for range n {
+		f.hosts = append(f.hosts, ejector.New(f.c))
+	}
+	return f
+}
+
+// tell sends each host's report to the others, twice.
+func (f *fleet) tell() {
+	for range 2 {
+		for i, from := range f.hosts {
+			for j, to := range f.hosts {
+				if i != j {
+					to.Hear(string(rune('a'+i)), "1", from.Report())
+				}
+			}
+		}
+	}
+	f.c.now += 30
+}
+
+func (f *fleet) usable(server string) int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.Usable(server, false) {
+			n++
+		}
+	}
+	return n
+}
+
+// Pattern: a server says that it is well and resets all calls, at once, so that
+// it always looks idle. Dozens of hosts would each send it some.
+func TestServerThatFailsAtSeveralHostsIsEjectedAtAll(t *testing.T) {
+	f := newFleet(9)
+	for i := range 3 {
+		require.Equal(t, 9, f.usable("s"))
+		f.hosts[i].Broke("s")
+		f.tell()
+	}
+	require.Zero(t, f.usable("s"))
+	f.c.now += 600
+	require.Equal(t, 9, f.usable("s"), "tried again")
+	f.hosts[7].Broke("s")
+	f.tell()
+	require.Zero(t, f.usable("s"), "one more break is enough")
+	f.c.now += 1000
+	f.hosts[2].Answered("s")
+	f.tell()
+	require.Equal(t, 9, f.usable("s"))
+}
+
+// Pattern: many servers fail a few calls in a hundred. They are needed.
+func TestServersThatFailNowAndThenAtManyHostsStay(t *testing.T) {
+	f := newFleet(9)
+	for i := range 40 {
+		f.hosts[i%9].Broke("s")
+		f.tell()
+		f.hosts[(i+1)%9].Answered("s")
+		f.hosts[i%9].Answered("s")
+		f.tell()
+		require.Equal(t, 9, f.usable("s"))
+		f.c.now += 600
+	}
+}
+
+// Pattern: some hosts are cut off from servers that serve the others.
+func TestHostsThatAreCutOffDoNotKeepTheOthersAway(t *testing.T) {
+	f := newFleet(9)
+	for range 20 {
+		for _, h := range f.hosts[2:] {
+			h.Answered("s")
+		}
+		f.hosts[0].Broke("s")
+		f.hosts[1].Broke("s")
+		f.tell()
+		f.tell()
+		require.GreaterOrEqual(t, f.usable("s"), 7)
+	}
+}
+
+func TestOneHostAloneEjectsAtItselfOnly(t *testing.T) {
+	f := newFleet(3)
+	for range 5 {
+		f.hosts[0].Broke("s")
+		f.tell()
+	}
+	require.Equal(t, 2, f.usable("s"))
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -26,6 +26,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
@@ -60,8 +61,10 @@
 	Backlog int
 	// Groups are the groups of batch jobs that the host answers for.
 	Groups []int
-	// Suspects are the calls under which servers failed lately.
+	// Suspects are the calls under which servers failed lately, Servers the
+	// servers that broke calls off.
 	Suspects suspector.Records
+	Servers  ejector.Report
 }
 
 // maxDatagram bounds what is read of a datagram, in bytes.
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -124,6 +124,7 @@
 		Conn: datagrams, Clock: clock, Build: build, Self: asPeer(m), Peers: b.peers, Logger: l,
 	}, func(d gossiper.Digest) {
 		b.witness.Hear(d.Suspects)
+		b.ejector.Hear(d.Host, d.Incarnation, d.Servers)
 		hear(d)
 	})
 	close(heard)
@@ -156,7 +157,7 @@
 func (b *base) digest() gossiper.Digest {
 	return gossiper.Digest{
 		Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Loads: b.picker.Loads(),
-		Suspects: b.witness.Told(),
+		Suspects: b.witness.Told(), Servers: b.ejector.Report(),
 	}
 }
 
