--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -19,6 +19,7 @@
 
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
 )
 
 // Constants of the judgement.
@@ -34,7 +35,8 @@
 
 // Ejector is safe for concurrent use.
 type Ejector struct {
-	clock timer.Clock
+	clock  timer.Clock
+	logger *zap.Logger
 
 	mu      sync.Mutex
 	servers map[string]*record
@@ -43,9 +45,13 @@
 }
 
 type record struct {
-	until  timer.Millis
-	next   timer.Millis
-	breaks int
+	id     string
+	logger *zap.Logger
+	// ejected says that the server was ejected and has sent nothing since.
+	ejected bool
+	until   timer.Millis
+	next    timer.Millis
+	breaks  int
 	// waiting counts calls that wait for bytes; heard is when bytes last came,
 	// or since when calls wait without any.
 	waiting int
@@ -53,15 +59,16 @@
 	shared
 }
 
-// New returns an Ejector.
-func New(clock timer.Clock) *Ejector {
-	return &Ejector{clock: clock, servers: make(map[string]*record), told: make(map[teller]uint32)}
+// New returns an Ejector that logs which servers it keeps apart, and since when
+// no longer.
+func New(clock timer.Clock, l *zap.Logger) *Ejector {
+	return &Ejector{clock: clock, logger: l, servers: make(map[string]*record), told: make(map[teller]uint32)}
 }
 
 func (e *Ejector) record(server string) *record {
 	r, ok := e.servers[server]
 	if !ok {
-		r = &record{next: leastTime}
+		r = &record{id: server, logger: e.logger, next: leastTime}
 		e.servers[server] = r
 	}
 	return r
@@ -82,7 +89,7 @@
 		bound = CrowdedSilentAfter
 	}
 	if r.waiting > 0 && now-r.heard > bound && now >= r.until {
-		r.eject(now)
+		r.eject(now, "silent while calls wait")
 	}
 	return now >= r.until
 }
@@ -112,6 +119,7 @@
 	r := e.record(server)
 	r.heard = e.clock.Now()
 	r.until = 0
+	r.back("it sent something")
 }
 
 // Answered says that a server gave a whole answer.
@@ -138,7 +146,7 @@
 func (e *Ejector) Unreachable(server string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.record(server).eject(e.clock.Now())
+	e.record(server).eject(e.clock.Now(), "not reached, or silent")
 }
 
 // Broke says that a server broke off a call.
@@ -150,7 +158,7 @@
 	now := e.clock.Now()
 	r.broke, r.brokeAt = r.broke+1, now
 	if r.breaks >= breaksInRow {
-		r.eject(now)
+		r.eject(now, "broke off calls in a row")
 		return
 	}
 	r.suspect(now, ownBreaks)
@@ -172,13 +180,25 @@
 	}
 }
 
+// back notes that an ejected server is well again.
+func (r *record) back(reason string) {
+	if r.ejected {
+		r.logger.Info("server back", zap.String("server", r.id), zap.String("reason", reason))
+	}
+	r.ejected = false
+}
+
 // answer notes a whole answer.
 func (r *record) answer(now timer.Millis) {
 	r.until, r.next, r.breaks = 0, leastTime, 0
 	r.answered, r.recent = now, nil
 }
 
-func (r *record) eject(now timer.Millis) {
+// eject keeps the server apart for a while.
+func (r *record) eject(now timer.Millis, reason string) {
+	r.logger.Warn("server ejected", zap.String("server", r.id), zap.String("reason", reason), zap.Int64("for-ms", int64(r.next)),
+		zap.Int("breaks", r.breaks), zap.Int("waiting", r.waiting), zap.Int("recent-breaks", len(r.recent)))
+	r.ejected = true
 	r.until = now + r.next
 	r.next = min(2*r.next, mostTime)
 	r.heard = now
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -6,6 +6,8 @@
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 type clock struct{ now timer.Millis }
@@ -14,7 +16,7 @@
 
 func start() (*clock, *ejector.Ejector) {
 	c := &clock{now: 1000}
-	return c, ejector.New(c)
+	return c, ejector.New(c, zap.NewNop())
 }
 
 func TestSilentServerIsEjectedAndComesBack(t *testing.T) {
@@ -80,7 +82,7 @@
 func newFleet(n int) *fleet {
 	f := &fleet{c: &clock{now: 1000}}
 	for range n {
-		f.hosts = append(f.hosts, ejector.New(f.c))
+		f.hosts = append(f.hosts, ejector.New(f.c, zap.NewNop()))
 	}
 	return f
 }
@@ -167,3 +169,20 @@
 	}
 	require.Equal(t, 2, f.usable("s"))
 }
+
+func TestEjectionAndReturnAreLogged(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	c := &clock{now: 1000}
+	e := ejector.New(c, zap.New(core))
+	e.Answered("s")
+	e.Unreachable("s")
+	c.now += 500
+	e.Heard("s")
+	e.Heard("s")
+	var got []string
+	for _, l := range lines.All() {
+		got = append(got, l.Message)
+		require.Equal(t, "s", l.ContextMap()["server"])
+	}
+	require.Equal(t, []string{"server ejected", "server back"}, got)
+}
--- a/ejector/shared.go
+++ b/ejector/shared.go
@@ -94,6 +94,7 @@
 	for _, server := range t.Well {
 		if r, ok := e.servers[server]; ok && r.breaks == 0 {
 			r.recent, r.until, r.next = nil, 0, leastTime
+			r.back("another host says so")
 		}
 	}
 }
@@ -107,7 +108,7 @@
 		return
 	}
 	if now >= r.until && (r.next > leastTime || (len(r.recent) >= sharedBreaks && r.hosts() >= sharedHosts)) {
-		r.eject(now)
+		r.eject(now, "several hosts tell of breaks")
 	}
 }
 
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -147,7 +147,7 @@
 		s = s.WithServer(cataloger.Server{ID: fmt.Sprint("s", i), Service: "svc", Address: e.serve(t), Slots: 4})
 	}
 	clock := timer.System()
-	ej := ejector.New(clock)
+	ej := ejector.New(clock, zap.NewNop())
 	touch := func() {}
 	f.queue = queuer.New(zap.NewNop(), func() { touch() })
 	p := picker.New(picker.Options{
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -142,10 +142,16 @@
 	}
 }
 
-// watchPeers tells the rationer which entry hosts are heard.
+// watchPeers tells the rationer which entry hosts are heard, and logs when the
+// host gets or loses the permission to admit requests.
 func (e *EntryHost) watchPeers(ctx context.Context) {
 	defer close(e.done)
+	permitted := false
 	for timer.Sleep(ctx, peerInterval) {
+		if now := e.gatekeeper.Permitted(); now != permitted {
+			permitted = now
+			e.logger.Info("permission changed", zap.Bool("permitted", now), zap.Int64("confirmed-ms-ago", int64(e.age())))
+		}
 		var peers []rationer.Peer
 		for name, m := range e.follower.Snapshot().Members {
 			if name == e.member.Name || m.Role != cataloger.Entry || m.Leaving {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -113,7 +113,7 @@
 		},
 	})
 	b.follower.Serve(b.messenger)
-	b.ejector = ejector.New(clock)
+	b.ejector = ejector.New(clock, l)
 	b.witness = suspector.NewWitness(clock, l)
 	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
 	b.picker = picker.New(picker.Options{
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 )
 
 func start(servers int, others map[string]gossiper.Load) (*picker.Picker, *int) {
@@ -22,7 +23,7 @@
 	changes := 0
 	return picker.New(picker.Options{
 		Snapshot: func() cataloger.Snapshot { return s }, Others: func(id string) gossiper.Load { return others[id] },
-		Ejector: ejector.New(timer.System()), Changed: func() { changes++ }, DataCentre: "d",
+		Ejector: ejector.New(timer.System(), zap.NewNop()), Changed: func() { changes++ }, DataCentre: "d",
 	}), &changes
 }
 
@@ -99,7 +100,7 @@
 	s := cataloger.Snapshot{}.WithServers(list)
 	p := picker.New(picker.Options{
 		Snapshot: func() cataloger.Snapshot { return s }, Others: func(string) gossiper.Load { return gossiper.Load{} },
-		Ejector: ejector.New(timer.System()), Changed: func() {},
+		Ejector: ejector.New(timer.System(), zap.NewNop()), Changed: func() {},
 	})
 	ticket, ok := p.Pick("x", selector.Request{})
 	require.True(t, ok)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -52,7 +52,7 @@
 		s = s.WithServer(cataloger.Server{ID: "s" + strconv.Itoa(i), Service: "svc", Address: f.listen(), Slots: 8})
 	}
 	clock := timer.System()
-	e := ejector.New(clock)
+	e := ejector.New(clock, zap.NewNop())
 	f.picker = picker.New(picker.Options{
 		Snapshot: func() cataloger.Snapshot { return s }, Others: func(string) gossiper.Load { return gossiper.Load{} },
 		Ejector: e, Changed: func() {},
