Let the soak's processes end with it

Six processes of a soak that had died by a panic 54 minutes before still ran, found by their parent and settings; the port of their store's proxy had gone to this soak's store, where they enrolled. Ruled out: hosts of the fleet that told wrong addresses (the address is none of its settings). Before and after: the processes were ended by id; a process now gets SIGKILL when the soak ends in any way. go test ./soaker.

--- a/soaker/host.go
+++ b/soaker/host.go
@@ -72,6 +72,9 @@
 	defer func() { _ = out.Close() }()
 	c := exec.Command(program, h.role, "-settings", h.settings())
 	c.Stdout, c.Stderr = out, out
+	// A soak that dies must leave no process behind: it would go on at its store's
+	// address, which a later soak may get.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return err
 	}
