--- a/archiver/fetch.go
+++ b/archiver/fetch.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/persister"
 	"github.com/jackdawgate/jackdawgate/segmenter"
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 )
 
@@ -24,14 +25,10 @@
 	if p.bytesPerSecond <= 0 {
 		return ctx.Err()
 	}
-	t := time.NewTimer(time.Duration(bytes) * time.Second / time.Duration(p.bytesPerSecond))
-	defer t.Stop()
-	select {
-	case <-t.C:
+	if timer.Wait(ctx, time.Duration(bytes)*time.Second/time.Duration(p.bytesPerSecond)) {
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
 
 // Fetch copies a final segment from another holder, in place of a copy here
--- a/batcher/fixture_test.go
+++ b/batcher/fixture_test.go
@@ -123,7 +123,7 @@
 }
 
 func answer(ctx context.Context, r requester.Request, s requester.Sink, d time.Duration, status int) requester.Outcome {
-	if !wait(ctx, d) {
+	if !timer.Wait(ctx, d) {
 		return requester.MaybeRun{Code: "cancelled"}
 	}
 	if s.Head(status, nil) != nil || s.Body([]byte(`{"echo":"`+customID(r)+`"}`)) != nil {
@@ -132,17 +132,6 @@
 	return requester.Answered{Status: status, Usage: requester.Usage{PromptTokens: 10, CompletionTokens: 5}, Server: "m1"}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (h *host) start() {
 	h.number++
 	p := &process{h: h, clock: timer.System(), self: registrar.Member{
--- a/bookkeeper/bookkeeper.go
+++ b/bookkeeper/bookkeeper.go
@@ -185,12 +185,8 @@
 
 // pause waits about d.
 func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-t.C:
+	if timer.Wait(ctx, d/2+rand.N(d)) {
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
--- a/conveyor/conveyor.go
+++ b/conveyor/conveyor.go
@@ -48,6 +48,13 @@
 	Err    error
 }
 
+// WasSent says whether the request of an exchange that ended with err may have
+// reached the server.
+func WasSent(err error) bool {
+	var notSent *NotSentError
+	return !errors.As(err, &notSent)
+}
+
 func (e *NotSentError) Error() string { return fmt.Sprintf("server %s: not sent: %v", e.Server, e.Err) }
 
 func (e *NotSentError) Unwrap() error { return e.Err }
--- a/conveyor/conveyor_test.go
+++ b/conveyor/conveyor_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
@@ -19,22 +20,7 @@
 // server is a backend server that does on each connection what script says.
 func server(t *testing.T, script func(c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				script(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return harness.Serve(t, func(c net.Conn) { script(c, bufio.NewReader(c)) })
 }
 
 func readRequest(r *bufio.Reader) (*http.Request, string, error) {
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -40,6 +40,8 @@
 
 	mu      sync.Mutex
 	servers map[string]*record
+	// doubtful are those of servers that may have to be told of.
+	doubtful map[string]*record
 	// told is how many breaks other hosts told of last.
 	told map[teller]uint32
 }
@@ -62,7 +64,7 @@
 // New returns an Ejector that logs which servers it keeps apart, and since when
 // no longer.
 func New(clock timer.Clock, l *zap.Logger) *Ejector {
-	return &Ejector{clock: clock, logger: l, servers: make(map[string]*record), told: make(map[teller]uint32)}
+	return &Ejector{clock: clock, logger: l, servers: make(map[string]*record), doubtful: make(map[string]*record), told: make(map[teller]uint32)}
 }
 
 func (e *Ejector) record(server string) *record {
@@ -133,9 +135,8 @@
 // Failed records an exchange that ended with err. Whoever was not reached, or was
 // silent, is not reachable for others either.
 func (e *Ejector) Failed(server string, err error) {
-	var notSent *conveyor.NotSentError
 	var silent *conveyor.SilentError
-	if errors.As(err, &notSent) || errors.As(err, &silent) {
+	if !conveyor.WasSent(err) || errors.As(err, &silent) {
 		e.Unreachable(server)
 		return
 	}
@@ -157,6 +158,7 @@
 	r.breaks++
 	now := e.clock.Now()
 	r.broke, r.brokeAt = r.broke+1, now
+	e.doubtful[server] = r
 	if r.breaks >= breaksInRow {
 		r.eject(now, "broke off calls in a row")
 		return
@@ -171,6 +173,7 @@
 	for id, r := range e.servers {
 		if r.waiting == 0 && !known(id) {
 			delete(e.servers, id)
+			delete(e.doubtful, id)
 		}
 	}
 	for t := range e.told {
--- a/ejector/shared.go
+++ b/ejector/shared.go
@@ -58,14 +58,18 @@
 	defer e.mu.Unlock()
 	now := e.clock.Now()
 	var out Report
-	for id, r := range e.servers {
-		if r.broke > 0 && now-r.brokeAt < tellFor {
+	for id, r := range e.doubtful {
+		if !r.brokeLately(now) && !r.doubtedLately(now) {
+			delete(e.doubtful, id)
+			continue
+		}
+		if r.brokeLately(now) {
 			if out.Breaks == nil {
 				out.Breaks = make(map[string]uint32)
 			}
 			out.Breaks[id] = r.broke
 		}
-		if r.doubted != 0 && now-r.doubted < tellFor && r.answered != 0 && now-r.answered < shareTime {
+		if r.doubtedLately(now) && r.answered != 0 && now-r.answered < shareTime {
 			out.Well = append(out.Well, id)
 		}
 	}
@@ -89,6 +93,7 @@
 		}
 		r := e.record(server)
 		r.doubted = now
+		e.doubtful[server] = r
 		r.suspect(now, host)
 	}
 	for _, server := range t.Well {
@@ -112,6 +117,14 @@
 	}
 }
 
+// brokeLately says whether this host still tells of its last break.
+func (r *record) brokeLately(now timer.Millis) bool { return r.broke > 0 && now-r.brokeAt < tellFor }
+
+// doubtedLately says whether another host told of a break not long ago.
+func (r *record) doubtedLately(now timer.Millis) bool {
+	return r.doubted != 0 && now-r.doubted < tellFor
+}
+
 // hosts is how many hosts told of recent breaks.
 func (r *record) hosts() int {
 	seen := make(map[string]bool)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 )
@@ -178,14 +179,7 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Wait(ctx, d)
 }
 
 func (e *Engine) handleSwitch(q *fasthttp.RequestCtx, path string) {
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -189,14 +189,13 @@
 	if t.of.Retention <= 0 {
 		left = 10 * 60 * timer.Second
 	}
-	fingerprint := t.fingerprint()
-	if wait, refused := x.options.Witness.Refused(fingerprint); refused {
+	s := runStart{begun: t.begun(), at: x.options.Clock.Now(), fingerprint: t.fingerprint()}
+	if wait, refused := x.options.Witness.Refused(s.fingerprint); refused {
 		return again{reason: "servers failed under this item lately", pause: true, after: min(wait, left)}
 	}
-	begun, sent := t.begun(), x.options.Clock.Now()
 	a, err := x.options.Conveyor.Send(ctx, x.request(t, v, left), silence)
 	if err != nil {
-		return x.broken(ctx, t, v, runStart{begun, sent}, err)
+		return x.broken(ctx, t, v, s, err)
 	}
 	defer a.Close()
 	x.options.Ejector.Heard(v.ID)
@@ -213,17 +212,19 @@
 		return again{reason: "answer cannot be used: " + strconv.Itoa(a.Status), broke: true}
 	}
 	if err := splitter.Read(a, func() { x.options.Ejector.Heard(v.ID) }, t.event); err != nil {
-		return x.broken(ctx, t, v, runStart{begun, sent}, err)
+		return x.broken(ctx, t, v, s, err)
 	}
 	x.options.Ejector.Answered(v.ID)
-	x.options.Witness.Survived(fingerprint)
+	x.options.Witness.Survived(s.fingerprint)
 	return complete{}
 }
 
-// runStart is what an item had put out when a run began, in events, and when.
+// runStart is what an item had put out when a run began, in events, and when, and
+// the item's fingerprint.
 type runStart struct {
-	begun int
-	at    timer.Millis
+	begun       int
+	at          timer.Millis
+	fingerprint uint64
 }
 
 // broken records a failed run of an item.
@@ -232,9 +233,8 @@
 		return again{reason: "evicted"}
 	}
 	x.options.Ejector.Failed(v.ID, err)
-	var notSent *conveyor.NotSentError
-	if !errors.As(err, &notSent) && t.begun() == s.begun {
-		x.options.Witness.Failed(v.ID, t.fingerprint(), s.at)
+	if conveyor.WasSent(err) && t.begun() == s.begun {
+		x.options.Witness.Failed(v.ID, s.fingerprint, s.at)
 	}
 	return again{reason: err.Error(), broke: true}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -280,8 +280,28 @@
 
 // fill starts items of one service and evicts others.
 func (x *Executor) fill(ctx context.Context, s cataloger.Snapshot, service string, ready []*task) {
+	in, servers := x.input(s, service, len(ready))
+	start, evict := filler.Plan(in)
+	for id, n := range evict {
+		x.evict(id, n)
+	}
+	rest := x.assign(ctx, start, ready, servers)
+	if avoided := x.avoided(rest); len(avoided) > 0 {
+		// Others than the servers at which these items failed may have room too.
+		for i, v := range in.Servers {
+			in.Servers[i].Closed = v.Closed || avoided[v.ID]
+			v.Batch[x.options.Host] += start[v.ID]
+		}
+		more, _ := filler.Plan(in)
+		x.assign(ctx, more, rest, servers)
+	}
+}
+
+// input is what is known for a decision about a service at which so many items of
+// this host could start, with its servers by identifier.
+func (x *Executor) input(s cataloger.Snapshot, service string, backlog int) (filler.Input, map[string]cataloger.Server) {
 	digests := x.options.Digests()
-	in := filler.Input{Self: x.options.Host, Backlogs: map[string]int{x.options.Host: len(ready)}, Policy: x.options.Policy}
+	in := filler.Input{Self: x.options.Host, Backlogs: map[string]int{x.options.Host: backlog}, Policy: x.options.Policy}
 	for _, d := range digests {
 		in.Backlogs[d.Host] = d.Backlog
 	}
@@ -303,20 +323,7 @@
 		servers[v.ID] = c.Server
 		in.Servers = append(in.Servers, v)
 	}
-	start, evict := filler.Plan(in)
-	for id, n := range evict {
-		x.evict(id, n)
-	}
-	rest := x.assign(ctx, start, ready, servers)
-	if avoided := x.avoided(rest); len(avoided) > 0 {
-		// Others than the servers at which these items failed may have room too.
-		for i, v := range in.Servers {
-			in.Servers[i].Closed = v.Closed || avoided[v.ID]
-			v.Batch[x.options.Host] += start[v.ID]
-		}
-		more, _ := filler.Plan(in)
-		x.assign(ctx, more, rest, servers)
-	}
+	return in, servers
 }
 
 // assign starts items at servers, none at one where it failed lately, and returns
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -24,6 +24,7 @@
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/speller"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -52,22 +53,6 @@
 	servers  map[string]bool
 }
 
-func (e *engine) serve(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.answer(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (e *engine) next(q *http.Request, at, body string) (status, breakAfter int, hold chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -94,7 +79,6 @@
 }
 
 func (e *engine) answer(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	q, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
@@ -144,7 +128,7 @@
 	route := cataloger.Route{Name: "r", Host: "h", Prefix: "/b/", Kind: cataloger.Batch, Shares: []cataloger.Share{{Service: "svc", Weight: 1}}}
 	s := cataloger.Snapshot{}.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{Version: 1, Routes: []cataloger.Route{route}}))
 	for i := range servers {
-		s = s.WithServer(cataloger.Server{ID: fmt.Sprint("s", i), Service: "svc", Address: e.serve(t), Slots: 4})
+		s = s.WithServer(cataloger.Server{ID: fmt.Sprint("s", i), Service: "svc", Address: harness.Serve(t, e.answer), Slots: 4})
 	}
 	clock := timer.System()
 	ej := ejector.New(clock, zap.NewNop())
--- a/experimenter/caller.go
+++ b/experimenter/caller.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 )
@@ -102,14 +103,7 @@
 	if time.Now().Add(d).After(deadline) {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Wait(ctx, d)
 }
 
 // pick chooses a host by weight from the newest list.
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -1,6 +1,7 @@
 package gossiper_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/netip"
@@ -139,9 +140,12 @@
 	return oldest
 }
 
+// pass lets virtual time pass.
+func pass(m timer.Millis) { timer.Sleep(context.Background(), m) }
+
 func (f *fleet) bytesInASecond() int {
 	f.set(0, func(n *node) { n.hub.far = 0 })
-	time.Sleep(time.Second)
+	pass(1000)
 	f.hub.mu.Lock()
 	defer f.hub.mu.Unlock()
 	return f.hub.far
@@ -151,12 +155,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(30)
 		defer f.close()
-		time.Sleep(2 * time.Second)
+		pass(2000)
 		for i := range f.nodes {
 			f.set(i, func(n *node) { n.calls = 1 })
 			f.nodes[i].g.Touch()
 		}
-		time.Sleep(100 * time.Millisecond)
+		pass(100)
 		for _, n := range f.nodes {
 			require.Equal(t, 29, n.g.Others("s").Online, n.peer.Name)
 		}
@@ -169,12 +173,12 @@
 func TestBytesBetweenDataCentresGrowWithHostsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		small := startFleet(30)
-		time.Sleep(2 * time.Second)
+		pass(2000)
 		before := small.bytesInASecond()
 		small.close()
 		large := startFleet(90)
 		defer large.close()
-		time.Sleep(2 * time.Second)
+		pass(2000)
 		require.Less(t, large.bytesInASecond(), 4*before)
 	})
 }
@@ -184,11 +188,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(30)
 		defer f.close()
-		time.Sleep(2 * time.Second)
+		pass(2000)
 		for i := 3; i < 12; i += 3 {
 			f.set(i, func(n *node) { n.down = true })
 			for range 30 {
-				time.Sleep(50 * time.Millisecond)
+				pass(50)
 				synctest.Wait()
 				require.Less(t, f.oldest(), timer.Millis(700), "hosts are taken for silent after 700 ms")
 			}
@@ -201,9 +205,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startFleet(30)
 		defer f.close()
-		time.Sleep(2 * time.Second)
+		pass(2000)
 		f.set(0, func(n *node) { n.deaf["h01"], n.deaf["h13"] = true, true })
-		time.Sleep(2 * time.Second)
+		pass(2000)
 		_, heard := f.nodes[0].g.Heard("h01")
 		require.False(t, heard)
 		_, heard = f.nodes[0].g.Heard("h13")
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -74,7 +74,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	go e.watchPeers(ctx)
+	go e.watch(ctx)
 	b.serve()
 	return e, e.listen()
 }
@@ -142,9 +142,9 @@
 	}
 }
 
-// watchPeers tells the rationer which entry hosts are heard, and logs when the
+// watch tells the rationer which entry hosts are heard, and logs when the
 // host gets or loses the permission to admit requests.
-func (e *EntryHost) watchPeers(ctx context.Context) {
+func (e *EntryHost) watch(ctx context.Context) {
 	defer close(e.done)
 	permitted := false
 	for timer.Sleep(ctx, peerInterval) {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -20,6 +20,7 @@
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/speller"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -49,7 +50,7 @@
 	f := &fixture{t: t, scripts: scripts}
 	s := cataloger.Snapshot{}
 	for i := range servers {
-		s = s.WithServer(cataloger.Server{ID: "s" + strconv.Itoa(i), Service: "svc", Address: f.listen(), Slots: 8})
+		s = s.WithServer(cataloger.Server{ID: "s" + strconv.Itoa(i), Service: "svc", Address: harness.Serve(t, f.serve), Slots: 8})
 	}
 	clock := timer.System()
 	e := ejector.New(clock, zap.NewNop())
@@ -63,24 +64,7 @@
 	return f
 }
 
-func (f *fixture) listen() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(f.t, err)
-	f.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go f.serve(c)
-		}
-	}()
-	return l.Addr().String()
-}
-
 func (f *fixture) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	q, err := http.ReadRequest(r)
 	if err != nil {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -132,8 +132,7 @@
 // failed says what follows an exchange without an answer.
 func (u *run) failed(ctx context.Context, t *picker.Ticket, err error) (Outcome, bool) {
 	o := u.relayer.options
-	var notSent *conveyor.NotSentError
-	sent := !errors.As(err, &notSent)
+	sent := conveyor.WasSent(err)
 	if sent {
 		u.servers++
 	}
@@ -157,8 +156,7 @@
 func (u *run) judge(server string, err error) {
 	o := u.relayer.options
 	o.Ejector.Failed(server, err)
-	var notSent *conveyor.NotSentError
-	if !errors.As(err, &notSent) && u.events == 0 {
+	if conveyor.WasSent(err) && u.events == 0 {
 		o.Witness.Failed(server, u.call.Fingerprint, u.sent)
 	}
 }
--- a/soaker/judge.go
+++ b/soaker/judge.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -112,7 +113,7 @@
 		j.checkRun(a, r)
 	}
 	switch {
-	case a.Err == standin.ErrOtherAnswer: //nolint:errorlint // It is never wrapped.
+	case errors.Is(a.Err, standin.ErrOtherAnswer):
 		j.note("answers are whole and unchanged", "request %s of %s", a.ID, a.Path)
 	case held && (a.Status == http.StatusUnauthorized || a.Status == http.StatusNotFound || a.Status == http.StatusForbidden):
 		j.note("what all configurations allow is not denied", "request %s was answered %d by %s", a.ID, a.Status, a.Address)
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -42,8 +42,10 @@
 	ledger   *storer.MemoryLedger
 	operator *standin.Operator
 	store    *http.Server
-	judge    *judge
-	hosts    []*host
+	// asker asks hosts where callers should connect.
+	asker *standin.Caller
+	judge *judge
+	hosts []*host
 
 	// writing orders those who write configurations.
 	writing sync.Mutex
@@ -61,7 +63,7 @@
 
 func newWorld() (*world, string, error) {
 	w := &world{
-		ledger: storer.NewMemoryLedger(timer.System()), judge: newJudge(), avoided: make(map[string]time.Time),
+		ledger: storer.NewMemoryLedger(timer.System()), judge: newJudge(), avoided: make(map[string]time.Time), asker: newCaller(),
 		keys: map[string]map[string]time.Time{plain: {}, greedy: {}},
 	}
 	w.operator = standin.NewOperator(w.ledger)
@@ -285,14 +287,13 @@
 
 // resolve asks up to three hosts where to connect.
 func (w *world) resolve(first int) {
-	c := newCaller()
 	for i := range w.hosts {
 		h := w.hosts[(first+i)%len(w.hosts)]
 		if h.role != entryRole {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		list, err := c.Resolve(ctx, h.directory)
+		list, err := w.asker.Resolve(ctx, h.directory)
 		cancel()
 		if err == nil && len(list) > 0 {
 			w.mu.Lock()
--- a/timer/sleep.go
+++ b/timer/sleep.go
@@ -6,8 +6,11 @@
 )
 
 // Sleep waits and says whether ctx still stands.
-func Sleep(ctx context.Context, wait Millis) bool {
-	t := time.NewTimer(wait.Duration())
+func Sleep(ctx context.Context, wait Millis) bool { return Wait(ctx, wait.Duration()) }
+
+// Wait is Sleep for those who reckon in shorter times than milliseconds.
+func Wait(ctx context.Context, wait time.Duration) bool {
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-t.C:
