A host that starts takes over the levels of quotas from hosts that lived on

Cause: buckets begin empty. Ruled out: full buckets (spend a burst twice); the levels on disks (a stale disk tells too much). Now: a host asks three others for their levels, which are lower bounds, so the higher holds; where none lived on, hosts begin with half of the tolerance for quotas that the settings state, once. A host is not taken for silent before it could be heard.

--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -170,6 +170,9 @@
 	return w, ok
 }
 
+// Workspaces are all customers by name; the map must not be changed.
+func (c *Config) Workspaces() map[string]*Workspace { return c.workspaces }
+
 // Open says that the configuration knows no workspaces, so that no request
 // needs a key.
 func (c *Config) Open() bool { return c.open }
--- a/checker/member.go
+++ b/checker/member.go
@@ -45,6 +45,11 @@
 	Revoke timer.Millis `key:"revoke" default:"5s" check:"positive" doc:"Within which a withdrawn key stops working on every host."`
 	Grace  timer.Millis `key:"grace" default:"8s" check:"positive" doc:"How long the process may run after it was told to stop."`
 	Keep   timer.Millis `key:"keep" default:"120s" check:"positive" doc:"How long after its submission a batch job and its results can be read."`
+	// A quota counts over any QuotaWindow; QuotaShare and QuotaSlack, in requests,
+	// are by how much the fleet may exceed it there.
+	QuotaWindow timer.Millis `key:"quota-window" default:"5s" check:"positive" doc:"Over which time a workspace's quota is counted."`
+	QuotaShare  float64      `key:"quota-share" default:"0" check:"share" doc:"By which part of a quota the fleet may exceed it in that time, when hosts have not heard of one another."`
+	QuotaSlack  int          `key:"quota-slack" default:"0" check:"any" doc:"How many requests the fleet may run beyond that."`
 }
 
 // MemberDisk says where batch jobs are kept.
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -33,20 +34,22 @@
 	queues   []*queuer.Queue
 	desk     *broker.Desk
 	executor *executor.Executor
+	// rationer follows the quotas for entry hosts that restart.
+	rationer *rationer.Rationer
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
 // NewBulkHost starts a bulk host.
 func NewBulkHost(s checker.MemberSettings, p Platform, l *zap.Logger) (*BulkHost, error) {
-	h := &BulkHost{done: make(chan struct{})}
+	h := &BulkHost{done: make(chan struct{}), rationer: rationer.New(timer.Boot())}
 	disk, err := openDisk(s.Disk.Folder)
 	if err != nil {
 		return nil, err
 	}
 	started := make(chan struct{})
 	b, err := newBase(s, p, l, cataloger.Member{Role: cataloger.Bulk, Disk: disk},
-		func() gossiper.Digest { <-started; return h.digest() }, func(gossiper.Digest) { <-started; h.executor.Touch() })
+		func() gossiper.Digest { <-started; return h.digest() }, h.hear(started))
 	if err != nil {
 		return nil, err
 	}
@@ -56,6 +59,7 @@
 		return nil, err
 	}
 	mirrorer.Serve(b.messenger, h.replica)
+	heir := b.newInheritor(h.rationer)
 	h.desk = broker.NewDesk(h.seats(), b.gossiper.Digests, b.messenger, l)
 	h.executor = executor.New(executor.Options{
 		Host: b.member.Name, Groups: h.groups(), Names: p.Names, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests,
@@ -69,9 +73,20 @@
 	h.cancel = cancel
 	go h.desk.Expire(ctx, s.Bounds.Keep, timer.Wall)
 	go h.reportRetirement(ctx)
+	h.workers.Go(func() { h.inherit(ctx, heir, h.rationer) })
+	h.workers.Go(func() { h.watchQuotas(ctx, h.rationer) })
 	return h, nil
 }
 
+// hear takes in another host's digest, once the host has started.
+func (h *BulkHost) hear(started <-chan struct{}) func(gossiper.Digest) {
+	return func(d gossiper.Digest) {
+		<-started
+		h.rationer.Hear(d.Host, d.Incarnation, d.Admitted)
+		h.executor.Touch()
+	}
+}
+
 // openDisk returns the name of the disk, which it is given when it is empty.
 func openDisk(folder string) (string, error) {
 	path := filepath.Join(folder, "disk-id")
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -33,9 +33,6 @@
 // confirmed configuration may be used.
 const permissionShare = 0.72
 
-// peerInterval is how often the rationer is told which hosts are heard.
-const peerInterval timer.Millis = 200
-
 // EntryHost takes callers' requests.
 type EntryHost struct {
 	*base
@@ -74,7 +71,9 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	heir := b.newInheritor(e.rationer)
 	go e.watch(ctx)
+	e.workers.Go(func() { e.inherit(ctx, heir, e.rationer) })
 	b.serve()
 	return e, e.listen()
 }
@@ -152,15 +151,7 @@
 			permitted = now
 			e.logger.Info("permission changed", zap.Bool("permitted", now), zap.Int64("confirmed-ms-ago", int64(e.age())))
 		}
-		var peers []rationer.Peer
-		for name, m := range e.follower.Snapshot().Members {
-			if name == e.member.Name || m.Role != cataloger.Entry || m.Leaving {
-				continue
-			}
-			at, _ := e.gossiper.Heard(name)
-			peers = append(peers, rationer.Peer{Name: name, Heard: at})
-		}
-		e.rationer.SetPeers(peers)
+		e.keepQuotas(e.rationer)
 	}
 }
 
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/broker"
@@ -80,6 +81,8 @@
 	witness   *suspector.Witness
 	picker    *picker.Picker
 	conveyor  *conveyor.Conveyor
+	// workers are goroutines that end with the host's context.
+	workers sync.WaitGroup
 }
 
 // newBase starts what both kinds of hosts have. build makes the host's digest.
@@ -217,8 +220,9 @@
 	b.enroller.Set(m)
 }
 
-// close ends what newBase started.
+// close ends what newBase started. The host's context has ended before.
 func (b *base) close() {
+	b.workers.Wait()
 	b.enroller.Close()
 	b.gossiper.Close()
 	if err := b.messenger.Close(); err != nil {
--- /dev/null
+++ b/hoster/quota.go
@@ -0,0 +1,100 @@
+package hoster
+
+import (
+	"context"
+	"slices"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/inheritor"
+	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/timer"
+)
+
+// peerInterval is how often the rationer is told which hosts are heard.
+const peerInterval timer.Millis = 200
+
+// configPause is kept between two looks for the first configuration.
+const configPause timer.Millis = 5
+
+// keepQuotas tells r which entry hosts are heard and what quotas there are.
+func (b *base) keepQuotas(r *rationer.Rationer) {
+	s := b.follower.Snapshot()
+	var peers []rationer.Peer
+	for name, m := range s.Members {
+		if name == b.member.Name || m.Role != cataloger.Entry || m.Leaving {
+			continue
+		}
+		at, _ := b.gossiper.Heard(name)
+		peers = append(peers, rationer.Peer{Name: name, Heard: at})
+	}
+	r.SetPeers(peers)
+	if s.Config == nil {
+		return
+	}
+	limits := make(map[string]rationer.Limit)
+	for _, w := range s.Config.Workspaces() {
+		limits[w.Name] = limitOf(w)
+	}
+	r.Observe(limits)
+}
+
+// limitOf is the quota of a workspace.
+func limitOf(w *cataloger.Workspace) rationer.Limit {
+	return rationer.Limit{Rate: w.Rate, Burst: w.Burst}
+}
+
+// watchQuotas keeps the buckets of a host that admits no requests itself.
+func (b *base) watchQuotas(ctx context.Context, r *rationer.Rationer) {
+	for timer.Sleep(ctx, peerInterval) {
+		b.keepQuotas(r)
+	}
+}
+
+// newInheritor returns the part that takes over levels for r, and tells them.
+func (b *base) newInheritor(r *rationer.Rationer) *inheritor.Inheritor {
+	v := b.settings.Bounds
+	h := inheritor.New(inheritor.Options{
+		Rationer: r, Caller: b.messenger, Hosts: b.elders, Clock: b.clock, Logger: b.logger,
+		Tolerance: rationer.Tolerance{Window: v.QuotaWindow, Share: v.QuotaShare, Slack: float64(v.QuotaSlack)},
+	})
+	h.Serve(b.messenger)
+	return h
+}
+
+// inherit takes over levels once the quotas are known.
+func (b *base) inherit(ctx context.Context, h *inheritor.Inheritor, r *rationer.Rationer) {
+	for b.follower.Snapshot().Config == nil {
+		if !timer.Sleep(ctx, configPause) {
+			return
+		}
+	}
+	b.keepQuotas(r)
+	h.Run(ctx)
+}
+
+// elders lists the addresses of other hosts: bulk hosts, which restart
+// less often than entry hosts do, and those of this data centre first.
+func (b *base) elders() []string {
+	var list []cataloger.Member
+	for name, m := range b.follower.Snapshot().Members {
+		if name != b.member.Name && !m.Leaving {
+			list = append(list, m)
+		}
+	}
+	rank := func(m cataloger.Member) int {
+		n := 0
+		if m.Role != cataloger.Bulk {
+			n += 2
+		}
+		if m.DataCentre != b.member.DataCentre {
+			n++
+		}
+		return n
+	}
+	slices.SortFunc(list, func(x, y cataloger.Member) int { return rank(x) - rank(y) })
+	out := make([]string, 0, len(list))
+	for _, m := range list {
+		out = append(out, m.Peers)
+	}
+	return out
+}
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -14,6 +14,8 @@
 //
 // A host that has just started does not know what was spent before it: its
 // buckets are empty when it starts, and are refilled from then on, used or not.
+// So what a host's bucket holds is a lower bound, and the host may take over the
+// levels of any other that lived on (Levels, Inherit).
 package rationer
 
 import (
@@ -31,12 +33,24 @@
 // Peer is another host that admits requests, as it is heard now.
 type Peer struct {
 	Name string
-	// Heard is when its last digest arrived.
+	// Heard is when its last digest arrived; zero for never.
 	Heard timer.Millis
 }
 
-// silentAfter is how long a host may be unheard before its part is kept for it.
-const silentAfter timer.Millis = 800
+// silent says that the peer is not heard, on a host that started at started.
+func (p Peer) silent(now, started timer.Millis) bool {
+	if p.Heard == 0 {
+		return now-started > startGrace
+	}
+	return now-p.Heard > silentAfter
+}
+
+const (
+	// silentAfter is how long a host may be unheard before its part is kept for it.
+	silentAfter timer.Millis = 800
+	// startGrace is the same for a host that was not heard since this one started.
+	startGrace timer.Millis = 300
+)
 
 // leastRetry is the least time after which a refused caller is told to return.
 const leastRetry timer.Millis = 50
@@ -80,7 +94,7 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	for _, b := range r.buckets {
-		b.refill(now, r.peers)
+		r.refill(b, now)
 	}
 	r.peers = peers
 }
@@ -101,7 +115,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.bucket(workspace, l)
-	d := Decision{Admitted: true, Level: b.level, Silent: silent(r.peers, r.clock.Now()), Hosts: len(r.peers) + 1}
+	d := Decision{Admitted: true, Level: b.level, Silent: r.silent(r.clock.Now()), Hosts: len(r.peers) + 1}
 	if l.Rate > 0 && b.level < 1 {
 		d.Admitted = false
 		d.RetryAfter = max(leastRetry, timer.Millis((1-b.level)/l.Rate*float64(timer.Second)))
@@ -113,10 +127,10 @@
 }
 
 // silent is how many of the peers are not heard.
-func silent(peers []Peer, now timer.Millis) int {
+func (r *Rationer) silent(now timer.Millis) int {
 	n := 0
-	for _, p := range peers {
-		if now-p.Heard > silentAfter {
+	for _, p := range r.peers {
+		if p.silent(now, r.started) {
 			n++
 		}
 	}
@@ -167,26 +181,29 @@
 	if b.limit.Rate == 0 {
 		b.limit = l
 	}
-	b.refill(r.clock.Now(), r.peers)
+	r.refill(b, r.clock.Now())
 	b.limit = l
+	if l.Rate > 0 {
+		b.level = min(b.level, l.Burst)
+	}
 	return b
 }
 
 // refill adds what the rate gave since the last time, less what is kept for
 // hosts that are not heard.
-func (b *bucket) refill(now timer.Millis, peers []Peer) {
+func (r *Rationer) refill(b *bucket, now timer.Millis) {
 	if b.limit.Rate == 0 || now <= b.at {
 		return
 	}
 	seconds := float64(now-b.at) / float64(timer.Second)
 	b.at = now
-	part := b.limit.Rate / float64(len(peers)+1)
-	for _, p := range peers {
-		if now-p.Heard > silentAfter {
+	part := b.limit.Rate / float64(len(r.peers)+1)
+	for _, p := range r.peers {
+		if p.silent(now, r.started) {
 			b.kept[p.Name] += part * seconds
 		}
 	}
-	heard := float64(len(peers)+1-silent(peers, now)) / float64(len(peers)+1)
+	heard := float64(len(r.peers)+1-r.silent(now)) / float64(len(r.peers)+1)
 	b.level = min(b.limit.Burst*heard, b.level+b.limit.Rate*heard*seconds)
 }
 
