--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -177,6 +177,14 @@
 // needs a key.
 func (c *Config) Open() bool { return c.open }
 
+// Knows says whether there are a service and a workspace of these names; the
+// empty workspace is that of requests without a key.
+func (c *Config) Knows(service, workspace string) bool {
+	_, ok := c.workspaces[workspace]
+	_, known := c.services[service]
+	return known && (ok || workspace == "")
+}
+
 // Service returns the service with this name.
 func (c *Config) Service(name string) (Service, bool) {
 	s, ok := c.services[name]
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackdawgate/jackdawgate/acceptor"
 	"github.com/jackdawgate/jackdawgate/broker"
+	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/checker"
 	"github.com/jackdawgate/jackdawgate/defaulter"
@@ -37,6 +38,7 @@
 type EntryHost struct {
 	*base
 	rationer   *rationer.Rationer
+	budgeter   *budgeter.Budgeter
 	gatekeeper *gatekeeper.Gatekeeper
 	acceptors  []*acceptor.Acceptor
 	leaving    atomic.Bool
@@ -48,6 +50,7 @@
 func NewEntryHost(s checker.MemberSettings, p Platform, l *zap.Logger) (*EntryHost, error) {
 	e := &EntryHost{done: make(chan struct{})}
 	e.rationer = rationer.New(timer.Boot())
+	e.budgeter = budgeter.New(budgeter.Options{})
 	started := make(chan struct{})
 	defer close(started)
 	b, err := newBase(s, p, l, cataloger.Member{Role: cataloger.Entry, Callers: s.Listen.Callers},
@@ -58,7 +61,8 @@
 	}
 	e.base = b
 	relay := relayer.New(relayer.Options{
-		Names: p.Names, Conveyor: b.conveyor, Picker: b.picker, Ejector: b.ejector, Witness: b.witness, Clock: b.clock, Logger: l,
+		Names: p.Names, Conveyor: b.conveyor, Picker: b.picker, Ejector: b.ejector, Witness: b.witness,
+		Budgeter: e.budgeter, Clock: b.clock, Logger: l,
 	})
 	e.gatekeeper = gatekeeper.New(gatekeeper.Options{
 		Names: p.Names, Snapshot: b.follower.Snapshot, Relay: relay, Rationer: e.rationer, Clock: b.clock, Logger: l,
@@ -72,6 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	heir := b.newInheritor(e.rationer)
+	b.follower.Notify(e.forgetBudgets)
 	go e.watch(ctx)
 	e.workers.Go(func() { e.inherit(ctx, heir, e.rationer) })
 	b.serve()
@@ -127,6 +132,11 @@
 	return nil
 }
 
+// forgetBudgets drops the budgets of services and workspaces that are gone.
+func (e *EntryHost) forgetBudgets(s cataloger.Snapshot) {
+	e.budgeter.Keep(func(k budgeter.Key) bool { return s.Config != nil && s.Config.Knows(k.Service, k.Workspace) })
+}
+
 func (e *EntryHost) digest() gossiper.Digest {
 	d := e.base.digest()
 	d.Ready, d.Admitted = e.ready(), e.rationer.Spent()
--- /dev/null
+++ b/relayer/budget_test.go
@@ -0,0 +1,31 @@
+package relayer_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+// Pattern: all servers of a service reset every call. Each call may be tried at
+// three servers, yet they are not asked three times as much.
+func TestSickServiceIsNotAskedThreeTimesAsMuch(t *testing.T) {
+	f := newFixture(t, 6)
+	reset := func(net.Conn, *http.Request) {}
+	const calls = 60
+	for range 3 * calls {
+		f.scripts = append(f.scripts, reset)
+	}
+	for i := range uint64(calls) {
+		o := f.relayer.Run(t.Context(), relayer.Call{
+			ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Idempotent, false, 3),
+			Service: "svc", Workspace: "w", Deadline: timer.System().Now() + 3*timer.Second, Fingerprint: i + 1,
+		}, &sink{})
+		require.IsType(t, relayer.Unknown{}, o)
+	}
+	require.LessOrEqual(t, len(f.seen()), calls+calls/4+3)
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,6 +11,7 @@
 import (
 	"net/http"
 
+	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
@@ -94,6 +95,7 @@
 	Picker   *picker.Picker
 	Ejector  *ejector.Ejector
 	Witness  *suspector.Witness
+	Budgeter *budgeter.Budgeter
 	Clock    timer.Clock
 	Logger   *zap.Logger
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"testing"
 
+	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
@@ -60,7 +61,7 @@
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
-	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
+	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Budgeter: budgeter.New(budgeter.Options{}), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/picker"
@@ -55,6 +56,7 @@
 	ctx, cancel := context.WithTimeout(ctx, max(left, 0).Duration())
 	defer cancel()
 	u := &run{relayer: r, call: c, sink: s, resumable: c.Route.Resumable}
+	r.options.Budgeter.Earn(u.budget())
 	for {
 		o, again := u.attempt(ctx)
 		if !again {
@@ -146,10 +148,24 @@
 		u.refusals++
 		return u.given("servers cannot be reached", retryNoServer), u.refusals <= maxRefusals
 	}
-	if u.call.Route.Repeatable() && u.servers < u.call.Route.MaxAttempts {
-		return nil, true
+	if !u.call.Route.Repeatable() || u.servers >= u.call.Route.MaxAttempts {
+		return u.given("the server broke the call off", 0), false
 	}
-	return u.given("the server broke the call off", 0), false
+	if !u.mayRetry() {
+		return u.given("the server broke the call off, and too many calls to its service are retried", 0), false
+	}
+	return nil, true
+}
+
+// mayRetry says whether the service bears one more attempt. An answer that was
+// passed on in part goes on in any case.
+func (u *run) mayRetry() bool {
+	return u.begun || u.relayer.options.Budgeter.Spend(u.budget())
+}
+
+// budget names the budget of retries that the call belongs to.
+func (u *run) budget() budgeter.Key {
+	return budgeter.Key{Service: u.call.Service, Workspace: u.call.Workspace}
 }
 
 // judge records what a failed exchange says of the server and of the call.
