Refuse calls at once that cannot be answered in time, and say when to return

Cause: engines admit in order of arrival. Ruled out: too few slots left by batch (items had been evicted). Now: forecaster foretells the wait from the calls known to be at the best server and from how long calls run lately; a new call that would begin after 0.7 of its objective is refused before it is sent and returns within a third of its time, spread; one that was refused before may use the whole objective. Conclusion: under overload the servers' work goes to callers who are answered in time.

--- /dev/null
+++ b/forecaster/forecaster_test.go
@@ -0,0 +1,125 @@
+package forecaster_test
+
+import (
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/forecaster"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+func TestMain(m *testing.M) { harness.Main(m) }
+
+const (
+	service   = "s"
+	slots     = 8
+	objective = timer.Millis(300)
+)
+
+func seen(first, run timer.Millis) *forecaster.Forecaster {
+	f := forecaster.New()
+	for range 200 {
+		f.Ran(service, first, run)
+	}
+	f.InTime(forecaster.Call{Service: service, Patience: 5 * timer.Second})
+	return f
+}
+
+func call(ahead int, returning bool) forecaster.Call {
+	c := forecaster.Call{Service: service, Objective: objective, Ahead: ahead, Slots: slots, Patience: 5 * timer.Second}
+	if returning {
+		c.Patience -= timer.Second
+	}
+	return c
+}
+
+func TestCallWithAFreeSlotIsInTime(t *testing.T) {
+	require.True(t, seen(50, 100000).InTime(call(slots-1, false)))
+}
+
+func TestUnknownServiceRefusesNothing(t *testing.T) {
+	require.True(t, forecaster.New().InTime(call(1000, false)))
+}
+
+func TestCallWithoutAnObjectiveMayWait(t *testing.T) {
+	c := call(1000, false)
+	c.Objective = 0
+	require.True(t, seen(50, 400).InTime(c))
+}
+
+func TestWaitGrowsWithTheQueue(t *testing.T) {
+	f := seen(50, 400)
+	require.Equal(t, timer.Millis(50), f.Wait(call(slots, false)))
+	require.Equal(t, timer.Millis(250), f.Wait(call(slots+4, false)))
+}
+
+func TestReturningCallersMayWaitLonger(t *testing.T) {
+	f := seen(50, 400)
+	require.True(t, f.InTime(call(slots+2, false)))
+	require.False(t, f.InTime(call(slots+3, false)))
+	require.True(t, f.InTime(call(slots+4, true)))
+	require.False(t, f.InTime(call(slots+5, true)))
+}
+
+// Pattern: a peak of twice what the servers run, then a calm time. One server in
+// order of arrival; callers who are refused return once, in the calm time.
+func TestPeakIsServedInTimeAsFarAsTheServersGo(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		inTime := playPeak(seen(20, 200), early)
+		if early {
+			require.GreaterOrEqual(t, inTime, 0.9)
+		} else {
+			require.LessOrEqual(t, inTime, 0.5)
+		}
+	}
+}
+
+// playPeak returns the share of callers that are answered in time, from their
+// last attempt on.
+func playPeak(f *forecaster.Forecaster, early bool) float64 {
+	const run, step, gap, peak, calm, spread = 200, 1, 12, 3000, 4000, 27
+	// busy is until when each slot is taken.
+	var busy [slots]int
+	type attempt struct {
+		at        int
+		returning bool
+	}
+	var queue []attempt
+	for at := 0; at < peak; at += gap {
+		queue = append(queue, attempt{at: at})
+	}
+	asked, inTime := len(queue), 0
+	returned := 0
+	var waiting []int
+	for now := 0; now < peak+calm; now += step {
+		for len(queue) > 0 && queue[0].at <= now {
+			a := queue[0]
+			queue = queue[1:]
+			ahead := len(waiting)
+			for _, until := range busy {
+				if until > now {
+					ahead++
+				}
+			}
+			if early && !f.InTime(call(ahead, a.returning)) {
+				if !a.returning {
+					queue = append(queue, attempt{at: peak + returned*spread, returning: true})
+					returned++
+				}
+				continue
+			}
+			waiting = append(waiting, now)
+		}
+		for i, until := range busy {
+			if until <= now && len(waiting) > 0 {
+				if now-waiting[0]+20 <= int(objective) {
+					inTime++
+				}
+				waiting = waiting[1:]
+				busy[i] = now + run
+			}
+		}
+	}
+	return float64(inTime) / float64(asked)
+}
--- a/gatekeeper/visit.go
+++ b/gatekeeper/visit.go
@@ -179,6 +179,7 @@
 		ID: v.id, Method: v.request.Method, Target: v.request.RequestURI, Host: v.request.Host, Header: h, Body: body,
 		Route: v.route, Service: v.route.Pick(rand.Float64()), Deadline: v.deadline(), Prompt: prompt,
 	}
+	c.Patience = c.Deadline - v.began
 	c.Workspace = v.workspaceName()
 	c.Fingerprint = suspector.Fingerprint(c.Workspace, c.Host+c.Target, body)
 	return c
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/checker"
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/rationer"
@@ -39,6 +40,7 @@
 	*base
 	rationer   *rationer.Rationer
 	budgeter   *budgeter.Budgeter
+	forecaster *forecaster.Forecaster
 	gatekeeper *gatekeeper.Gatekeeper
 	acceptors  []*acceptor.Acceptor
 	leaving    atomic.Bool
@@ -50,7 +52,7 @@
 func NewEntryHost(s checker.MemberSettings, p Platform, l *zap.Logger) (*EntryHost, error) {
 	e := &EntryHost{done: make(chan struct{})}
 	e.rationer = rationer.New(timer.Boot())
-	e.budgeter = budgeter.New(budgeter.Options{})
+	e.budgeter, e.forecaster = budgeter.New(budgeter.Options{}), forecaster.New()
 	started := make(chan struct{})
 	defer close(started)
 	b, err := newBase(s, p, l, cataloger.Member{Role: cataloger.Entry, Callers: s.Listen.Callers},
@@ -62,7 +64,7 @@
 	e.base = b
 	relay := relayer.New(relayer.Options{
 		Names: p.Names, Conveyor: b.conveyor, Picker: b.picker, Ejector: b.ejector, Witness: b.witness,
-		Budgeter: e.budgeter, Clock: b.clock, Logger: l,
+		Budgeter: e.budgeter, Forecaster: e.forecaster, Clock: b.clock, Logger: l,
 	})
 	e.gatekeeper = gatekeeper.New(gatekeeper.Options{
 		Names: p.Names, Snapshot: b.follower.Snapshot, Relay: relay, Rationer: e.rationer, Clock: b.clock, Logger: l,
@@ -76,7 +78,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	heir := b.newInheritor(e.rationer)
-	b.follower.Notify(e.forgetBudgets)
+	b.follower.Notify(e.forget)
 	go e.watch(ctx)
 	e.workers.Go(func() { e.inherit(ctx, heir, e.rationer) })
 	b.serve()
@@ -132,8 +134,9 @@
 	return nil
 }
 
-// forgetBudgets drops the budgets of services and workspaces that are gone.
-func (e *EntryHost) forgetBudgets(s cataloger.Snapshot) {
+// forget drops what is kept of services and workspaces that are gone.
+func (e *EntryHost) forget(s cataloger.Snapshot) {
+	e.forecaster.Forget(func(service string) bool { return s.Config != nil && s.Config.Knows(service, "") })
 	e.budgeter.Keep(func(k budgeter.Key) bool { return s.Config != nil && s.Config.Knows(k.Service, k.Workspace) })
 }
 
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -46,6 +46,7 @@
 	case err == nil:
 		u.relayer.options.Ejector.Answered(t.Server.ID)
 		u.relayer.options.Witness.Survived(u.call.Fingerprint)
+		u.ran(t)
 		return Delivered{Status: a.Status, Server: t.Server.ID, Servers: u.servers + 1}, false
 	case errors.Is(err, errCaller):
 		return Left{}, false
@@ -60,6 +61,26 @@
 	return u.failed(ctx, t, err)
 }
 
+// ran notes how long a call took that ran at one server from its beginning.
+func (u *run) ran(t *picker.Ticket) {
+	if u.servers > 0 {
+		return
+	}
+	now := u.relayer.options.Clock.Now()
+	began, first := u.sent, u.first
+	if first == 0 {
+		// An answer without events begins when it is whole.
+		first = now
+	} else {
+		began = first
+	}
+	wait := first - u.sent
+	if t.Crowded() {
+		wait = 0
+	}
+	u.relayer.options.Forecaster.Ran(u.call.Service, wait, now-began)
+}
+
 // check refuses what cannot be the server's own answer.
 func (u *run) check(a *conveyor.Answer) error {
 	names := u.relayer.options.Names
@@ -127,6 +148,9 @@
 		}
 		u.lastEvent = e.ID
 	}
+	if u.events == 0 {
+		u.first = u.relayer.options.Clock.Now()
+	}
 	u.events++
 	if u.sink.Write(e.Raw) != nil {
 		return errCaller
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/speller"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -38,6 +39,8 @@
 	Workspace string
 	// Deadline is when the caller's time or the route's is over.
 	Deadline timer.Millis
+	// Patience is for how long the caller said to wait.
+	Patience timer.Millis
 	// Fingerprint is the same when the same call comes again.
 	Fingerprint uint64
 	// Prompt names the part of the prompt that the call shares with others.
@@ -90,14 +93,15 @@
 
 // Options are what a Relayer works with.
 type Options struct {
-	Names    speller.Names
-	Conveyor *conveyor.Conveyor
-	Picker   *picker.Picker
-	Ejector  *ejector.Ejector
-	Witness  *suspector.Witness
-	Budgeter *budgeter.Budgeter
-	Clock    timer.Clock
-	Logger   *zap.Logger
+	Names      speller.Names
+	Conveyor   *conveyor.Conveyor
+	Picker     *picker.Picker
+	Ejector    *ejector.Ejector
+	Witness    *suspector.Witness
+	Budgeter   *budgeter.Budgeter
+	Forecaster *forecaster.Forecaster
+	Clock      timer.Clock
+	Logger     *zap.Logger
 }
 
 // Relayer is safe for concurrent use.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/relayer"
@@ -61,7 +62,7 @@
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
-	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Budgeter: budgeter.New(budgeter.Options{}), Clock: clock, Logger: zap.NewNop()})
+	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"iter"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -48,6 +50,8 @@
 	// it was sent at sent.
 	events int
 	sent   timer.Millis
+	// first is when the answer began.
+	first timer.Millis
 }
 
 // Run carries c out and passes its answer to s. It ends when ctx does.
@@ -81,6 +85,9 @@
 		return u.given("no server to send to", retryNoServer), false
 	}
 	defer ticket.End()
+	if u.servers == 0 && !o.Forecaster.InTime(u.forecast(ticket)) {
+		return NotRun{Reason: "servers are too crowded to answer in time", RetryAfter: u.laterReturn(left)}, false
+	}
 	u.events, u.sent = 0, o.Clock.Now()
 	o.Ejector.Begin(ticket.Server.ID)
 	defer o.Ejector.End(ticket.Server.ID)
@@ -94,9 +101,26 @@
 	defer answer.Close()
 	o.Ejector.Heard(ticket.Server.ID)
 	o.Witness.Answered(ticket.Server.ID)
+	u.first = 0
 	return u.answered(ctx, ticket, answer)
 }
 
+// forecast is what decides whether the call can be answered in time. Batch items
+// give way to it.
+func (u *run) forecast(t *picker.Ticket) forecaster.Call {
+	return forecaster.Call{
+		Service: u.call.Service, Objective: u.call.Route.Objective, Patience: u.call.Patience, Ahead: t.Load.Online, Slots: t.Slots,
+	}
+}
+
+// laterReturn is when a caller may return whom the servers could not answer in
+// time. Callers honour a third of what is left; they are spread over it, so that
+// they do not return together.
+func (u *run) laterReturn(left timer.Millis) timer.Millis {
+	const earliest, latest = 0.4, 1.0
+	return timer.Millis(float64(left) / 3 * (earliest + (latest-earliest)*rand.Float64()))
+}
+
 // patience is how long the server may be silent before its first byte.
 func (u *run) patience(t *picker.Ticket, left timer.Millis) timer.Millis {
 	if !u.mayRepeat() {
