Servers slower than their kin get less work

Cause: a server that takes several times as long answers all calls, so nothing ejected it; it looked a little more loaded only. Now: hosts compare the pace of events with the service's mean, tell one another of servers 1.8 times as slow or more for two seconds, and the choice counts them as loaded by 0.75 calls for each time, and their queues as many times as long.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -135,7 +135,7 @@
 	touch := func() {}
 	f.queue = queuer.New(zap.NewNop(), func() { touch() })
 	p := picker.New(picker.Options{
-		Snapshot: func() cataloger.Snapshot { return s }, Ejector: ej, Changed: func() {},
+		Snapshot: func() cataloger.Snapshot { return s }, Ejector: ej, Changed: func() {}, Slowness: func(string) float64 { return 1 },
 		Others: func(string) gossiper.Load { return gossiper.Load{Online: f.onlineNow()} },
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -25,6 +25,7 @@
 	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -65,6 +66,8 @@
 	// servers that broke calls off.
 	Suspects suspector.Records
 	Servers  ejector.Report
+	// Slow are servers that the host found slower than their kin.
+	Slow comparer.Report
 }
 
 // maxDatagram bounds what is read of a datagram, in bytes.
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -64,7 +64,7 @@
 	e.base = b
 	relay := relayer.New(relayer.Options{
 		Names: p.Names, Conveyor: b.conveyor, Picker: b.picker, Ejector: b.ejector, Witness: b.witness,
-		Budgeter: e.budgeter, Forecaster: e.forecaster, Clock: b.clock, Logger: l,
+		Budgeter: e.budgeter, Forecaster: e.forecaster, Comparer: b.comparer, Clock: b.clock, Logger: l,
 	})
 	e.gatekeeper = gatekeeper.New(gatekeeper.Options{
 		Names: p.Names, Snapshot: b.follower.Snapshot, Relay: relay, Rationer: e.rationer, Clock: b.clock, Logger: l,
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawgate/jackdawgate/broker"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/checker"
+	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/enroller"
@@ -78,6 +79,7 @@
 	messenger *messenger.Host
 	streams   net.Listener
 	ejector   *ejector.Ejector
+	comparer  *comparer.Comparer
 	witness   *suspector.Witness
 	picker    *picker.Picker
 	conveyor  *conveyor.Conveyor
@@ -119,15 +121,17 @@
 	b.ejector = ejector.New(clock, l)
 	b.witness = suspector.NewWitness(clock, l)
 	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
+	b.comparer = comparer.New(clock)
 	b.picker = picker.New(picker.Options{
 		Snapshot: b.follower.Snapshot, Others: func(id string) gossiper.Load { return b.gossiper.Others(id) },
-		Ejector: b.ejector, Changed: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
+		Ejector: b.ejector, Slowness: b.comparer.Slowness, Changed: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
 	})
 	b.gossiper = gossiper.New(gossiper.Options{
 		Conn: datagrams, Clock: clock, Build: build, Self: asPeer(m), Peers: b.peers, Logger: l,
 	}, func(d gossiper.Digest) {
 		b.witness.Hear(d.Suspects)
 		b.ejector.Hear(d.Host, d.Incarnation, d.Servers)
+		b.comparer.Hear(d.Slow)
 		hear(d)
 	})
 	close(heard)
@@ -160,7 +164,7 @@
 func (b *base) digest() gossiper.Digest {
 	return gossiper.Digest{
 		Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Loads: b.picker.Loads(),
-		Suspects: b.witness.Told(), Servers: b.ejector.Report(),
+		Suspects: b.witness.Told(), Servers: b.ejector.Report(), Slow: b.comparer.Report(),
 	}
 }
 
@@ -211,6 +215,7 @@
 	b.conveyor.Forget(known)
 	b.ejector.Forget(known)
 	b.witness.Forget(known)
+	b.comparer.Forget(known, func(service string) bool { return len(s.ServersOf(service)) > 0 })
 }
 
 // leave says in the store that the host is about to stop.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -22,6 +22,8 @@
 	// Others returns the calls that other hosts run at a server.
 	Others  func(server string) gossiper.Load
 	Ejector *ejector.Ejector
+	// Slowness returns how many times as long as its kin a server takes.
+	Slowness func(server string) float64
 	// Changed is called after a count changed.
 	Changed    func()
 	DataCentre string
@@ -122,7 +124,8 @@
 	for i, v := range servers.list {
 		mine, others := p.loads[v.ID], p.options.Others(v.ID)
 		c := selector.Candidate{Server: v, Online: mine.Online + others.Online, Batch: mine.Batch + others.Batch, Home: i < servers.homes}
-		c.Usable = p.options.Ejector.Usable(v.ID, c.Online+c.Batch > Slots(s, v))
+		c.Slots, c.Slowness = Slots(s, v), p.options.Slowness(v.ID)
+		c.Usable = p.options.Ejector.Usable(v.ID, c.Online+c.Batch > c.Slots)
 		out = append(out, c)
 	}
 	return out
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/splitter"
@@ -18,6 +19,8 @@
 	maxBody = 8 << 20
 	// maxRefusalBody bounds what is read of a refusal.
 	maxRefusalBody = 64 << 10
+	// earlyPace is the event at which a call's pace is looked at first.
+	earlyPace = 8
 )
 
 var (
@@ -47,6 +50,7 @@
 		u.relayer.options.Ejector.Answered(t.Server.ID)
 		u.relayer.options.Witness.Survived(u.call.Fingerprint)
 		u.ran(t)
+		u.compare(t)
 		return Delivered{Status: a.Status, Server: t.Server.ID, Servers: u.servers + 1}, false
 	case errors.Is(err, errCaller):
 		return Left{}, false
@@ -81,6 +85,15 @@
 	u.relayer.options.Forecaster.Ran(u.call.Service, wait, now-began)
 }
 
+// compare notes the pace of the events that came from a server.
+func (u *run) compare(t *picker.Ticket) {
+	if u.first == 0 {
+		return
+	}
+	took := u.relayer.options.Clock.Now() - u.first
+	u.relayer.options.Comparer.Ran(comparer.Run{Service: u.call.Service, Server: t.Server.ID, Events: u.events, Took: took})
+}
+
 // check refuses what cannot be the server's own answer.
 func (u *run) check(a *conveyor.Answer) error {
 	names := u.relayer.options.Names
@@ -136,11 +149,11 @@
 	if u.mayRepeat() && u.resumable {
 		a.SetSilence(moveAfter)
 	}
-	return splitter.Read(a, func() { u.relayer.options.Ejector.Heard(t.Server.ID) }, u.event)
+	return splitter.Read(a, func() { u.relayer.options.Ejector.Heard(t.Server.ID) }, func(e splitter.Event) error { return u.event(t, e) })
 }
 
 // event passes one event on.
-func (u *run) event(e splitter.Event) error {
+func (u *run) event(t *picker.Ticket, e splitter.Event) error {
 	if u.resumable && e.HasID {
 		if u.lastEvent > 0 && e.ID != u.lastEvent+1 {
 			u.relayer.options.Logger.Warn("event out of order", zap.String("request", u.call.ID), zap.Int64("after", u.lastEvent), zap.Int64("event", e.ID))
@@ -152,6 +165,9 @@
 		u.first = u.relayer.options.Clock.Now()
 	}
 	u.events++
+	if u.events == earlyPace {
+		u.compare(t)
+	}
 	if u.sink.Write(e.Raw) != nil {
 		return errCaller
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,6 +13,7 @@
 
 	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
@@ -100,6 +101,7 @@
 	Witness    *suspector.Witness
 	Budgeter   *budgeter.Budgeter
 	Forecaster *forecaster.Forecaster
+	Comparer   *comparer.Comparer
 	Clock      timer.Clock
 	Logger     *zap.Logger
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
@@ -58,11 +59,11 @@
 	e := ejector.New(clock, zap.NewNop())
 	f.picker = picker.New(picker.Options{
 		Snapshot: func() cataloger.Snapshot { return s }, Others: func(string) gossiper.Load { return gossiper.Load{} },
-		Ejector: e, Changed: func() {},
+		Ejector: e, Changed: func() {}, Slowness: func(string) float64 { return 1 },
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
-	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Clock: clock, Logger: zap.NewNop()})
+	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
 
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -15,6 +15,8 @@
 	batchWeight   = 0.85
 	farWeight     = 0.25
 	strangeWeight = 0.2
+	// slowWeight is for a server that takes twice as long.
+	slowWeight = 0.75
 )
 
 // Candidate is a server that could take a call.
@@ -22,6 +24,11 @@
 	Server cataloger.Server
 	// Online and Batch are the calls that run or wait there now.
 	Online, Batch int
+	// Slots is how many calls run there at once; others wait.
+	Slots int
+	// Slowness is how many times as long as its kin the server takes; zero counts
+	// as one.
+	Slowness float64
 	// Usable is false for servers that do not seem to answer.
 	Usable bool
 	// Home says that the server may be the one that keeps the call's shared
@@ -55,7 +62,7 @@
 		if c.Server.Draining || c.Usable != usable || excluded(r, c.Server.ID) {
 			continue
 		}
-		s := float64(c.Online) + batchWeight*float64(c.Batch)
+		s := c.expected()
 		if c.Server.DataCentre != r.DataCentre {
 			s += farWeight
 		}
@@ -70,6 +77,16 @@
 	return best
 }
 
+// expected is about how much there is before the call, in calls of a server that
+// is not slow. While a slot is free, a slow server merely begins and runs later;
+// once all are taken, the call waits there for as many times as long.
+func (c Candidate) expected() float64 {
+	load := float64(c.Online) + batchWeight*float64(c.Batch)
+	slow := max(c.Slowness, 1) - 1
+	over := max(0, load+1-float64(c.Slots))
+	return load + slow*(slowWeight+over)
+}
+
 func excluded(r Request, id string) bool {
 	for _, e := range r.Excluded {
 		if e == id {
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -56,3 +56,18 @@
 		require.InDelta(t, 5, n, 1)
 	}
 }
+
+// Pattern: a server that takes four times as long as its kin. It gets less work,
+// not none, and nothing waits there as long as others have free slots.
+func TestSlowServerGetsLessWork(t *testing.T) {
+	slow := selector.Candidate{Server: cataloger.Server{ID: "slow"}, Usable: true, Slots: 8, Slowness: 4}
+	kin := selector.Candidate{Server: cataloger.Server{ID: "kin"}, Usable: true, Slots: 8, Online: 2}
+	choose := func() int { return selector.Choose(selector.Request{}, []selector.Candidate{slow, kin}) }
+	require.Equal(t, 1, choose())
+	kin.Online = 4
+	require.Equal(t, 0, choose())
+	slow.Online, kin.Online = 8, 11
+	require.Equal(t, 1, choose())
+	kin.Online = 16
+	require.Equal(t, 0, choose())
+}
