Read the whole store by one question at a start; renew leases twice in their length

Cause: calls to the store are the price that grows with the fleet; each start read three ranges, and up to 96 hosts keep leases of six seconds (the longer lease is taken from a factor of four on), renewed each two seconds.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -37,6 +37,8 @@
 	// longest lease.
 	ttlPerHost timer.Millis = 250
 	mostTTL                 = 60 * timer.Second
+	// renewals is how often a lease is renewed in its length.
+	renewals = 2
 	// regrant is by which factor a lease must be too long or too short to be
 	// replaced by another one, which costs two writes.
 	regrant = 4
@@ -88,7 +90,7 @@
 	retry := leastRetry
 	for ctx.Err() == nil {
 		err := e.step(ctx)
-		wait := e.ttl / 3
+		wait := e.ttl / renewals
 		if err != nil {
 			e.options.Logger.Warn("entry not renewed", zap.Error(err))
 			retry = min(2*retry, mostRetry)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,8 +34,6 @@
 
 // Decoder reads values of the store's keys. It is pure.
 type Decoder interface {
-	// Prefixes are the beginnings of the keys that Decode knows.
-	Prefixes() []string
 	// Kind says what a key holds: a Fact without its content.
 	Kind(key string) Fact
 	// Decode says what a key and its value mean.
@@ -271,27 +269,21 @@
 	f.publish(f.withoutVanished(s).WithConfirmed(at))
 }
 
-// load reads all keys anew.
+// load reads all keys anew, by one question as long as they fit into an answer.
 func (f *Follower) load(ctx context.Context, s cataloger.Snapshot) (cataloger.Snapshot, error) {
-	var from storer.Revision
+	items, from, err := f.options.Ledger.Range(ctx, "")
+	if err != nil {
+		return s, err
+	}
 	var servers []cataloger.Server
 	fresh := cataloger.Snapshot{Config: s.Config, Confirmed: s.Confirmed}
-	for _, prefix := range f.options.Decoder.Prefixes() {
-		items, at, err := f.options.Ledger.Range(ctx, prefix)
-		if err != nil {
-			return s, err
-		}
-		if from == 0 || at < from {
-			from = at
-		}
-		for _, i := range items {
-			switch t := f.decode(i).(type) {
-			case ServerFact:
-				delete(f.vanished, entry{name: t.Server.ID})
-				servers = append(servers, t.Server)
-			default:
-				fresh = f.believe(fresh, t)
-			}
+	for _, i := range items {
+		switch t := f.decode(i).(type) {
+		case ServerFact:
+			delete(f.vanished, entry{name: t.Server.ID})
+			servers = append(servers, t.Server)
+		default:
+			fresh = f.believe(fresh, t)
 		}
 	}
 	fresh = fresh.WithServers(servers)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -23,7 +23,6 @@
 // and "hosts/NAME" a state.
 type decoder struct{}
 
-func (decoder) Prefixes() []string { return []string{""} }
 
 func (decoder) Kind(key string) follower.Fact {
 	switch {
