Pace transactions on manifests after failures

Cause: a host whose transaction on a manifest failed planned it anew at the next look, 40 to 100 ms later: all heirs of all groups flooded a store that was away, and losers of a race asked again until they were told.

--- a/mirrorer/fleet_test.go
+++ b/mirrorer/fleet_test.go
@@ -120,6 +120,8 @@
 	hosts []*host
 	// changed is when a host last started or ended.
 	changed timer.Millis
+	// commits counts the transactions that hosts asked the store for.
+	commits int
 }
 
 func newFleet(t *testing.T, n int) *fleet {
@@ -317,6 +319,9 @@
 }
 
 func (r *reach) Commit(ctx context.Context, t storer.Transaction) (storer.Revision, error) {
+	r.fleet.mu.Lock()
+	r.fleet.commits++
+	r.fleet.mu.Unlock()
 	if err := r.away(); err != nil {
 		return 0, err
 	}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -126,6 +126,7 @@
 	// the group was last looked at.
 	writing bool
 	planned timer.Millis
+	rewrites
 	failed  bool
 	// compacted is how long the log was after it was last trimmed, in bytes.
 	compacted int64
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
@@ -199,7 +200,7 @@
 // plan looks at the group and does what Plan says.
 func (r *Replica) plan() {
 	now := r.options.Clock.Now()
-	if r.writing || r.failed || now-r.planned < planInterval {
+	if r.writing || r.failed || now-r.planned < planInterval || !r.mayWrite(r.group, now) {
 		return
 	}
 	r.planned = now
@@ -268,17 +269,20 @@
 			Conditions: []storer.Condition{{Key: r.options.Key, Revision: storer.Revision(before.Revision)}},
 			Set:        []storer.Item{{Key: r.options.Key, Value: value}},
 		})
-		r.post(func() { r.rewritten(w, revision, err) })
+		r.post(func() { r.rewritten(before, w, revision, err) })
 	}()
 }
 
-func (r *Replica) rewritten(w Write, revision storer.Revision, err error) {
+// rewritten takes the store's answer to a Write that was planned for the manifest
+// before.
+func (r *Replica) rewritten(before cataloger.Group, w Write, revision storer.Revision, err error) {
 	r.writing = false
 	fields := []zap.Field{
 		zap.Int("group", r.options.Group), zap.String("reason", w.Reason), zap.Uint64("epoch", w.Group.Epoch),
 		zap.String("owner", w.Group.Owner), zap.Strings("holders", w.Group.Holders),
 	}
 	if err != nil {
+		r.rewrites = r.after(before, err, r.options.Clock.Now())
 		r.options.Logger.Warn("manifest not written", append(fields, zap.Error(err))...)
 		if r.session != nil {
 			r.session.closing = false
@@ -286,6 +290,7 @@
 		return
 	}
 	r.options.Logger.Info("manifest written", fields...)
+	r.rewrites = rewrites{}
 	g := w.Group
 	g.Revision = uint64(revision)
 	r.setGroup(g, true)
