A store that is away gets about as many questions from any fleet

Ruled out: starts (12 manifests, none contested; one range for each host now). Now: while no host has a young confirmation, each asks every 40 ms times the number of hosts, and whoever is answered reads for the others; entries are not renewed while the store is known to be away. A reader that does not answer is passed over for a second.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -25,14 +25,19 @@
 	TTL timer.Millis
 	// Hosts returns how many hosts are known. The lease grows with them, so that
 	// the store takes about as many renewals from any fleet.
-	Hosts  func() int
+	Hosts func() int
+	// Away says that the store is known to be away, by what this host and others
+	// have heard of it. Nothing is asked of it meanwhile.
+	Away   func() bool
 	Logger *zap.Logger
 }
 
 const (
 	callTimeout timer.Millis = 900
 	leastRetry  timer.Millis = 100
-	mostRetry   timer.Millis = 600
+	mostRetry   timer.Millis = 1000
+	// awayPause is kept between two looks whether the store is back.
+	awayPause timer.Millis = 100
 	// ttlPerHost is how much of the lease each host stands for, mostTTL the
 	// longest lease.
 	ttlPerHost timer.Millis = 250
@@ -89,6 +94,10 @@
 	defer close(e.done)
 	retry := leastRetry
 	for ctx.Err() == nil {
+		if e.options.Away() {
+			timer.Sleep(ctx, awayPause)
+			continue
+		}
 		err := e.step(ctx)
 		wait := e.ttl / renewals
 		if err != nil {
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -33,7 +33,7 @@
 func start(l storer.Ledger) *enroller.Enroller { return startAmong(l, func() int { return 1 }) }
 
 func startAmong(l storer.Ledger, hosts func() int) *enroller.Enroller {
-	return enroller.New(enroller.Options{Ledger: l, Key: "hosts/a", TTL: 3000, Hosts: hosts, Logger: zap.NewNop()}, cataloger.Member{Name: "a"})
+	return enroller.New(enroller.Options{Ledger: l, Key: "hosts/a", TTL: 3000, Hosts: hosts, Away: func() bool { return false }, Logger: zap.NewNop()}, cataloger.Member{Name: "a"})
 }
 
 // counted counts the renewals that a store takes.
@@ -106,3 +106,27 @@
 		require.True(t, ok)
 	})
 }
+
+// Pattern: the store is away, and a fleet's hosts all try to renew.
+func TestStoreThatIsAwayIsNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &counted{MemoryLedger: storer.NewMemoryLedger(timer.System())}
+		var away atomic.Bool
+		e := enroller.New(enroller.Options{
+			Ledger: l, Key: "hosts/a", TTL: 3000, Hosts: func() int { return 1 }, Away: away.Load, Logger: zap.NewNop(),
+		}, cataloger.Member{Name: "a"})
+		defer e.Close()
+		pass(5000)
+		away.Store(true)
+		l.SetAway(true)
+		pass(1600)
+		l.renewals.Store(0)
+		pass(10000)
+		require.Zero(t, l.renewals.Load())
+		away.Store(false)
+		l.SetAway(false)
+		pass(500)
+		_, ok := entry(t, l)
+		require.True(t, ok, "back at once")
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -8,8 +8,10 @@
 //
 // At most directReaders hosts ask the store at that pace. The others ask one of
 // them, which says how long ago the store confirmed what it tells; so a
-// confirmation is never younger than it is. A host that finds no other with a
-// young confirmation asks the store itself, less often.
+// confirmation is never younger than it is. When no host has a young
+// confirmation, all ask the store themselves, each the less often the more they
+// are, so that a store that is away gets about as many questions from any fleet;
+// whoever has an answer first reads for the others.
 //
 // While the store is away, entries of servers and hosts may run out though they
 // live. One whose entry went without a notice to drain or leave is kept until
@@ -132,9 +134,13 @@
 	vanished map[entry]timer.Millis
 	// returned is when the store last came back.
 	returned timer.Millis
-	// asked is when the store was last asked.
-	asked  timer.Millis
-	memory memory
+	// probeAt is when the store is asked next while no host has a young
+	// confirmation.
+	probeAt timer.Millis
+	// avoid is a host that did not answer lately, and is not asked for a while.
+	avoid      string
+	avoidUntil timer.Millis
+	memory     memory
 
 	mu        sync.Mutex
 	listeners []func(cataloger.Snapshot)
@@ -172,9 +178,14 @@
 	retry := leastRetry
 	for ctx.Err() == nil {
 		began := f.options.Clock.Now()
-		if f.learn(ctx, began) {
+		source := f.source()
+		switch {
+		case f.learn(ctx, source, began):
 			timer.Sleep(ctx, f.options.RelayPace)
 			continue
+		case !f.mayAsk(source, began):
+			timer.Sleep(ctx, f.options.RelayPace/2)
+			continue
 		}
 		if err := f.ask(ctx, began); err != nil {
 			f.failed(ctx, err, began)
@@ -190,27 +201,54 @@
 const (
 	// relayTimeout bounds a question to another host.
 	relayTimeout timer.Millis = 500
-	// directPace is how often a host asks the store itself whose source lacks a
-	// young confirmation.
-	directPace timer.Millis = 1200
+	// probePerHost is how much of the pause between two questions each host stands
+	// for, while no host has a young confirmation.
+	probePerHost timer.Millis = 40
+	// avoidTime is for how long a host is not asked again that did not answer.
+	avoidTime timer.Millis = 1000
 )
 
+// source says whom this host asks.
+func (f *Follower) source() source {
+	if !f.loaded {
+		return source{reads: true}
+	}
+	if f.options.Clock.Now() >= f.avoidUntil {
+		f.avoid = ""
+	}
+	return f.options.Relay.source(f.avoid)
+}
+
 // learn asks another host, if there is one that reads the store. It returns
-// false when this host should ask the store itself.
-func (f *Follower) learn(ctx context.Context, began timer.Millis) bool {
-	address := f.options.Relay.source()
-	if address == "" || !f.loaded {
+// false when that gave no young confirmation.
+func (f *Follower) learn(ctx context.Context, s source, began timer.Millis) bool {
+	if s.address == "" {
 		return false
 	}
 	limited, cancel := context.WithTimeout(ctx, relayTimeout.Duration())
 	defer cancel()
-	changes, age, err := f.options.Relay.ask(limited, address, f.cursor)
+	changes, age, err := f.options.Relay.ask(limited, s.address, f.cursor)
 	if err != nil {
-		f.options.Logger.Info("no answer from the host that reads the store", zap.String("address", address), zap.Error(err))
+		f.options.Logger.Info("no answer from the host that reads the store", zap.String("address", s.address), zap.Error(err))
+		f.avoid, f.avoidUntil = s.address, f.options.Clock.Now()+avoidTime
 		return false
 	}
 	f.take(f.Snapshot(), changes, began-age)
-	return age <= maxReaderAge || began-f.asked < directPace
+	return age <= maxReaderAge
+}
+
+// mayAsk says whether this host asks the store itself now: always if it reads for
+// others, else when its turn has come.
+func (f *Follower) mayAsk(s source, now timer.Millis) bool {
+	if s.reads {
+		return true
+	}
+	if now < f.probeAt {
+		return false
+	}
+	pause := timer.Millis(s.hosts) * probePerHost
+	f.probeAt = now + pause/2 + rand.N(pause+1)
+	return true
 }
 
 func (f *Follower) failed(ctx context.Context, err error, sent timer.Millis) {
@@ -229,7 +267,6 @@
 
 // ask puts one question to the store and publishes what follows.
 func (f *Follower) ask(ctx context.Context, sent timer.Millis) error {
-	f.asked = sent
 	ctx, cancel := context.WithTimeout(ctx, (f.options.Wait + f.options.Timeout).Duration())
 	defer cancel()
 	if !f.loaded {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -23,7 +23,6 @@
 // and "hosts/NAME" a state.
 type decoder struct{}
 
-
 func (decoder) Kind(key string) follower.Fact {
 	switch {
 	case key == "config":
--- /dev/null
+++ b/follower/outage_test.go
@@ -0,0 +1,141 @@
+package follower_test
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/jackdawgate/jackdawgate/follower"
+	"github.com/jackdawgate/jackdawgate/messenger"
+	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+// countedLedger counts the questions that a store gets.
+type countedLedger struct {
+	storer.Ledger
+	questions *atomic.Int64
+	away      atomic.Bool
+}
+
+func (c *countedLedger) Watch(ctx context.Context, prefix string, after storer.Revision, wait timer.Millis) (storer.Changes, error) {
+	c.questions.Add(1)
+	if c.away.Load() {
+		return storer.Changes{}, &storer.UnavailableError{Call: "watch"}
+	}
+	return c.Ledger.Watch(ctx, prefix, after, wait)
+}
+
+// relayed is a fleet whose hosts learn from one another.
+type relayed struct {
+	clock     timer.Clock
+	net       *messenger.Memory
+	ledgers   []*countedLedger
+	followers []*follower.Follower
+	questions atomic.Int64
+}
+
+func newRelayed(hosts int) *relayed {
+	r := &relayed{clock: timer.System(), net: messenger.NewMemory()}
+	ledger := storer.NewMemoryLedger(r.clock)
+	started := make(chan struct{})
+	for i := range hosts {
+		name := "h" + strconv.Itoa(i)
+		end := r.net.Host(name, messenger.Peer{Name: name})
+		l := &countedLedger{Ledger: ledger, questions: &r.questions}
+		f := follower.New(follower.Options{
+			Ledger: l, Decoder: decoder{}, Clock: r.clock, Logger: zap.NewNop(),
+			Relay: &follower.Relay{Self: name, Caller: end, Candidates: func() []follower.Reader { <-started; return r.readers() }},
+		})
+		f.Serve(end)
+		r.ledgers, r.followers = append(r.ledgers, l), append(r.followers, f)
+	}
+	close(started)
+	return r
+}
+
+func (r *relayed) readers() []follower.Reader {
+	var out []follower.Reader
+	for i, f := range r.followers {
+		name := "h" + strconv.Itoa(i)
+		out = append(out, follower.Reader{Name: name, Address: name, Age: r.clock.Now() - f.Snapshot().Confirmed})
+	}
+	return out
+}
+
+func (r *relayed) close() {
+	for _, f := range r.followers {
+		f.Close()
+	}
+}
+
+// away turns the first so many hosts away from the store.
+func (r *relayed) away(hosts int) {
+	for i, l := range r.ledgers {
+		l.away.Store(i < hosts)
+	}
+}
+
+// oldest is the age of the oldest confirmation.
+func (r *relayed) oldest() timer.Millis {
+	var out timer.Millis
+	for _, f := range r.followers {
+		out = max(out, r.clock.Now()-f.Snapshot().Confirmed)
+	}
+	return out
+}
+
+// Pattern: the store is away for long. Every host of a large fleet asks it again
+// and again, and would flood it as it returns.
+func TestLargeFleetDoesNotFloodAStoreThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 90
+		r := newRelayed(hosts)
+		defer r.close()
+		pass(5000)
+		r.away(hosts)
+		pass(2000)
+		r.questions.Store(0)
+		pass(10000)
+		require.LessOrEqual(t, r.questions.Load(), int64(10*40))
+		r.away(0)
+		pass(1500)
+		require.LessOrEqual(t, r.oldest(), timer.Millis(1500), "known again soon after the return")
+	})
+}
+
+// Pattern: the store turns half of the hosts away, those that read it for the
+// others among them. The others find out before any host's permission ends.
+func TestOtherHostsReadWhenTheReadersAreTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelayed(90)
+		defer r.close()
+		pass(5000)
+		r.away(45)
+		for range 80 {
+			pass(100)
+			require.LessOrEqual(t, r.oldest(), timer.Millis(3000))
+		}
+	})
+}
+
+// Pattern: a host that reads the store for the others falls silent. They ask
+// another host at once, not all of them the store.
+func TestReaderThatDoesNotAnswerIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelayed(90)
+		defer r.close()
+		pass(5000)
+		r.net.Remove("h0")
+		r.questions.Store(0)
+		for range 30 {
+			pass(100)
+			require.LessOrEqual(t, r.oldest(), timer.Millis(1500))
+		}
+		require.LessOrEqual(t, r.questions.Load(), int64(40))
+	})
+}
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -61,23 +61,34 @@
 	Candidates func() []Reader
 }
 
-// source is the address of the host to ask, or empty when this host asks the
-// store itself.
-func (r *Relay) source() string {
+// source says whom a host asks.
+type source struct {
+	// reads says that the host reads the store, for others too.
+	reads bool
+	// address is where the host is that it asks, empty when none has a young
+	// confirmation.
+	address string
+	// hosts is how many there are.
+	hosts int
+}
+
+// source picks among the hosts that are heard, without the one at the address to
+// avoid.
+func (r *Relay) source(avoid string) source {
 	if r == nil {
-		return ""
+		return source{reads: true}
 	}
-	readers := ChooseReaders(r.Candidates())
-	best := ""
-	for _, c := range readers {
+	list := slices.DeleteFunc(r.Candidates(), func(c Reader) bool { return c.Address == avoid })
+	s := source{hosts: len(list)}
+	for _, c := range ChooseReaders(list) {
 		if c.Name == r.Self {
-			return ""
+			return source{reads: true}
 		}
-		if best == "" || c.DataCentre == r.DataCentre {
-			best = c.Address
+		if s.address == "" || c.DataCentre == r.DataCentre {
+			s.address = c.Address
 		}
 	}
-	return best
+	return s
 }
 
 type changesRequest struct {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -64,6 +64,10 @@
 // collector works harder.
 const memoryShare = 0.6
 
+// storeAway is how old a host's knowledge of the store is when the store counts as
+// away.
+const storeAway timer.Millis = 1500
+
 // base is what both kinds of hosts have.
 type base struct {
 	settings checker.MemberSettings
@@ -141,7 +145,7 @@
 	}
 	b.enroller = enroller.New(enroller.Options{
 		Ledger: p.Ledger, Key: p.MemberKey(m.Name), TTL: s.Store.LeaseTTL,
-		Hosts: func() int { return len(b.follower.Snapshot().Members) }, Logger: l,
+		Hosts: func() int { return len(b.follower.Snapshot().Members) }, Away: func() bool { return b.age() > storeAway }, Logger: l,
 	}, m)
 	return b, nil
 }
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -127,7 +127,7 @@
 	writing bool
 	planned timer.Millis
 	rewrites
-	failed  bool
+	failed bool
 	// compacted is how long the log was after it was last trimmed, in bytes.
 	compacted int64
 }
