An unexpected error in the handling of one message does not end the process

Found: a record with a negative item ended the process (index out of range in queuer), and a panic in a peer's handler, in a datagram's or in the reading of an entry ended it too. Now: records are checked; rescuer turns a panic in the handling of one message, value or run into an error with a log line.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/jackdawgate/jackdawgate/rescuer"
 	"github.com/jackdawgate/jackdawgate/splitter"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -60,7 +61,8 @@
 	item := t.item()
 	x.options.Logger.Info("item sent", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID), zap.Int("events", t.begun()))
 	x.options.Ejector.Begin(v.ID)
-	e := x.exchange(ctx, t, v)
+	var e ending = again{reason: "unexpected error", broke: true}
+	rescuer.Do(x.options.Logger, "running an item", func() { e = x.exchange(ctx, t, v) })
 	x.options.Ejector.End(v.ID)
 	ticket.End()
 	f := queuer.Finished{Job: t.key.ref.Job, Item: t.key.ref.Item}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,6 +29,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/rescuer"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
@@ -355,7 +356,11 @@
 
 // decode returns what an item says, or nil when it cannot be read.
 func (f *Follower) decode(i storer.Item) Fact {
-	fact, err := f.options.Decoder.Decode(i)
+	var fact Fact
+	err := rescuer.Run(f.options.Logger, "reading an entry of the store", func() (err error) {
+		fact, err = f.options.Decoder.Decode(i)
+		return err
+	})
 	if err != nil {
 		f.options.Logger.Warn("unreadable entry in the store", zap.String("key", i.Key), zap.Error(err))
 		return nil
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -28,6 +28,7 @@
 	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/rescuer"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
@@ -244,17 +245,22 @@
 		if err != nil {
 			return
 		}
-		var p packet
-		if err := cbor.Unmarshal(buffer[:n], &p); err != nil {
-			g.options.Logger.Warn("unreadable datagram", zap.Error(err))
-			continue
-		}
-		for _, e := range p.Envelopes {
-			g.open(e, p.Relayed)
-		}
-		if p.PassOn {
-			g.passOn(p)
-		}
+		rescuer.Do(g.options.Logger, "taking a datagram", func() { g.accept(buffer[:n]) })
+	}
+}
+
+// accept takes one datagram in.
+func (g *Gossiper) accept(datagram []byte) {
+	var p packet
+	if err := cbor.Unmarshal(datagram, &p); err != nil {
+		g.options.Logger.Warn("unreadable datagram", zap.Error(err))
+		return
+	}
+	for _, e := range p.Envelopes {
+		g.open(e, p.Relayed)
+	}
+	if p.PassOn {
+		g.passOn(p)
 	}
 }
 
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -156,3 +157,32 @@
 	f.hand("a", "1", 1, 1)
 	require.Equal(t, 1, f.g.Others("s").Online)
 }
+
+// Pattern: malformed message. Datagrams damaged in any way are taken or passed
+// over, and the next sound one is heard.
+func TestDamagedDatagramsDoNoHarm(t *testing.T) {
+	f := start(t)
+	body, err := cbor.Marshal(gossiper.Digest{
+		Loads: map[string]gossiper.Load{"s": {Online: 1, Batch: 2}}, Admitted: map[string]uint64{"w": 3}, Groups: []int{1, 2},
+		Slow: map[string]uint8{"s": 30},
+	})
+	require.NoError(t, err)
+	sample, err := cbor.Marshal(packet{PassOn: true, Envelopes: []envelope{{Host: "b", Incarnation: "1", Sequence: 1, Body: body}}})
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for d := range f.heard {
+			if d.Host == "marker" {
+				return
+			}
+		}
+	}()
+	harness.Mutate(4, 20000, [][]byte{sample}, func(b []byte) { f.conn.in <- b })
+	marker, err := cbor.Marshal(packet{Envelopes: []envelope{{Host: "marker", Incarnation: "1", Sequence: 1, Body: body}}})
+	require.NoError(t, err)
+	f.conn.in <- marker
+	<-done
+	f.hand("a", "1", 1, 7)
+	require.GreaterOrEqual(t, f.g.Others("s").Online, 7)
+}
--- a/messenger/call.go
+++ b/messenger/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+
+	"github.com/jackdawgate/jackdawgate/rescuer"
 )
 
 // call is one call as its caller sees it. The reader puts frames into frames,
@@ -180,7 +182,7 @@
 	c.mu.Unlock()
 	c.workers.Go(func() {
 		defer cancel()
-		err := c.answer(ctx, from, f, a, find)
+		err := rescuer.Run(c.options.Logger, "answering "+string(f.Method), func() error { return c.answer(ctx, from, f, a, find) })
 		c.mu.Lock()
 		delete(c.answers, f.ID)
 		c.mu.Unlock()
--- a/messenger/host_test.go
+++ b/messenger/host_test.go
@@ -253,3 +253,16 @@
 	}
 	require.NoError(t, a.Close())
 }
+
+// Pattern: an unexpected error in one handler. It ended the process, and with it
+// all calls of all peers.
+func TestHandlerThatPanicsFailsItsOwnCallOnly(t *testing.T) {
+	_, address := startHost(t, "b", map[messenger.Method]messenger.Handler{
+		"test/stream": stream(3),
+		"test/panic":  func(context.Context, messenger.Peer, []byte, func([]byte) error) error { panic("odd") },
+	})
+	a, _ := startHost(t, "a", nil)
+	var remote *messenger.RemoteError
+	require.ErrorAs(t, a.Call(t.Context(), address, "test/panic", nil, nil), &remote)
+	require.NoError(t, a.Call(t.Context(), address, "test/stream", nil, nil))
+}
--- /dev/null
+++ b/queuer/mutated_test.go
@@ -0,0 +1,54 @@
+package queuer_test
+
+import (
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
+	"github.com/stretchr/testify/require"
+)
+
+// samples are encoded records of all kinds.
+func samples(t testing.TB) [][]byte {
+	var out [][]byte
+	for _, r := range []queuer.Record{
+		queuer.Accepted{Job: job("k", 3)},
+		queuer.Finished{Job: "j", Item: 1, From: 2, Output: []byte("output")},
+		queuer.Saved{Parts: []queuer.Part{{Job: "j", Item: 2, From: 1, Output: []byte("more"), Events: 3, Last: 4}}},
+		queuer.Ended{Job: "j"},
+		queuer.Dropped{Job: "k"},
+		queuer.Restored{First: true, Left: 1, Record: queuer.Accepted{Job: job("j", 1)}},
+	} {
+		data, err := queuer.Encode(r)
+		require.NoError(t, err)
+		out = append(out, data)
+	}
+	return out
+}
+
+// takeAndShow applies a record to a queue that holds a job in progress and calls
+// all that shows the queue.
+func takeAndShow(t testing.TB, data []byte) {
+	q := newQueue()
+	apply(t, q, queuer.Accepted{Job: job("j", 3)}, queuer.Saved{Parts: []queuer.Part{{Job: "j", Item: 1, Output: []byte("out"), Events: 1, Last: 1}}})
+	q.Opened()
+	q.Apply(data)
+	q.Results("j", 0, 10)
+	q.Pending()
+	q.Waiting()
+	q.Expired(1 << 60)
+	q.Checkpoint()
+}
+
+// Pattern: malformed message. No record, however it was damaged, ends the
+// process of a host that reads its log or hears it from another one.
+func TestDamagedRecordsDoNoHarm(t *testing.T) {
+	harness.Mutate(1, 30000, samples(t), func(b []byte) { takeAndShow(t, b) })
+}
+
+func FuzzRecords(f *testing.F) {
+	for _, s := range samples(f) {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) { takeAndShow(t, b) })
+}
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -165,12 +165,18 @@
 
 func (j jobs) save(p Part) {
 	k, ok := j[p.Job]
-	if !ok || p.Item >= len(k.done) || k.done[p.Item] || k.ended || p.From > len(k.saved[p.Item].Output) {
+	if !ok || k.ended || !k.goesOn(p.Item, p.From) {
 		return
 	}
 	k.saved[p.Item] = Progress{Output: k.whole(p.Item, p.From, p.Output), Events: p.Events, Last: p.Last}
 }
 
+// goesOn says whether output may follow the first from bytes of an item: whether
+// the job has the item, without a result, and so much was saved of it.
+func (k *kept) goesOn(item, from int) bool {
+	return item >= 0 && item < len(k.done) && !k.done[item] && from >= 0 && from <= len(k.saved[item].Output)
+}
+
 // whole returns the first from bytes that were saved of an item, and more.
 func (k *kept) whole(item, from int, more []byte) []byte {
 	before := k.saved[item].Output
@@ -179,7 +185,7 @@
 
 func (j jobs) finish(f Finished) {
 	k, ok := j[f.Job]
-	if !ok || f.Item >= len(k.done) || k.done[f.Item] || f.From > len(k.saved[f.Item].Output) {
+	if !ok || !k.goesOn(f.Item, f.From) {
 		return
 	}
 	r := Result{Item: k.job.Items[f.Item].ID, Dead: f.Dead}
