Items whose stream stalls though bytes come go on at another server

A server that sent a byte now and then, without ever ending an event, held an item until its retention was over; online streams are ended by their deadlines. Now: a run without a whole event for 6 s counts as broken off; the item goes on after its last whole event.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
@@ -195,7 +196,11 @@
 	if wait, refused := x.options.Witness.Refused(s.fingerprint); refused {
 		return again{reason: "servers failed under this item lately", pause: true, after: min(wait, left)}
 	}
-	a, err := x.options.Conveyor.Send(ctx, x.request(t, v, left), silence)
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	stalled := time.AfterFunc(x.options.Stall.Duration(), stop)
+	defer stalled.Stop()
+	a, err := x.options.Conveyor.Send(run, x.request(t, v, left), silence)
 	if err != nil {
 		return x.broken(ctx, t, v, s, err)
 	}
@@ -213,7 +218,11 @@
 		x.options.Ejector.Broke(v.ID)
 		return again{reason: "answer cannot be used: " + strconv.Itoa(a.Status), broke: true}
 	}
-	if err := splitter.Read(a, func() { x.options.Ejector.Heard(v.ID) }, t.event); err != nil {
+	take := func(e splitter.Event) error {
+		stalled.Reset(x.options.Stall.Duration())
+		return t.event(e)
+	}
+	if err := splitter.Read(a, func() { x.options.Ejector.Heard(v.ID) }, take); err != nil {
 		return x.broken(ctx, t, v, s, err)
 	}
 	x.options.Ejector.Answered(v.ID)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -16,6 +16,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/filler"
 	"github.com/jackdawgate/jackdawgate/gossiper"
@@ -36,7 +37,7 @@
 	Propose func(ctx context.Context, data []byte) error
 }
 
-// Options are the settings of an Executor.
+// Options are the settings of an Executor. Zero fields take the defaults.
 type Options struct {
 	Host     string
 	Groups   []Group
@@ -51,6 +52,9 @@
 	Logger   *zap.Logger
 	Policy   filler.Policy
 	Measurer *measurer.Measurer
+	// Stall is how long a run may go on without a whole event, though bytes come;
+	// default 6 s.
+	Stall timer.Millis
 }
 
 // interval is how often the Executor looks at its items without being told.
@@ -119,6 +123,7 @@
 
 // New returns an Executor that runs until Close.
 func New(o Options) *Executor {
+	defaulter.Set(&o.Stall, 6*timer.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Executor{options: o, touched: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), tasks: make(map[key]*task)}
 	go x.run(ctx)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -43,7 +43,9 @@
 
 // engine is a backend server that streams lastEvent events for each item.
 type engine struct {
-	mu sync.Mutex
+	// trickling is how many runs stall.
+	trickling int
+	mu        sync.Mutex
 	// breaks are after which event the next runs break off; statuses are what
 	// the next runs answer; hold stops runs after their second event.
 	breaks   []int
@@ -98,12 +100,34 @@
 		if i == 3 && hold != nil {
 			<-hold
 		}
+		if i == 3 && e.trickles() {
+			trickle(c)
+			return
+		}
 		ev := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
 		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
 	}
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
+// trickles says whether this run sends bytes without ever ending its event.
+func (e *engine) trickles() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.trickling--
+	return e.trickling >= 0
+}
+
+// trickle sends a byte now and then until the connection ends.
+func trickle(c net.Conn) {
+	for {
+		if _, err := io.WriteString(c, "1\r\n:\r\n"); err != nil {
+			return
+		}
+		time.Sleep(often)
+	}
+}
+
 func (e *engine) seen() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -143,6 +167,7 @@
 	f.executor = executor.New(executor.Options{
 		Host: "self", Names: names, Snapshot: func() cataloger.Snapshot { return s }, Digests: func() []gossiper.Digest { return nil },
 		Picker: p, Conveyor: c, Ejector: ej, Witness: suspector.NewWitness(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop(), Policy: filler.Policy{},
+		Stall: 300,
 		Groups: []executor.Group{{Queue: f.queue, Propose: func(_ context.Context, data []byte) error {
 			f.queue.Apply(data)
 			return nil
@@ -222,6 +247,16 @@
 	require.Len(t, e.seen(), 3)
 }
 
+// Pattern: a stalled stream that still sends a byte now and then. Its item goes on
+// elsewhere after its last whole event.
+func TestItemWhoseStreamStallsGoesOn(t *testing.T) {
+	e := &engine{trickling: 1}
+	f := start(t, e)
+	f.submit(1)
+	require.Equal(t, whole(), string(f.results(1)[0].Output))
+	require.Equal(t, []string{"i0 after  body0", "i0 after 2 body0"}, e.seen())
+}
+
 // Pattern: an item that crashes each server that begins to run it. The other
 // items of its job go on.
 func TestItemUnderWhichServersFailIsKeptApart(t *testing.T) {
