--- a/comparer/comparer.go
+++ b/comparer/comparer.go
@@ -16,6 +16,7 @@
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
 )
 
 const (
@@ -51,7 +52,8 @@
 
 // Comparer is safe for concurrent use.
 type Comparer struct {
-	clock timer.Clock
+	clock  timer.Clock
+	logger *zap.Logger
 
 	mu       sync.Mutex
 	services map[string]*mean
@@ -72,9 +74,10 @@
 	own bool
 }
 
-// New returns a Comparer that knows nothing.
-func New(c timer.Clock) *Comparer {
-	return &Comparer{clock: c, services: make(map[string]*mean), found: make(map[string]finding)}
+// New returns a Comparer that knows nothing. It logs which servers count as slow,
+// and since when no longer.
+func New(c timer.Clock, l *zap.Logger) *Comparer {
+	return &Comparer{clock: c, logger: l, services: make(map[string]*mean), found: make(map[string]finding)}
 }
 
 // Ran takes a call's pace in.
@@ -116,11 +119,17 @@
 
 // find notes a finding of this host or of another.
 func (c *Comparer) find(server string, f finding) {
-	if f.slowness < slowFrom {
+	_, known := c.found[server]
+	switch {
+	case f.slowness >= slowFrom:
+		c.found[server] = f
+	case known:
 		delete(c.found, server)
-		return
 	}
-	c.found[server] = f
+	if slow := f.slowness >= slowFrom; slow != known {
+		c.logger.Info("server's pace changed", zap.String("server", server), zap.Bool("slow", slow),
+			zap.Float64("slowness", f.slowness), zap.Bool("own", f.own))
+	}
 }
 
 // Slowness is how many times as long as its kin a server takes; 1 for one that
--- a/comparer/comparer_test.go
+++ b/comparer/comparer_test.go
@@ -8,6 +8,7 @@
 	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 )
 
 func TestMain(m *testing.M) { harness.Main(m) }
@@ -24,7 +25,7 @@
 
 // warm is a host that has seen the service at 150 ms a call.
 func warm(c *clock) *comparer.Comparer {
-	h := comparer.New(c)
+	h := comparer.New(c, zap.NewNop())
 	for i := range 100 {
 		h.Ran(run("s"+strconv.Itoa(i%9), 150))
 	}
@@ -101,7 +102,7 @@
 }
 
 func TestShortCallsAndFirstCallsShowNothing(t *testing.T) {
-	h := comparer.New(&clock{now: 1000})
+	h := comparer.New(&clock{now: 1000}, zap.NewNop())
 	h.Ran(run("s1", 150))
 	h.Ran(run("s2", 1500))
 	require.Equal(t, 1.0, h.Slowness("s2"))
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -125,7 +125,7 @@
 	b.ejector = ejector.New(clock, l)
 	b.witness = suspector.NewWitness(clock, l)
 	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
-	b.comparer = comparer.New(clock)
+	b.comparer = comparer.New(clock, l)
 	b.picker = picker.New(picker.Options{
 		Snapshot: b.follower.Snapshot, Others: func(id string) gossiper.Load { return b.gossiper.Others(id) },
 		Ejector: b.ejector, Slowness: b.comparer.Slowness, Changed: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -63,7 +63,7 @@
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
-	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock), Clock: clock, Logger: zap.NewNop()})
+	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -85,7 +85,9 @@
 		return u.given("no server to send to", retryNoServer), false
 	}
 	defer ticket.End()
-	if u.servers == 0 && !o.Forecaster.InTime(u.forecast(ticket)) {
+	if f := u.forecast(ticket); u.servers == 0 && !o.Forecaster.InTime(f) {
+		o.Logger.Info("too crowded", zap.String("request", u.call.ID), zap.String("server", ticket.Server.ID), zap.Int("ahead", f.Ahead), zap.Int("slots", f.Slots),
+			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("objective-ms", int64(f.Objective)), zap.Int64("patience-ms", int64(f.Patience)))
 		return NotRun{Reason: "servers are too crowded to answer in time", RetryAfter: u.laterReturn(left)}, false
 	}
 	u.events, u.sent = 0, o.Clock.Now()
