--- a/follower/follower.go
+++ b/follower/follower.go
@@ -138,6 +138,8 @@
 	// probeAt is when the store is asked next while no host has a young
 	// confirmation.
 	probeAt timer.Millis
+	// probed is when it was last asked so.
+	probed timer.Millis
 	// avoid is a host that did not answer lately, and is not asked for a while.
 	avoid      string
 	avoidUntil timer.Millis
@@ -205,6 +207,9 @@
 	// probePerHost is how much of the pause between two questions each host stands
 	// for, while no host has a young confirmation.
 	probePerHost timer.Millis = 40
+	// alonePause is the pause of a host that others could tell, but which they do
+	// not reach.
+	alonePause timer.Millis = 800
 	// avoidTime is for how long a host is not asked again that did not answer.
 	avoidTime timer.Millis = 1000
 )
@@ -239,15 +244,21 @@
 }
 
 // mayAsk says whether this host asks the store itself now: always if it reads for
-// others, else when its turn has come.
+// others, else when its turn has come. A host that alone fails to learn from others
+// takes its turn sooner.
 func (f *Follower) mayAsk(s source, now timer.Millis) bool {
 	if s.reads {
 		return true
 	}
+	pause := timer.Millis(s.hosts) * probePerHost
+	if s.address != "" && now-f.Snapshot().Confirmed > maxReaderAge {
+		pause = min(pause, alonePause)
+		f.probeAt = min(f.probeAt, f.probed+pause)
+	}
 	if now < f.probeAt {
 		return false
 	}
-	pause := timer.Millis(s.hosts) * probePerHost
+	f.probed = now
 	f.probeAt = now + pause/2 + rand.N(pause+1)
 	return true
 }
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -139,3 +139,19 @@
 		require.LessOrEqual(t, r.questions.Load(), int64(40))
 	})
 }
+
+// Pattern: one host reaches no other, though it hears of them, and reaches the store.
+func TestHostThatReachesNoOtherAsksTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelayed(90)
+		defer r.close()
+		pass(5000)
+		for i := range 89 {
+			r.net.Cut("h89", "h"+strconv.Itoa(i), true)
+		}
+		for range 60 {
+			pass(100)
+			require.LessOrEqual(t, r.clock.Now()-r.followers[89].Snapshot().Confirmed, timer.Millis(3000))
+		}
+	})
+}
