--- a/gossiper/sender.go
+++ b/gossiper/sender.go
@@ -9,8 +9,9 @@
 	// planGap is how often a plan is made.
 	planGap timer.Millis = 100
 	// bundleGapPerHost is how much of the time between two bundles each other host
-	// of the data centre stands for.
+	// of the data centre stands for, up to mostBundleGap.
 	bundleGapPerHost timer.Millis = 4
+	mostBundleGap    timer.Millis = 150
 )
 
 // counted is a count by workspace as it was last told.
@@ -70,7 +71,7 @@
 // farGap is the least time between two messages to other data centres. Bundles are
 // passed on to every host there, so a speaker of many hosts sends them less often.
 func (v *sender) farGap(p *plan) timer.Millis {
-	return max(v.gossiper.options.FarGap, timer.Millis(len(p.near))*bundleGapPerHost)
+	return max(v.gossiper.options.FarGap, min(timer.Millis(len(p.near))*bundleGapPerHost, mostBundleGap))
 }
 
 // renew makes the Digest anew.
