--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -79,10 +79,10 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	heir := b.newInheritor(e.rationer)
+	inheritance := b.newInheritor(e.rationer)
 	b.follower.Notify(e.forget)
 	go e.watch(ctx)
-	e.workers.Go(func() { e.inherit(ctx, heir, e.rationer) })
+	e.workers.Go(func() { e.inherit(ctx, inheritance, e.rationer) })
 	b.serve()
 	return e, e.listen()
 }
--- a/hoster/quota.go
+++ b/hoster/quota.go
@@ -54,7 +54,7 @@
 func (b *base) newInheritor(r *rationer.Rationer) *inheritor.Inheritor {
 	v := b.settings.Bounds
 	h := inheritor.New(inheritor.Options{
-		Rationer: r, Caller: b.messenger, Hosts: b.elders, Clock: b.clock, Logger: b.logger,
+		Rationer: r, Caller: b.messenger, Hosts: b.longLived, Clock: b.clock, Logger: b.logger,
 		Tolerance: rationer.Tolerance{Window: v.QuotaWindow, Share: v.QuotaShare, Slack: float64(v.QuotaSlack)},
 	})
 	h.Serve(b.messenger)
@@ -72,26 +72,28 @@
 	h.Run(ctx)
 }
 
-// elders lists the addresses of other hosts: bulk hosts, which restart
+// askedAfter is lower for hosts that are asked first for their levels.
+func (b *base) askedAfter(m cataloger.Member) int {
+	n := 0
+	if m.Role != cataloger.Bulk {
+		n += 2
+	}
+	if m.DataCentre != b.member.DataCentre {
+		n++
+	}
+	return n
+}
+
+// longLived lists the addresses of other hosts: bulk hosts, which restart
 // less often than entry hosts do, and those of this data centre first.
-func (b *base) elders() []string {
+func (b *base) longLived() []string {
 	var list []cataloger.Member
 	for name, m := range b.follower.Snapshot().Members {
 		if name != b.member.Name && !m.Leaving {
 			list = append(list, m)
 		}
 	}
-	rank := func(m cataloger.Member) int {
-		n := 0
-		if m.Role != cataloger.Bulk {
-			n += 2
-		}
-		if m.DataCentre != b.member.DataCentre {
-			n++
-		}
-		return n
-	}
-	slices.SortFunc(list, func(x, y cataloger.Member) int { return rank(x) - rank(y) })
+	slices.SortFunc(list, func(x, y cataloger.Member) int { return b.askedAfter(x) - b.askedAfter(y) })
 	out := make([]string, 0, len(list))
 	for _, m := range list {
 		out = append(out, m.Peers)
