--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -35,7 +35,7 @@
 const (
 	callTimeout timer.Millis = 900
 	leastRetry  timer.Millis = 100
-	mostRetry   timer.Millis = 1000
+	mostRetry   timer.Millis = 600
 	// awayPause is kept between two looks whether the store is back.
 	awayPause timer.Millis = 100
 	// ttlPerHost is how much of the lease each host stands for, mostTTL the
@@ -100,6 +100,13 @@
 		}
 		err := e.step(ctx)
 		wait := e.ttl / renewals
+		var ended *storer.LeaseEndedError
+		if errors.As(err, &ended) {
+			// The store answers, so the host soon enters anew.
+			retry = leastRetry
+			e.pause(ctx, leastRetry)
+			continue
+		}
 		if err != nil {
 			e.options.Logger.Warn("entry not renewed", zap.Error(err))
 			retry = min(2*retry, mostRetry)
