Log which failures are held against a call and which are not

A failure that the witness did not count left no line, so the logs could not tell whether ends are not counted, or counted and forgotten. Now each failed exchange says so, with the call's fingerprint, and a call that is kept apart says for how long.

--- a/relayer/run.go
+++ b/relayer/run.go
@@ -78,6 +78,7 @@
 		return u.over("no time left"), false
 	}
 	if again, refused := o.Witness.Refused(u.call.Fingerprint); refused {
+		o.Logger.Info("call kept apart", zap.String("request", u.call.ID), zap.Uint64("fingerprint", u.call.Fingerprint), zap.Int64("for-ms", int64(again)))
 		return u.given("servers failed under this call lately", again), false
 	}
 	ticket, ok := o.Picker.Pick(u.call.Service, selector.Request{Prompt: u.call.Prompt, Excluded: u.excluded})
@@ -165,6 +166,7 @@
 		u.servers++
 	}
 	if ctx.Err() != nil {
+		u.notBlamed(t.Server.ID, "the call ended before the server failed or answered")
 		return u.stopped(ctx), false
 	}
 	u.excluded = append(u.excluded, t.Server.ID)
@@ -198,11 +200,21 @@
 func (u *run) judge(server string, err error) {
 	o := u.relayer.options
 	o.Ejector.Failed(server, err)
-	if conveyor.WasSent(err) && u.events == 0 {
+	switch {
+	case !conveyor.WasSent(err):
+	case u.events > 0:
+		u.notBlamed(server, "the answer had begun")
+	default:
 		o.Witness.Failed(server, u.call.Fingerprint, u.sent)
 	}
 }
 
+// notBlamed logs that a call's end at a server is not held against the call.
+func (u *run) notBlamed(server, reason string) {
+	u.relayer.options.Logger.Info("failure not held against a call", zap.String("request", u.call.ID), zap.String("server", server),
+		zap.Uint64("fingerprint", u.call.Fingerprint), zap.Int("events", u.events), zap.String("reason", reason))
+}
+
 // stopped is the outcome of a call whose context ended.
 func (u *run) stopped(ctx context.Context) Outcome {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/suspector/witness.go
+++ b/suspector/witness.go
@@ -84,11 +84,14 @@
 // Failed records that an incarnation of a server broke off a call, or left it,
 // that had been sent at an instant and had no answer yet.
 func (w *Witness) Failed(server string, fingerprint uint64, sent timer.Millis) {
+	fields := []zap.Field{zap.String("server", server), zap.Uint64("fingerprint", fingerprint)}
 	if w.wasFailing(server, sent) {
+		w.logger.Info("failure not held against a call", append(fields, zap.String("reason", "the server failed before the call came"))...)
 		return
 	}
 	id := server + "-" + strconv.FormatUint(fingerprint, 16)
-	w.record(Records{Deaths: []Death{{ID: id, Server: server, Fingerprints: []uint64{fingerprint}}}})
+	news := w.record(Records{Deaths: []Death{{ID: id, Server: server, Fingerprints: []uint64{fingerprint}}}})
+	w.logger.Info("failure held against a call", append(fields, zap.Bool("counted-before", !news))...)
 	if d, refused := w.Refused(fingerprint); refused {
 		w.logger.Warn("servers fail under a call", zap.String("server", server), zap.Uint64("fingerprint", fingerprint), zap.Int64("refused-ms", int64(d)))
 	}
@@ -102,13 +105,15 @@
 	}
 }
 
-func (w *Witness) record(r Records) {
+// record adds what this host saw and says whether it was new.
+func (w *Witness) record(r Records) bool {
 	if !w.add(r) {
-		return
+		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.own = append(w.own, ownRecord{records: r, at: w.clock.Now()})
+	return true
 }
 
 // Told returns what this host tells the others now.
