Tests that fail: calls that crash servers are sent on, an unlucky item is not

Five tests of the incident BUDGET and of the report on unlucky items, on the code as landed. Seen: a stream that ends its server after the first event is sent 10 times of 10; so is a call at a server that comes back under its name; a call whose caller left first, 6 of 6; the record of a refused call is driven out by 600 others; an item under which five servers crashed has no result 10 s later.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -202,6 +202,11 @@
 }
 
 func (f *fixture) results(n int) []queuer.Result {
+	f.t.Helper()
+	return f.resultsWithin(n, patience)
+}
+
+func (f *fixture) resultsWithin(n int, patience time.Duration) []queuer.Result {
 	f.t.Helper()
 	var r queuer.Results
 	require.Eventually(f.t, func() bool {
@@ -269,6 +274,17 @@
 	require.Len(t, e.where(), 3, "each time at another server")
 }
 
+// Pattern: servers crash in a burst, several of them under the same sound item. It
+// is still owed once all is calm.
+func TestItemUnderWhichServersCrashedIsPlacedAgain(t *testing.T) {
+	e := &engine{breaks: []int{1, 1, 1, 1, 1}}
+	f := startWith(t, e, 6)
+	f.submit(1)
+	r := f.resultsWithin(1, 10*time.Second)
+	require.Len(t, r, 1)
+	require.Equal(t, whole(), string(r[0].Output))
+}
+
 // Pattern: one server fails a part of its requests while others are well. An item
 // that fails too often is given up, so it must not go there again and again.
 func TestItemThatFailedGoesToAnotherServer(t *testing.T) {
--- /dev/null
+++ b/relayer/crash_test.go
@@ -0,0 +1,82 @@
+package relayer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+// runs sends the same call again and again until it is refused, at most so many
+// times, and returns how often servers got it.
+func (f *fixture) runs(r *cataloger.Route, most int) int {
+	for range most {
+		if o, _ := f.run(r); isNotRun(o) {
+			break
+		}
+	}
+	return len(f.seen())
+}
+
+func isNotRun(o relayer.Outcome) bool {
+	_, ok := o.(relayer.NotRun)
+	return ok
+}
+
+// BUDGET: a stream that crashes its servers after the first event was never refused.
+func TestStreamThatCrashesServersAfterItsFirstEventIsRefused(t *testing.T) {
+	f := newFixture(t, 6)
+	for range 10 {
+		f.scripts = append(f.scripts, events(1, 1, false))
+	}
+	require.Equal(t, 3, f.runs(route(cataloger.Stream, false, 1), 10))
+}
+
+// BUDGET: a server that came back under its identifier counted once, however often
+// it ended under a call.
+func TestServerThatComesBackUnderItsNameCountsEachTime(t *testing.T) {
+	f := newFixture(t, 1)
+	for range 10 {
+		f.scripts = append(f.scripts, breakOff)
+	}
+	for born := range int64(10) {
+		v := f.current().Servers["s0"]
+		v.Born = born + 2
+		f.mu.Lock()
+		f.snapshot = f.snapshot.WithServer(v)
+		f.mu.Unlock()
+		f.witness.Answered("s0")
+		if o, _ := f.run(route(cataloger.NonIdempotent, false, 1)); isNotRun(o) {
+			break
+		}
+	}
+	require.Len(t, f.seen(), 3)
+}
+
+// BUDGET: a call whose caller left before the server's silence was noticed did not
+// count when the server turned out to have ended.
+func TestCallThatItsCallerLeftCountsWhenItsServerHasEnded(t *testing.T) {
+	f := newFixture(t, 6)
+	hang := func(c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) }
+	for range 10 {
+		f.scripts = append(f.scripts, hang)
+	}
+	for range 6 {
+		ctx, cancel := context.WithTimeout(t.Context(), timer.Millis(100).Duration())
+		o := f.relayer.Run(ctx, relayer.Call{
+			ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, false, 1),
+			Service: "svc", Deadline: timer.System().Now() + 3*timer.Second, Fingerprint: 7,
+		}, &sink{})
+		cancel()
+		if isNotRun(o) {
+			break
+		}
+		f.witness.Forget(func(string) bool { return false })
+	}
+	require.Len(t, f.seen(), 3)
+}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -42,8 +42,10 @@
 	t       *testing.T
 	relayer *relayer.Relayer
 	picker  *picker.Picker
+	witness *suspector.Witness
 
 	mu       sync.Mutex
+	snapshot cataloger.Snapshot
 	scripts  []script
 	requests []*http.Request
 	bodies   []string
@@ -51,22 +53,28 @@
 
 func newFixture(t *testing.T, servers int, scripts ...script) *fixture {
 	f := &fixture{t: t, scripts: scripts}
-	s := cataloger.Snapshot{}
 	for i := range servers {
-		s = s.WithServer(cataloger.Server{ID: "s" + strconv.Itoa(i), Service: "svc", Address: harness.Serve(t, f.serve), Slots: 8})
+		f.snapshot = f.snapshot.WithServer(cataloger.Server{ID: "s" + strconv.Itoa(i), Service: "svc", Address: harness.Serve(t, f.serve), Slots: 8, Born: 1})
 	}
 	clock := timer.System()
 	e := ejector.New(clock, zap.NewNop())
 	f.picker = picker.New(picker.Options{
-		Snapshot: func() cataloger.Snapshot { return s }, Others: func(string) gossiper.Load { return gossiper.Load{} },
+		Snapshot: f.current, Others: func(string) gossiper.Load { return gossiper.Load{} },
 		Ejector: e, Changed: func() {}, Slowness: func(string) float64 { return 1 },
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
-	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: suspector.NewWitness(clock, zap.NewNop()), Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
+	f.witness = suspector.NewWitness(clock, zap.NewNop())
+	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: f.witness, Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
 
+func (f *fixture) current() cataloger.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
 func (f *fixture) serve(c net.Conn) {
 	r := bufio.NewReader(c)
 	q, err := http.ReadRequest(r)
--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -278,6 +278,24 @@
 	require.True(t, refused, "under way when they failed")
 }
 
+// BUDGET: servers that crashed under many calls pushed the record of the call that
+// crashes them out of the bounded memory.
+func TestManyOtherCallsDoNotDriveOutTheRecordOfACrashingCall(t *testing.T) {
+	c := &clock{now: 1000}
+	w := suspector.NewWitness(c, zap.NewNop())
+	for i := range 3 {
+		w.Failed(fmt.Sprint("s", i), 7, c.now)
+	}
+	for i := range 60 {
+		for call := range uint64(10) {
+			w.Failed(fmt.Sprint("t", i), 100+uint64(i)*10+call, c.now-5)
+		}
+		c.now += 10
+	}
+	_, refused := w.Refused(7)
+	require.True(t, refused)
+}
+
 func TestOneIncarnationCountsOnce(t *testing.T) {
 	c := &clock{now: 1000}
 	w := suspector.NewWitness(c, zap.NewNop())
