Items under which servers crashed are placed again

What was seen by owners of jobs: after a burst of crashes an item had no result though servers had room (reported from a system like this one). Cause: items were kept apart like online calls under which servers end; after three crashes an item was refused for 5 s, then 20, 80 and 320 s, and each pause counted from the last crash. Users say that what is handed in for later is never a call that crashes servers, so an item under which servers crashed is owed. Ruled out: the pause between tries (2 s at most) and the avoidance of servers at which it failed (0.3 s), which both end soon. Change: the executor no longer asks or tells the witness.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -14,7 +14,6 @@
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/rescuer"
 	"github.com/jackdawgate/jackdawgate/splitter"
-	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -45,8 +44,6 @@
 		reason string
 		pause  bool
 		broke  bool
-		// after is how long to wait at least.
-		after timer.Millis
 	}
 	failed struct{ status int }
 	dead   struct{ reason string }
@@ -115,7 +112,7 @@
 		t.breaks++
 	}
 	if o.pause || o.broke {
-		t.notBefore = x.options.Clock.Now() + max(o.after, min(leastPause<<min(t.breaks, 5), mostPause))
+		t.notBefore = x.options.Clock.Now() + min(leastPause<<min(t.breaks, 5), mostPause)
 		t.failedAt[t.server] = true
 		t.avoidUntil = t.notBefore + avoidTime
 	}
@@ -156,11 +153,6 @@
 	}
 }
 
-// fingerprint names the item as if it were an online call.
-func (t *task) fingerprint() uint64 {
-	return suspector.Fingerprint(t.of.Workspace, t.of.Host+t.item().Path, t.item().Body)
-}
-
 func (x *Executor) request(t *task, v cataloger.Server, left timer.Millis) *conveyor.Request {
 	item, names := t.item(), x.options.Names
 	h := make(http.Header, len(item.Headers)+5)
@@ -192,21 +184,16 @@
 	if t.of.Retention <= 0 {
 		left = 10 * 60 * timer.Second
 	}
-	s := runStart{begun: t.begun(), at: x.options.Clock.Now(), fingerprint: t.fingerprint()}
-	if wait, refused := x.options.Witness.Refused(s.fingerprint); refused {
-		return again{reason: "servers failed under this item lately", pause: true, after: min(wait, left)}
-	}
 	run, stop := context.WithCancel(ctx)
 	defer stop()
 	stalled := time.AfterFunc(x.options.Stall.Duration(), stop)
 	defer stalled.Stop()
 	a, err := x.options.Conveyor.Send(run, x.request(t, v, left), silence)
 	if err != nil {
-		return x.broken(ctx, t, v, s, err)
+		return x.broken(ctx, v, err)
 	}
 	defer a.Close()
 	x.options.Ejector.Heard(v.ID)
-	x.options.Witness.Answered(v.ID)
 	switch {
 	case a.Header.Get(x.options.Names.NotRun) != "" || a.Status == http.StatusMisdirectedRequest:
 		return again{reason: "server refused it", pause: true}
@@ -223,30 +210,19 @@
 		return t.event(e)
 	}
 	if err := splitter.Read(a, func() { x.options.Ejector.Heard(v.ID) }, take); err != nil {
-		return x.broken(ctx, t, v, s, err)
+		return x.broken(ctx, v, err)
 	}
 	x.options.Ejector.Answered(v.ID)
-	x.options.Witness.Survived(s.fingerprint)
 	return complete{}
 }
 
-// runStart is what an item had put out when a run began, in events, and when, and
-// the item's fingerprint.
-type runStart struct {
-	begun       int
-	at          timer.Millis
-	fingerprint uint64
-}
-
-// broken records a failed run of an item.
-func (x *Executor) broken(ctx context.Context, t *task, v cataloger.Server, s runStart, err error) ending {
+// broken records a failed run of an item. The item is not to blame: what is handed
+// in for later is never a call that crashes servers.
+func (x *Executor) broken(ctx context.Context, v cataloger.Server, err error) ending {
 	if ctx.Err() != nil {
 		return again{reason: "evicted"}
 	}
 	x.options.Ejector.Failed(v.ID, err)
-	if conveyor.WasSent(err) && t.begun() == s.begun {
-		x.options.Witness.Failed(v.ID, s.fingerprint, s.at)
-	}
 	return again{reason: err.Error(), broke: true}
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -24,7 +24,6 @@
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/speller"
-	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -47,7 +46,6 @@
 	Picker   *picker.Picker
 	Conveyor *conveyor.Conveyor
 	Ejector  *ejector.Ejector
-	Witness  *suspector.Witness
 	Clock    timer.Clock
 	Logger   *zap.Logger
 	Policy   filler.Policy
