Count each end of a server under a call, and do not forget it for others

Causes, one class: an end counted only if the host that saw it could name it at that moment. Not counted were ends after the first event, ends at a server whose caller left before its silence was noticed, and further ends of a server that came back under its identifier (a death was named by identifier and call). What was counted was driven out by other calls: one memory of 256 deaths for all. Ruled out: loss of digests (told for 1.5 s, 10 ms apart, heard by all in the tests); answers that clear a call (nothing but a whole answer does). Change: evidence is kept by call, the least incriminated are forgotten first; a death is named by identifier and start; ends midway count; calls that ended at a silent server are remembered and count when the store says that the server is gone. A call that may only be slow (silence) counts then too, not at once. The first refusal lasts 15 s, since wrong ones now need three ends without an answer.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -27,6 +27,16 @@
 	Born int64
 }
 
+// Incarnation names one start of a server. A server may start again under the
+// identifier that it had.
+type Incarnation struct {
+	ID   string
+	Born int64
+}
+
+// Incarnation returns the name of the server's incarnation.
+func (v Server) Incarnation() Incarnation { return Incarnation{ID: v.ID, Born: v.Born} }
+
 // Role is what a host does for the fleet.
 type Role string
 
@@ -68,6 +78,14 @@
 // Holds says whether disk is among the holders.
 func (g Group) Holds(disk string) bool { return slices.Contains(g.Holders, disk) }
 
+// Quarantine is the store's record of a call that crashes backend servers.
+type Quarantine struct {
+	// Trials is how often the call was tried again since it was kept apart.
+	Trials int `cbor:"1,keyasint"`
+	// Revision is the store's revision of the record.
+	Revision uint64 `cbor:"-"`
+}
+
 // Snapshot is what is known at one moment. It is immutable; the maps must not
 // be changed by readers.
 type Snapshot struct {
@@ -79,6 +97,8 @@
 	Groups  map[int]Group
 	// Retiring are the names of hosts that are to be emptied.
 	Retiring map[string]bool
+	// Quarantined are the calls that are kept apart, by fingerprint.
+	Quarantined map[uint64]Quarantine
 	// Confirmed is when the question was sent whose answer gave or confirmed
 	// all of this, on the clock that counts suspended time; zero for never.
 	Confirmed timer.Millis
@@ -165,6 +185,20 @@
 	return s
 }
 
+// WithQuarantine returns s with the record of a call.
+func (s Snapshot) WithQuarantine(fingerprint uint64, q Quarantine) Snapshot {
+	if s.Quarantined[fingerprint].Revision < q.Revision {
+		s.Quarantined = with(s.Quarantined, fingerprint, q)
+	}
+	return s
+}
+
+// WithoutQuarantine returns s without the record of a call.
+func (s Snapshot) WithoutQuarantine(fingerprint uint64) Snapshot {
+	s.Quarantined = without(s.Quarantined, fingerprint)
+	return s
+}
+
 // WithConfirmed returns s, confirmed by a question sent at this instant.
 func (s Snapshot) WithConfirmed(at timer.Millis) Snapshot {
 	s.Confirmed = max(s.Confirmed, at)
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -41,6 +42,7 @@
 	rationer   *rationer.Rationer
 	budgeter   *budgeter.Budgeter
 	forecaster *forecaster.Forecaster
+	witness    *suspector.Witness
 	gatekeeper *gatekeeper.Gatekeeper
 	acceptors  []*acceptor.Acceptor
 	leaving    atomic.Bool
@@ -53,17 +55,18 @@
 	e := &EntryHost{done: make(chan struct{})}
 	e.rationer = rationer.New(timer.Boot())
 	e.budgeter, e.forecaster = budgeter.New(budgeter.Options{}), forecaster.New()
+	e.witness = suspector.NewWitness(timer.Boot(), l)
 	started := make(chan struct{})
 	defer close(started)
 	b, err := newBase(s, p, l, cataloger.Member{Role: cataloger.Entry, Callers: s.Listen.Callers},
 		func() gossiper.Digest { <-started; return e.digest() },
-		func(d gossiper.Digest) { e.rationer.Hear(d.Host, d.Incarnation, d.Admitted) })
+		e.hear)
 	if err != nil {
 		return nil, err
 	}
 	e.base = b
 	relay := relayer.New(relayer.Options{
-		Names: p.Names, Conveyor: b.conveyor, Picker: b.picker, Ejector: b.ejector, Witness: b.witness,
+		Names: p.Names, Conveyor: b.conveyor, Picker: b.picker, Ejector: b.ejector, Witness: e.witness,
 		Budgeter: e.budgeter, Forecaster: e.forecaster, Comparer: b.comparer, Clock: b.clock, Logger: l,
 	})
 	jobs := broker.New(broker.Options{
@@ -81,6 +84,7 @@
 	e.cancel = cancel
 	inheritance := b.newInheritor(e.rationer)
 	b.follower.Notify(e.forget)
+	b.follower.Notify(e.witness.Follow)
 	go e.watch(ctx)
 	e.workers.Go(func() { e.inherit(ctx, inheritance, e.rationer) })
 	b.serve()
@@ -142,8 +146,15 @@
 	e.budgeter.Keep(func(k budgeter.Key) bool { return s.Config != nil && s.Config.Knows(k.Service, k.Workspace) })
 }
 
+// hear takes in what another host told.
+func (e *EntryHost) hear(d gossiper.Digest) {
+	e.rationer.Hear(d.Host, d.Incarnation, d.Admitted)
+	e.witness.Hear(d.Suspects)
+}
+
 func (e *EntryHost) digest() gossiper.Digest {
 	d := e.base.digest()
+	d.Suspects = e.witness.Told()
 	d.Ready, d.Admitted = e.ready(), e.rationer.Spent()
 	return d
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -30,7 +30,6 @@
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/speller"
 	"github.com/jackdawgate/jackdawgate/storer"
-	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -42,9 +41,10 @@
 	Ledger  storer.Ledger
 	Decoder follower.Decoder
 	Names   speller.Names
-	// MemberKey, GroupKey and RetireStatusKey are keys of the store.
+	// MemberKey, GroupKey, QuarantineKey and RetireStatusKey are keys of the store.
 	MemberKey       func(name string) string
 	GroupKey        func(n int) string
+	QuarantineKey   func(fingerprint uint64) string
 	RetireStatusKey func(name string) string
 	// RetireStatus is the value that says how far a host has been emptied.
 	RetireStatus func(empty bool) []byte
@@ -84,7 +84,6 @@
 	streams   net.Listener
 	ejector   *ejector.Ejector
 	comparer  *comparer.Comparer
-	witness   *suspector.Witness
 	picker    *picker.Picker
 	conveyor  *conveyor.Conveyor
 	// workers are goroutines that end with the host's context.
@@ -123,7 +122,6 @@
 	})
 	b.follower.Serve(b.messenger)
 	b.ejector = ejector.New(clock, l)
-	b.witness = suspector.NewWitness(clock, l)
 	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
 	b.comparer = comparer.New(clock, l)
 	b.picker = picker.New(picker.Options{
@@ -133,7 +131,6 @@
 	b.gossiper = gossiper.New(gossiper.Options{
 		Conn: datagrams, Clock: clock, Build: build, Self: asPeer(m), Peers: b.peers, Logger: l,
 	}, func(d gossiper.Digest) {
-		b.witness.Hear(d.Suspects)
 		b.ejector.Hear(d.Host, d.Incarnation, d.Servers)
 		b.comparer.Hear(d.Slow)
 		hear(d)
@@ -168,7 +165,7 @@
 func (b *base) digest() gossiper.Digest {
 	return gossiper.Digest{
 		Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Loads: b.picker.Loads(),
-		Suspects: b.witness.Told(), Servers: b.ejector.Report(), Slow: b.comparer.Report(),
+		Servers: b.ejector.Report(), Slow: b.comparer.Report(),
 	}
 }
 
@@ -218,7 +215,6 @@
 	known := func(id string) bool { _, ok := s.Servers[id]; return ok }
 	b.conveyor.Forget(known)
 	b.ejector.Forget(known)
-	b.witness.Forget(known)
 	b.comparer.Forget(known, func(service string) bool { return len(s.ServersOf(service)) > 0 })
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/jackdawgate/jackdawgate/budgeter"
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
@@ -103,7 +104,7 @@
 	}
 	defer answer.Close()
 	o.Ejector.Heard(ticket.Server.ID)
-	o.Witness.Answered(ticket.Server.ID)
+	o.Witness.Answered(ticket.Server.Incarnation())
 	u.first = 0
 	return u.answered(ctx, ticket, answer)
 }
@@ -166,11 +167,13 @@
 		u.servers++
 	}
 	if ctx.Err() != nil {
-		u.notBlamed(t.Server.ID, "the call ended before the server failed or answered")
+		if sent {
+			o.Witness.Left(t.Server.Incarnation(), u.call.Fingerprint)
+		}
 		return u.stopped(ctx), false
 	}
 	u.excluded = append(u.excluded, t.Server.ID)
-	u.judge(t.Server.ID, err)
+	u.judge(t.Server, err)
 	o.Logger.Warn("server failed", zap.String("request", u.call.ID), zap.String("server", t.Server.ID), zap.Bool("may-have-run", sent), zap.Error(err))
 	if !sent {
 		u.refusals++
@@ -196,25 +199,21 @@
 	return budgeter.Key{Service: u.call.Service, Workspace: u.call.Workspace}
 }
 
-// judge records what a failed exchange says of the server and of the call.
-func (u *run) judge(server string, err error) {
+// judge records what a failed exchange says of the server and of the call. A server
+// that is silent may be slow; it counts against the call once it is gone.
+func (u *run) judge(v cataloger.Server, err error) {
 	o := u.relayer.options
-	o.Ejector.Failed(server, err)
+	o.Ejector.Failed(v.ID, err)
+	var silent *conveyor.SilentError
 	switch {
 	case !conveyor.WasSent(err):
-	case u.events > 0:
-		u.notBlamed(server, "the answer had begun")
+	case errors.As(err, &silent):
+		o.Witness.Left(v.Incarnation(), u.call.Fingerprint)
 	default:
-		o.Witness.Failed(server, u.call.Fingerprint, u.sent)
+		o.Witness.Failed(v.Incarnation(), u.call.Fingerprint, u.sent)
 	}
 }
 
-// notBlamed logs that a call's end at a server is not held against the call.
-func (u *run) notBlamed(server, reason string) {
-	u.relayer.options.Logger.Info("failure not held against a call", zap.String("request", u.call.ID), zap.String("server", server),
-		zap.Uint64("fingerprint", u.call.Fingerprint), zap.Int("events", u.events), zap.String("reason", reason))
-}
-
 // stopped is the outcome of a call whose context ended.
 func (u *run) stopped(ctx context.Context) Outcome {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/suspector/witness.go
+++ b/suspector/witness.go
@@ -1,20 +1,32 @@
 package suspector
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
 
-// tellFor is for how long a record is told to the other hosts.
-const tellFor timer.Millis = 1500
-
-// witnessRules refuse a call for a short time first: when many servers fail at
-// once, those under which three of them failed are not all to blame.
-var witnessRules = Rules{Deaths: 3, BlameTime: 5 * timer.Second, AmbiguousTime: 5 * timer.Second, Growth: 4}
+const (
+	// tellFor is for how long a record is told to the other hosts.
+	tellFor timer.Millis = 1500
+	// failingFor is for how long after a failure calls that come to the server and
+	// fail are taken for victims of the same failure.
+	failingFor timer.Millis = 1500
+	// leftFor is for how long it is remembered which calls ended at a server that
+	// had not answered them, maxLeft how many of one server.
+	leftFor timer.Millis = 15000
+	maxLeft              = 64
+	// firstTerm is how long a call is refused first, termGrowth how many times as
+	// long after each further death.
+	firstTerm  = 15 * timer.Second
+	termGrowth = 4
+)
 
 // Fingerprint names a call by what makes it the same when it comes again.
 func Fingerprint(workspace, target string, body []byte) uint64 {
@@ -27,93 +39,163 @@
 	return d.Sum64()
 }
 
-// Witness knows the calls under which servers fail, from what its own host sees
+// Witness knows the calls under which servers end, from what its own host sees
 // and what others tell. It is safe for concurrent use.
 type Witness struct {
-	*book
+	clock  timer.Clock
 	logger *zap.Logger
 
-	mu sync.Mutex
-	// failing is since when servers have failed and not answered.
-	failing map[string]timer.Millis
-	// own are this host's records of the last tellFor, oldest first.
-	own []ownRecord
+	mu       sync.Mutex
+	evidence *evidence
+	// failing is when servers last failed that have not answered since.
+	failing map[cataloger.Incarnation]timer.Millis
+	// left are the calls that ended at servers before any answer or failure, and
+	// when; those servers have answered nothing since.
+	left map[cataloger.Incarnation][]leftCall
+	// deaths and survivals are what this host saw in the last tellFor, oldest first.
+	deaths    []ownDeath
+	survivals []ownSurvival
+}
+
+type leftCall struct {
+	fingerprint uint64
+	at          timer.Millis
+}
+
+type ownDeath struct {
+	server      cataloger.Incarnation
+	fingerprint uint64
+	at          timer.Millis
 }
 
-// ownRecord is one death or survival, and when it was.
-type ownRecord struct {
-	records Records
-	at      timer.Millis
+type ownSurvival struct {
+	Survival
+	at timer.Millis
 }
 
 // NewWitness returns a Witness that knows nothing.
 func NewWitness(c timer.Clock, l *zap.Logger) *Witness {
-	return &Witness{book: newBook(NewTable(witnessRules), c), logger: l, failing: make(map[string]timer.Millis)}
+	return &Witness{
+		clock: c, logger: l, evidence: newEvidence(),
+		failing: make(map[cataloger.Incarnation]timer.Millis), left: make(map[cataloger.Incarnation][]leftCall),
+	}
+}
+
+// Refused says whether a call is refused, and for how long.
+func (w *Witness) Refused(fingerprint uint64) (timer.Millis, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	since, deaths, refused := w.evidence.refused(fingerprint, w.clock.Now())
+	wait := term(deaths-deathsToRefuse) - since
+	return wait, refused && wait > 0
+}
+
+// term is how long a call is refused after so many deaths beyond those that got it
+// refused.
+func term(more int) timer.Millis {
+	t := firstTerm
+	for range more {
+		t = min(t*termGrowth, suspectTime)
+	}
+	return t
 }
 
-// Answered records that a server sent something.
-func (w *Witness) Answered(server string) {
+// Answered records that a server sent the beginning of an answer.
+func (w *Witness) Answered(server cataloger.Incarnation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.failing, server)
+	delete(w.left, server)
+}
+
+// Follow takes over what the store says of servers.
+func (w *Witness) Follow(s cataloger.Snapshot) {
+	w.Forget(func(i cataloger.Incarnation) bool {
+		v, ok := s.Servers[i.ID]
+		return ok && v.Incarnation() == i
+	})
 }
 
-// Forget drops what is known of servers for which known says no.
-func (w *Witness) Forget(known func(server string) bool) {
+// Forget drops what is known of servers for which known says no. Calls that had
+// ended there without an answer are taken to have been there when it ended.
+func (w *Witness) Forget(known func(server cataloger.Incarnation) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for id := range w.failing {
-		if !known(id) {
-			delete(w.failing, id)
+	maps.DeleteFunc(w.failing, func(v cataloger.Incarnation, _ timer.Millis) bool { return !known(v) })
+	for v := range w.left {
+		if !known(v) {
+			w.ended(v)
+		}
+	}
+}
+
+// ended holds a server's end against the calls that were left there.
+func (w *Witness) ended(server cataloger.Incarnation) {
+	now := w.clock.Now()
+	for _, c := range w.left[server] {
+		if now-c.at < leftFor {
+			w.count(server, c.fingerprint, "the server ended after the call was left")
 		}
 	}
+	delete(w.left, server)
 }
 
-// wasFailing says whether a server was known to fail at an instant, and notes
-// that it fails now.
-func (w *Witness) wasFailing(server string, at timer.Millis) bool {
+// Left records that a call ended at a server before the server answered it or
+// failed. If the server turns out to have ended, it ended under the call.
+func (w *Witness) Left(server cataloger.Incarnation, fingerprint uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	since, ok := w.failing[server]
-	if !ok {
-		w.failing[server] = w.clock.Now()
-	}
-	return ok && at >= since
+	list := append(w.left[server], leftCall{fingerprint: fingerprint, at: w.clock.Now()})
+	w.left[server] = list[max(0, len(list)-maxLeft):]
 }
 
-// Failed records that an incarnation of a server broke off a call, or left it,
-// that had been sent at an instant and had no answer yet.
-func (w *Witness) Failed(server string, fingerprint uint64, sent timer.Millis) {
-	fields := []zap.Field{zap.String("server", server), zap.Uint64("fingerprint", fingerprint)}
-	if w.wasFailing(server, sent) {
-		w.logger.Info("failure not held against a call", append(fields, zap.String("reason", "the server failed before the call came"))...)
+// Failed records that an incarnation of a server broke a call off that had been
+// sent at an instant.
+func (w *Witness) Failed(server cataloger.Incarnation, fingerprint uint64, sent timer.Millis) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	since, ok := w.failing[server]
+	if ok && sent >= since && now-since < failingFor {
+		w.logger.Info("failure not held against a call", zap.String("server", server.ID), zap.Uint64("fingerprint", fingerprint),
+			zap.String("reason", "the server failed before the call came"))
 		return
 	}
-	id := server + "-" + strconv.FormatUint(fingerprint, 16)
-	news := w.record(Records{Deaths: []Death{{ID: id, Server: server, Fingerprints: []uint64{fingerprint}}}})
-	w.logger.Info("failure held against a call", append(fields, zap.Bool("counted-before", !news))...)
-	if d, refused := w.Refused(fingerprint); refused {
-		w.logger.Warn("servers fail under a call", zap.String("server", server), zap.Uint64("fingerprint", fingerprint), zap.Int64("refused-ms", int64(d)))
+	if !ok || now-since >= failingFor {
+		w.failing[server] = now
 	}
+	w.count(server, fingerprint, "the server broke it off")
 }
 
-// Survived records that a server answered a call. It costs nothing unless the
-// call is suspected.
-func (w *Witness) Survived(fingerprint uint64) {
-	if r, ok := w.table.Load().Survival(fingerprint, w.clock.Now()); ok {
-		w.record(Records{Survivals: []Survival{r}})
+// count notes that a server ended under a call.
+func (w *Witness) count(server cataloger.Incarnation, fingerprint uint64, reason string) {
+	now := w.clock.Now()
+	news := w.evidence.add(fingerprint, deathID(server), now, now)
+	if news {
+		w.deaths = append(w.deaths, ownDeath{server: server, fingerprint: fingerprint, at: now})
 	}
+	_, deaths, refused := w.evidence.refused(fingerprint, now)
+	w.logger.Info("failure held against a call", zap.String("server", server.ID), zap.Int64("born", server.Born), zap.Uint64("fingerprint", fingerprint),
+		zap.String("reason", reason), zap.Bool("counted-before", !news), zap.Int("deaths", deaths), zap.Bool("refused", refused))
 }
 
-// record adds what this host saw and says whether it was new.
-func (w *Witness) record(r Records) bool {
-	if !w.add(r) {
-		return false
-	}
+// deathID names the end of an incarnation, the same on all hosts.
+func deathID(v cataloger.Incarnation) string {
+	return v.ID + "@" + strconv.FormatInt(v.Born, 36)
+}
+
+// Survived records that a server answered a call to its end. It costs nothing
+// unless the call is suspected.
+func (w *Witness) Survived(fingerprint uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.own = append(w.own, ownRecord{records: r, at: w.clock.Now()})
-	return true
+	list := w.evidence.deaths(fingerprint)
+	if len(list) == 0 {
+		return
+	}
+	now := w.clock.Now()
+	w.evidence.clear(fingerprint, list, now)
+	w.survivals = append(w.survivals, ownSurvival{Survival: Survival{Fingerprint: fingerprint, Deaths: list}, at: now})
 }
 
 // Told returns what this host tells the others now.
@@ -121,26 +203,43 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clock.Now()
-	for len(w.own) > 0 && now-w.own[0].at > tellFor {
-		w.own = w.own[1:]
-	}
+	w.deaths = slices.DeleteFunc(w.deaths, func(d ownDeath) bool { return now-d.at > tellFor })
+	w.survivals = slices.DeleteFunc(w.survivals, func(s ownSurvival) bool { return now-s.at > tellFor })
 	var out Records
-	for _, o := range w.own {
-		for _, d := range o.records.Deaths {
-			d.Age = now - o.at
-			out.Deaths = append(out.Deaths, d)
-		}
-		for _, s := range o.records.Survivals {
-			s.Age = now - o.at
-			out.Survivals = append(out.Survivals, s)
+	at := make(map[cataloger.Incarnation]int)
+	for _, d := range w.deaths {
+		i, ok := at[d.server]
+		if !ok {
+			i = len(out.Deaths)
+			at[d.server] = i
+			out.Deaths = append(out.Deaths, Death{ID: deathID(d.server), Server: d.server.ID, Age: now - d.at})
 		}
+		out.Deaths[i].Fingerprints = append(out.Deaths[i].Fingerprints, d.fingerprint)
+	}
+	for _, s := range w.survivals {
+		s.Age = now - s.at
+		out.Survivals = append(out.Survivals, s.Survival)
 	}
 	return out
 }
 
 // Hear takes in what another host told.
 func (w *Witness) Hear(r Records) {
-	if len(r.Deaths)+len(r.Survivals) > 0 {
-		w.add(r)
+	if len(r.Deaths)+len(r.Survivals) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	for _, d := range r.Deaths {
+		if d.Age < 0 || d.Age >= suspectTime {
+			continue
+		}
+		for _, f := range d.Fingerprints[:min(len(d.Fingerprints), maxInFlight)] {
+			w.evidence.add(f, d.ID, now-d.Age, now)
+		}
+	}
+	for _, s := range r.Survivals {
+		w.evidence.clear(s.Fingerprint, s.Deaths, now)
 	}
 }
