Keep calls that crash servers in the store, and let one host at a time try them

Cause: that a call crashes servers was known in the memory of hosts only, and told for 1.5 s. A host that started knew nothing, and when all start nobody does. At the end of each pause all hosts sent the call again at once. Ruled out: asking hosts that lived on (none when all are lost); telling for longer (the same, and every crash makes a line for each of its calls). Change: quarantiner writes one key per call, under a lease of ten minutes, when three servers ended under it. A trial is a transaction on the key's revision, so one host has it; pauses of 15, 60, 240 s. An answered trial removes the key.

--- a/cmd/jackdawgated/host.go
+++ b/cmd/jackdawgated/host.go
@@ -82,7 +82,7 @@
 	return hoster.Platform{
 		Ledger: platform.NewLedger(s.Store.Address, m.StoreCall), Measurer: m,
 		Decoder: platform.Decoder{}, Names: platform.Names(),
-		MemberKey: platform.MemberKey, GroupKey: platform.GroupKey,
+		MemberKey: platform.MemberKey, GroupKey: platform.GroupKey, QuarantineKey: platform.QuarantineKey,
 		RetireStatusKey: platform.RetireStatusKey, RetireStatus: platform.RetireStatus,
 		ReadyPath: platform.ReadyPath, DirectoryPath: platform.DirectoryPath, Addresses: platform.EncodeAddresses,
 		Jobs: platform.JobFormats(),
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -37,7 +37,8 @@
 
 // Decoder reads values of the store's keys. It is pure.
 type Decoder interface {
-	// Kind says what a key holds: a Fact without its content.
+	// Kind says what a key holds: a Fact without its content, but for what the key
+	// itself says.
 	Kind(key string) Fact
 	// Decode says what a key and its value mean.
 	Decode(i storer.Item) (Fact, error)
@@ -64,15 +65,22 @@
 // RetireFact asks that a host be emptied.
 type RetireFact struct{ Host string }
 
+// QuarantineFact is the record of a call that crashes backend servers.
+type QuarantineFact struct {
+	Fingerprint uint64
+	Quarantine  cataloger.Quarantine
+}
+
 // OtherFact is a key that means nothing here.
 type OtherFact struct{}
 
-func (ConfigFact) fact() {}
-func (ServerFact) fact() {}
-func (MemberFact) fact() {}
-func (GroupFact) fact()  {}
-func (RetireFact) fact() {}
-func (OtherFact) fact()  {}
+func (ConfigFact) fact()     {}
+func (ServerFact) fact()     {}
+func (MemberFact) fact()     {}
+func (GroupFact) fact()      {}
+func (RetireFact) fact()     {}
+func (QuarantineFact) fact() {}
+func (OtherFact) fact()      {}
 
 // Options are the settings of a Follower. Zero fields take the defaults.
 type Options struct {
@@ -333,6 +341,8 @@
 		return s.WithGroup(t.Number, t.Group)
 	case RetireFact:
 		return s.WithRetiring(t.Host, true)
+	case QuarantineFact:
+		return s.WithQuarantine(t.Fingerprint, t.Quarantine)
 	case OtherFact:
 	}
 	return s
@@ -341,13 +351,15 @@
 // removed returns s after the key was deleted or became unreadable.
 func (f *Follower) removed(s cataloger.Snapshot, key string) cataloger.Snapshot {
 	name := key[strings.LastIndexByte(key, '/')+1:]
-	switch f.options.Decoder.Kind(key).(type) {
+	switch t := f.options.Decoder.Kind(key).(type) {
 	case ServerFact:
 		return f.serverRemoved(s, name)
 	case MemberFact:
 		return f.memberRemoved(s, name)
 	case RetireFact:
 		return s.WithRetiring(name, false)
+	case QuarantineFact:
+		return s.WithoutQuarantine(t.Fingerprint)
 	case ConfigFact, GroupFact, OtherFact:
 	}
 	return s
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/quarantiner"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -42,12 +43,14 @@
 	rationer   *rationer.Rationer
 	budgeter   *budgeter.Budgeter
 	forecaster *forecaster.Forecaster
-	witness    *suspector.Witness
-	gatekeeper *gatekeeper.Gatekeeper
-	acceptors  []*acceptor.Acceptor
-	leaving    atomic.Bool
-	cancel     context.CancelFunc
-	done       chan struct{}
+	// witness knows the calls that crash servers; quarantiner keeps them in the store.
+	witness     *suspector.Witness
+	quarantiner *quarantiner.Quarantiner
+	gatekeeper  *gatekeeper.Gatekeeper
+	acceptors   []*acceptor.Acceptor
+	leaving     atomic.Bool
+	cancel      context.CancelFunc
+	done        chan struct{}
 }
 
 // NewEntryHost starts an entry host.
@@ -55,13 +58,15 @@
 	e := &EntryHost{done: make(chan struct{})}
 	e.rationer = rationer.New(timer.Boot())
 	e.budgeter, e.forecaster = budgeter.New(budgeter.Options{}), forecaster.New()
-	e.witness = suspector.NewWitness(timer.Boot(), l)
+	e.quarantiner = quarantiner.New(quarantiner.Options{Ledger: p.Ledger, Key: p.QuarantineKey, Clock: timer.Boot(), Logger: l})
+	e.witness = suspector.NewWitness(timer.Boot(), l, e.quarantiner)
 	started := make(chan struct{})
 	defer close(started)
 	b, err := newBase(s, p, l, cataloger.Member{Role: cataloger.Entry, Callers: s.Listen.Callers},
 		func() gossiper.Digest { <-started; return e.digest() },
 		e.hear)
 	if err != nil {
+		e.quarantiner.Close()
 		return nil, err
 	}
 	e.base = b
@@ -202,4 +207,5 @@
 	e.cancel()
 	<-e.done
 	e.close()
+	e.quarantiner.Close()
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -64,7 +64,7 @@
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
-	f.witness = suspector.NewWitness(clock, zap.NewNop())
+	f.witness = suspector.NewWitness(clock, zap.NewNop(), nil)
 	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: f.witness, Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -78,7 +78,7 @@
 	if left < leastTime {
 		return u.over("no time left"), false
 	}
-	if again, refused := o.Witness.Refused(u.call.Fingerprint); refused {
+	if again, ok := o.Witness.Admit(ctx, u.call.Fingerprint); !ok {
 		o.Logger.Info("call kept apart", zap.String("request", u.call.ID), zap.Uint64("fingerprint", u.call.Fingerprint), zap.Int64("for-ms", int64(again)))
 		return u.given("servers failed under this call lately", again), false
 	}
--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -225,7 +225,7 @@
 	c := &clock{now: 1000}
 	hosts := make([]*suspector.Witness, 4)
 	for i := range hosts {
-		hosts[i] = suspector.NewWitness(c, zap.NewNop())
+		hosts[i] = suspector.NewWitness(c, zap.NewNop(), nil)
 	}
 	// Each datagram is sent twice, and one host gets none.
 	tell := func() {
@@ -267,7 +267,7 @@
 // two crashed servers, one of them twice.
 func TestServerThatIsDownBlamesNoCallThatComesLater(t *testing.T) {
 	c := &clock{now: 1000}
-	w := suspector.NewWitness(c, zap.NewNop())
+	w := suspector.NewWitness(c, zap.NewNop(), nil)
 	for i := range 3 {
 		server := fmt.Sprint("s", i)
 		w.Failed(incarnation(server), 1, c.now)
@@ -285,7 +285,7 @@
 // crashes them out of the bounded memory.
 func TestManyOtherCallsDoNotDriveOutTheRecordOfACrashingCall(t *testing.T) {
 	c := &clock{now: 1000}
-	w := suspector.NewWitness(c, zap.NewNop())
+	w := suspector.NewWitness(c, zap.NewNop(), nil)
 	for i := range 3 {
 		w.Failed(incarnation(fmt.Sprint("s", i)), 7, c.now)
 	}
@@ -301,7 +301,7 @@
 
 func TestOneIncarnationCountsOnce(t *testing.T) {
 	c := &clock{now: 1000}
-	w := suspector.NewWitness(c, zap.NewNop())
+	w := suspector.NewWitness(c, zap.NewNop(), nil)
 	for range 5 {
 		w.Failed(incarnation("s"), 1, c.now)
 		w.Answered(incarnation("s"))
@@ -313,7 +313,7 @@
 
 func TestSurvivalAtOneHostClearsACallAtAll(t *testing.T) {
 	c := &clock{now: 1000}
-	a, b := suspector.NewWitness(c, zap.NewNop()), suspector.NewWitness(c, zap.NewNop())
+	a, b := suspector.NewWitness(c, zap.NewNop(), nil), suspector.NewWitness(c, zap.NewNop(), nil)
 	for i := range 2 {
 		a.Failed(incarnation(fmt.Sprint("s", i)), 7, c.now)
 	}
--- a/suspector/witness.go
+++ b/suspector/witness.go
@@ -1,6 +1,7 @@
 package suspector
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"strconv"
@@ -8,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/quarantiner"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -22,10 +24,6 @@
 	// had not answered them, maxLeft how many of one server.
 	leftFor timer.Millis = 15000
 	maxLeft              = 64
-	// firstTerm is how long a call is refused first, termGrowth how many times as
-	// long after each further death.
-	firstTerm  = 15 * timer.Second
-	termGrowth = 4
 )
 
 // Fingerprint names a call by what makes it the same when it comes again.
@@ -44,6 +42,9 @@
 type Witness struct {
 	clock  timer.Clock
 	logger *zap.Logger
+	// quarantine keeps calls apart beyond the life of a host and grants trials; nil
+	// for a host that knows no store.
+	quarantine *quarantiner.Quarantiner
 
 	mu       sync.Mutex
 	evidence *evidence
@@ -73,31 +74,50 @@
 	at timer.Millis
 }
 
-// NewWitness returns a Witness that knows nothing.
-func NewWitness(c timer.Clock, l *zap.Logger) *Witness {
+// NewWitness returns a Witness that knows nothing. q may be nil.
+func NewWitness(c timer.Clock, l *zap.Logger, q *quarantiner.Quarantiner) *Witness {
 	return &Witness{
-		clock: c, logger: l, evidence: newEvidence(),
+		clock: c, logger: l, quarantine: q, evidence: newEvidence(),
 		failing: make(map[cataloger.Incarnation]timer.Millis), left: make(map[cataloger.Incarnation][]leftCall),
 	}
 }
 
-// Refused says whether a call is refused, and for how long.
-func (w *Witness) Refused(fingerprint uint64) (timer.Millis, bool) {
+// Admit says whether a call may be sent to a server, and if not, when it may come
+// back. It costs nothing but for a call that servers ended under often: of that it
+// asks the store for a trial once its term is over.
+func (w *Witness) Admit(ctx context.Context, fingerprint uint64) (wait timer.Millis, ok bool) {
+	wait, refused := w.Refused(fingerprint)
+	if refused {
+		return wait, false
+	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	since, deaths, refused := w.evidence.refused(fingerprint, w.clock.Now())
-	wait := term(deaths-deathsToRefuse) - since
-	return wait, refused && wait > 0
+	_, _, suspected := w.evidence.refused(fingerprint, w.clock.Now())
+	w.mu.Unlock()
+	if w.quarantine == nil || (!suspected && !w.quarantine.Known(fingerprint)) {
+		return 0, true
+	}
+	return w.quarantine.Claim(ctx, fingerprint)
 }
 
-// term is how long a call is refused after so many deaths beyond those that got it
-// refused.
-func term(more int) timer.Millis {
-	t := firstTerm
-	for range more {
-		t = min(t*termGrowth, suspectTime)
+// Refused says whether a call is refused whatever the store grants, and for how long.
+func (w *Witness) Refused(fingerprint uint64) (timer.Millis, bool) {
+	w.mu.Lock()
+	since, deaths, refused := w.evidence.refused(fingerprint, w.clock.Now())
+	w.mu.Unlock()
+	var wait timer.Millis
+	if refused {
+		wait = quarantiner.Term(deaths-deathsToRefuse) - since
+	}
+	if w.quarantine != nil {
+		if refused && wait > 0 {
+			// Whoever saw the last death may have ended before it wrote this.
+			w.quarantine.Put(fingerprint)
+		}
+		if more, ok := w.quarantine.Refused(fingerprint); ok {
+			wait = max(wait, more)
+		}
 	}
-	return t
+	return wait, wait > 0
 }
 
 // Answered records that a server sent the beginning of an answer.
@@ -108,12 +128,21 @@
 	delete(w.left, server)
 }
 
-// Follow takes over what the store says of servers.
+// Follow takes over what the store says of servers and of calls that are kept apart.
 func (w *Witness) Follow(s cataloger.Snapshot) {
 	w.Forget(func(i cataloger.Incarnation) bool {
 		v, ok := s.Servers[i.ID]
 		return ok && v.Incarnation() == i
 	})
+	if w.quarantine == nil {
+		return
+	}
+	released := w.quarantine.Follow(s)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, f := range released {
+		w.evidence.clear(f, w.evidence.deaths(f), w.clock.Now())
+	}
 }
 
 // Forget drops what is known of servers for which known says no. Calls that had
@@ -177,6 +206,9 @@
 	_, deaths, refused := w.evidence.refused(fingerprint, now)
 	w.logger.Info("failure held against a call", zap.String("server", server.ID), zap.Int64("born", server.Born), zap.Uint64("fingerprint", fingerprint),
 		zap.String("reason", reason), zap.Bool("counted-before", !news), zap.Int("deaths", deaths), zap.Bool("refused", refused))
+	if news && refused && w.quarantine != nil {
+		w.quarantine.Put(fingerprint)
+	}
 }
 
 // deathID names the end of an incarnation, the same on all hosts.
@@ -187,6 +219,9 @@
 // Survived records that a server answered a call to its end. It costs nothing
 // unless the call is suspected.
 func (w *Witness) Survived(fingerprint uint64) {
+	if w.quarantine != nil {
+		w.quarantine.Remove(fingerprint)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list := w.evidence.deaths(fingerprint)
