A store that turned one host away was not away

Cause: the store had turned three hosts away for 9 s and served all others. The server's entry was removed without a notice to drain 37 ms after the first of them was answered again. They took their own silence for an outage of the store, in which entries run out though servers live, and kept the entry for 2.3 s from when they noticed, 0.6 s later. Ruled out: late news (the removal was known 0.6 s after it), digests (their leases had run out, so nobody sent them any until 11.1 s). Change: hosts tell for how long the store has answered them without a gap. Who hears a host to which it answered all the while drops such entries at once; else the time counts from the return, and ends when it ends, not at the next question. The same holds for hosts' entries. Evidence: TestEntryThatGoesAfterOnlyThisHostWasTurnedAwayIsGone fails before, passes after.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -16,7 +16,9 @@
 // While the store is away, entries of servers and hosts may run out though they
 // live. One whose entry went without a notice to drain or leave is kept until
 // ReturnGrace after the store answers again; the entry has been renewed by then,
-// or its writer is gone.
+// or its writer is gone. A store that only turned this host away was not away: as
+// soon as a host is heard whose confirmations went on meanwhile, entries that went
+// are gone.
 package follower
 
 import (
@@ -141,8 +143,9 @@
 	// vanished has servers and hosts whose entries went while the store may have
 	// been away, with the instant until which they are kept.
 	vanished map[entry]timer.Millis
-	// returned is when the store last came back.
-	returned timer.Millis
+	// returned is when the store last answered again after a time without a
+	// confirmation, which began at gap.
+	returned, gap timer.Millis
 	// probeAt is when the store is asked next while no host has a young
 	// confirmation.
 	probeAt timer.Millis
@@ -152,6 +155,8 @@
 	avoid      string
 	avoidUntil timer.Millis
 	memory     memory
+	// steadySince is since when confirmations have come without such a gap.
+	steadySince atomic.Int64
 
 	mu        sync.Mutex
 	listeners []func(cataloger.Snapshot)
@@ -176,6 +181,16 @@
 // Snapshot returns the newest Snapshot.
 func (f *Follower) Snapshot() cataloger.Snapshot { return *f.current.Load() }
 
+// Steady returns for how long the Snapshot has been confirmed again and again,
+// without a gap in which the store may have been away.
+func (f *Follower) Steady() timer.Millis {
+	since, now := timer.Millis(f.steadySince.Load()), f.options.Clock.Now()
+	if since == 0 || now-f.Snapshot().Confirmed > f.options.OutageAfter {
+		return 0
+	}
+	return now - since
+}
+
 // Notify registers a function that is called with each new Snapshot, on the
 // goroutine of the Follower; it must return soon.
 func (f *Follower) Notify(listener func(cataloger.Snapshot)) {
@@ -193,20 +208,20 @@
 		switch {
 		case f.learn(ctx, source, began):
 			f.probing = false
-			timer.Sleep(ctx, f.options.RelayPace)
+			f.sleep(ctx, f.options.RelayPace)
 			continue
 		case !f.mayAsk(source, began):
-			timer.Sleep(ctx, f.options.RelayPace/2)
+			f.sleep(ctx, f.options.RelayPace/2)
 			continue
 		}
 		if err := f.ask(ctx, began); err != nil {
 			f.failed(ctx, err, began)
 			retry = min(2*retry, mostRetry)
-			timer.Sleep(ctx, retry/2+rand.N(retry))
+			f.sleep(ctx, retry/2+rand.N(retry))
 			continue
 		}
 		retry = leastRetry
-		timer.Sleep(ctx, f.options.Pace-(f.options.Clock.Now()-began))
+		f.sleep(ctx, f.options.Pace-(f.options.Clock.Now()-began))
 	}
 }
 
@@ -257,8 +272,12 @@
 
 // confirm publishes s as confirmed at this instant.
 func (f *Follower) confirm(s cataloger.Snapshot, at timer.Millis) {
-	if s.Confirmed != 0 && at-s.Confirmed > f.options.OutageAfter {
-		f.returned = f.options.Clock.Now()
+	switch {
+	case s.Confirmed == 0:
+		f.steadySince.Store(int64(at))
+	case at-s.Confirmed > f.options.OutageAfter:
+		f.returned, f.gap = f.options.Clock.Now(), s.Confirmed
+		f.steadySince.Store(int64(at))
 		f.options.Logger.Info("store answers again", zap.Int64("away-ms", int64(at-s.Confirmed)))
 	}
 	f.memory.confirm(at)
@@ -390,24 +409,55 @@
 // reach the store.
 func (f *Follower) mayBeOutage(s cataloger.Snapshot) bool {
 	now := f.options.Clock.Now()
-	return now-s.Confirmed > f.options.OutageAfter || (f.returned != 0 && now-f.returned < f.options.ReturnGrace)
+	switch {
+	case now-s.Confirmed > f.options.OutageAfter:
+		return !f.othersSteady(s.Confirmed)
+	case f.returning(now):
+		return !f.othersSteady(f.gap)
+	}
+	return false
 }
 
+// returning says whether the store returned so lately that entries may be missing.
+func (f *Follower) returning(now timer.Millis) bool {
+	return f.returned != 0 && now-f.returned < f.options.ReturnGrace
+}
+
+// othersSteady says whether a host is heard to which the store has answered all the
+// while since an instant.
+func (f *Follower) othersSteady(since timer.Millis) bool {
+	return f.options.Relay.steady(f.options.Clock.Now() - since)
+}
+
+// keepVanished keeps an entry that went until the store has been back for long
+// enough for its writer to renew it.
 func (f *Follower) keepVanished(e entry) {
-	if _, ok := f.vanished[e]; !ok {
-		f.vanished[e] = f.options.Clock.Now() + f.options.ReturnGrace
+	if _, ok := f.vanished[e]; ok {
+		return
 	}
+	now := f.options.Clock.Now()
+	from := now
+	if f.returning(now) {
+		from = f.returned
+	}
+	f.vanished[e] = from + f.options.ReturnGrace
 }
 
-// withoutVanished drops entries that did not come back in time.
+// withoutVanished drops entries that did not come back in time, or that were kept for
+// an outage which was none.
 func (f *Follower) withoutVanished(s cataloger.Snapshot) cataloger.Snapshot {
+	if len(f.vanished) == 0 {
+		return s
+	}
 	now := f.options.Clock.Now()
+	none := f.returned != 0 && f.othersSteady(f.gap)
 	for e, until := range f.vanished {
-		if now < until {
+		if now < until && !none {
 			continue
 		}
 		delete(f.vanished, e)
-		f.options.Logger.Info("entry did not come back after the store did", zap.String("name", e.name), zap.Bool("host-entry", e.host))
+		f.options.Logger.Info("entry did not come back after the store did", zap.String("name", e.name), zap.Bool("host-entry", e.host),
+			zap.Bool("store-was-away", !none))
 		if e.host {
 			s = s.WithoutMember(e.name)
 		} else {
@@ -417,6 +467,21 @@
 	return s
 }
 
+// sleep waits for d, and drops entries meanwhile whose time is over.
+func (f *Follower) sleep(ctx context.Context, d timer.Millis) {
+	end := f.options.Clock.Now() + d
+	for {
+		next := end
+		for _, until := range f.vanished {
+			next = min(next, until)
+		}
+		if !timer.Sleep(ctx, next-f.options.Clock.Now()) || f.options.Clock.Now() >= end {
+			return
+		}
+		f.publish(f.withoutVanished(f.Snapshot()))
+	}
+}
+
 func (f *Follower) publish(s cataloger.Snapshot) {
 	before := f.current.Swap(&s)
 	f.log(*before, s)
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		name := hostName(i)
-		out = append(out, follower.Reader{Name: name, Address: name, Age: r.clock.Now() - f.Snapshot().Confirmed})
+		out = append(out, follower.Reader{Name: name, Address: name, Age: r.clock.Now() - f.Snapshot().Confirmed, Steady: f.Steady()})
 	}
 	return out
 }
@@ -189,3 +189,54 @@
 		}
 	})
 }
+
+// DRAIN: the store turned three hosts away and served all others. After their return
+// they kept a server for 2.9 s whose entry went 40 ms later, as after an outage.
+func TestEntryThatGoesAfterOnlyThisHostWasTurnedAwayIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const drainTime timer.Millis = 2000
+		r := newRelayed(4)
+		defer r.close()
+		set := func(change storer.Transaction) {
+			_, err := r.ledgers[0].Commit(t.Context(), change)
+			require.NoError(t, err)
+		}
+		set(storer.Transaction{Set: []storer.Item{{Key: "servers/a", Value: []byte("ready")}}})
+		pass(5000)
+		require.Contains(t, r.followers[3].Snapshot().Servers, "a")
+		r.unheard.Store(3)
+		r.ledgers[3].away.Store(true)
+		pass(5000)
+		r.ledgers[3].away.Store(false)
+		pass(700)
+		set(storer.Transaction{Delete: []string{"servers/a"}})
+		pass(600)
+		r.unheard.Store(0)
+		pass(drainTime - 600)
+		require.NotContains(t, r.followers[3].Snapshot().Servers, "a")
+	})
+}
+
+// A store that was away for all is no reason to believe that servers are gone.
+func TestEntryThatRanOutWhileTheStoreWasAwayForAllIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelayed(4)
+		defer r.close()
+		_, err := r.ledgers[0].Commit(t.Context(), storer.Transaction{Set: []storer.Item{{Key: "servers/a", Value: []byte("ready")}}})
+		require.NoError(t, err)
+		pass(5000)
+		r.away(4)
+		pass(5000)
+		_, err = r.ledgers[0].Commit(t.Context(), storer.Transaction{Delete: []string{"servers/a"}})
+		require.NoError(t, err)
+		r.away(0)
+		pass(1500)
+		for _, f := range r.followers {
+			require.Contains(t, f.Snapshot().Servers, "a")
+		}
+		pass(2500)
+		for _, f := range r.followers {
+			require.NotContains(t, f.Snapshot().Servers, "a")
+		}
+	})
+}
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -34,6 +34,8 @@
 	Bulk bool
 	// Age is how old the host's last confirmation is.
 	Age timer.Millis
+	// Steady is for how long the host has had confirmations without a gap.
+	Steady timer.Millis
 }
 
 // ChooseReaders picks the hosts that read the store for all others, the same
@@ -91,6 +93,14 @@
 	return s
 }
 
+// steady says whether another host has had confirmations for so long without a gap.
+func (r *Relay) steady(long timer.Millis) bool {
+	if r == nil {
+		return false
+	}
+	return slices.ContainsFunc(r.Candidates(), func(c Reader) bool { return c.Name != r.Self && c.Steady >= long })
+}
+
 type changesRequest struct {
 	_     struct{} `cbor:",toarray"`
 	After storer.Revision
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -52,6 +52,8 @@
 	Ready bool
 	// Age is how old the host's knowledge of the store is.
 	Age timer.Millis
+	// Steady is for how long that has been confirmed without a gap.
+	Steady timer.Millis
 	// Loads are by backend server; idle ones are left out.
 	Loads map[string]Load
 	// Admitted counts the requests of workspaces since the host started; those
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -164,7 +164,7 @@
 // digest is the part of a digest that both kinds of hosts tell.
 func (b *base) digest() gossiper.Digest {
 	return gossiper.Digest{
-		Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Loads: b.picker.Loads(),
+		Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Steady: b.follower.Steady(), Loads: b.picker.Loads(),
 		Servers: b.ejector.Report(), Slow: b.comparer.Report(),
 	}
 }
@@ -181,7 +181,7 @@
 	for name, m := range b.follower.Snapshot().Members {
 		if d, ok := b.gossiper.Newest(name); ok && name != b.member.Name && !m.Leaving {
 			out = append(out, follower.Reader{
-				Name: name, Address: m.Peers, DataCentre: m.DataCentre, Bulk: m.Role == cataloger.Bulk, Age: d.Age,
+				Name: name, Address: m.Peers, DataCentre: m.DataCentre, Bulk: m.Role == cataloger.Bulk, Age: d.Age, Steady: d.Steady,
 			})
 		}
 	}
