A server that says in an answer that it leaves gets nothing new

Before, only the store's entry counted, so a host that the store or other hosts cannot reach went on sending. Change: departer keeps the word by identifier and start, from the head of any answer to a caller or an item, of a stream too; the picker treats such a server as draining, for new calls, resumed streams and items; it holds until the next incarnation, whatever the store's entry or other hosts say. Hosts tell one another for 1.5 s; nothing rests on that. Evidence: five tests in relayer and executor fail without the two lines that note the word, and pass with them (no store takes part in them).

--- /dev/null
+++ b/departer/departer.go
@@ -0,0 +1,139 @@
+// Package departer knows which incarnations of backend servers leave or are gone by
+// the servers' own word: an answer that says that its server leaves, or one by which
+// another server says that the address is its own now.
+//
+// Such a word goes before the store's entry, which may be older or cannot be read,
+// and before what other hosts say, and it holds until the server's next incarnation.
+// It is attributed to the incarnation that the request was sent to, so a late answer
+// of an earlier start says nothing of a later one, and an address that is used again
+// nothing of the server that uses it. Hosts tell one another, so that a server that
+// is gone is not asked in vain by each of them; nothing depends on that.
+package departer
+
+import (
+	"sync"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
+)
+
+// Word is what a server said.
+type Word uint8
+
+const (
+	// Leaving servers still answer what they have, and get nothing new.
+	Leaving Word = iota + 1
+	// Gone servers have ended: another one answers at their address.
+	Gone
+)
+
+const (
+	// keepFor is how long a word is remembered, which no server outlives that
+	// leaves. maxWords bounds how many are.
+	keepFor  = 3600 * timer.Second
+	maxWords = 8192
+	// tellFor is for how long a host tells of a word that it heard itself.
+	tellFor timer.Millis = 1500
+)
+
+// Notice is a word as hosts tell it.
+type Notice struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Born int64
+	Word Word
+}
+
+// heard is a word and when it was heard.
+type heard struct {
+	word Word
+	at   timer.Millis
+}
+
+// Departer is safe for concurrent use.
+type Departer struct {
+	clock  timer.Clock
+	logger *zap.Logger
+
+	mu    sync.Mutex
+	words map[cataloger.Incarnation]heard
+	// recent are the incarnations of which this host tells, oldest first.
+	recent []cataloger.Incarnation
+}
+
+// New returns a Departer that knows of no server that leaves.
+func New(c timer.Clock, l *zap.Logger) *Departer {
+	return &Departer{clock: c, logger: l, words: make(map[cataloger.Incarnation]heard)}
+}
+
+// Said records a server's word.
+func (d *Departer) Said(v cataloger.Incarnation, w Word) { d.note(v, w, true) }
+
+// Departs says whether an incarnation leaves or is gone.
+func (d *Departer) Departs(v cataloger.Incarnation) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.words[v]
+	return ok
+}
+
+// Hear takes in what another host told.
+func (d *Departer) Hear(list []Notice) {
+	for _, n := range list {
+		if n.Word == Leaving || n.Word == Gone {
+			d.note(cataloger.Incarnation{ID: n.ID, Born: n.Born}, n.Word, false)
+		}
+	}
+}
+
+// Told returns what this host tells the others now.
+func (d *Departer) Told() []Notice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	for len(d.recent) > 0 && now-d.words[d.recent[0]].at > tellFor {
+		d.recent = d.recent[1:]
+	}
+	out := make([]Notice, 0, len(d.recent))
+	for _, v := range d.recent {
+		out = append(out, Notice{ID: v.ID, Born: v.Born, Word: d.words[v].word})
+	}
+	return out
+}
+
+// note remembers a word; one that is known already changes nothing, but that gone is
+// more than leaving.
+func (d *Departer) note(v cataloger.Incarnation, w Word, own bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.words[v].word >= w {
+		return
+	}
+	now := d.clock.Now()
+	d.bound(now)
+	d.words[v] = heard{word: w, at: now}
+	if own {
+		d.recent = append(d.recent, v)
+	}
+	d.logger.Info("server departs by its own word", zap.String("server", v.ID), zap.Int64("born", v.Born), zap.Bool("gone", w == Gone), zap.Bool("heard-here", own))
+}
+
+// bound forgets words that are old, and when there are too many the oldest.
+func (d *Departer) bound(now timer.Millis) {
+	if len(d.words) < maxWords {
+		return
+	}
+	oldest, at := cataloger.Incarnation{}, now
+	for v, h := range d.words {
+		switch {
+		case now-h.at >= keepFor:
+			delete(d.words, v)
+		case h.at <= at:
+			oldest, at = v, h.at
+		}
+	}
+	if len(d.words) >= maxWords {
+		delete(d.words, oldest)
+	}
+}
--- /dev/null
+++ b/departer/departer_test.go
@@ -0,0 +1,71 @@
+package departer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/departer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+type clock struct{ now timer.Millis }
+
+func (c *clock) Now() timer.Millis { return c.now }
+
+func incarnation(id string, born int64) cataloger.Incarnation {
+	return cataloger.Incarnation{ID: id, Born: born}
+}
+
+func TestWordHoldsForOneIncarnation(t *testing.T) {
+	c := &clock{now: 1000}
+	d := departer.New(c, zap.NewNop())
+	d.Said(incarnation("a", 1), departer.Leaving)
+	c.now += 100 * timer.Second
+	require.True(t, d.Departs(incarnation("a", 1)), "a server that says so and stays gets nothing new")
+	require.False(t, d.Departs(incarnation("a", 2)), "its next start does")
+	require.False(t, d.Departs(incarnation("b", 1)), "so does another server, whatever its address")
+}
+
+// Pattern: two starts of a server are mixed up by an answer that comes late.
+func TestLateAnswerOfAnEarlierStartSaysNothingOfALaterOne(t *testing.T) {
+	d := departer.New(&clock{}, zap.NewNop())
+	sentTo := incarnation("a", 1)
+	now := incarnation("a", 2)
+	d.Said(sentTo, departer.Leaving)
+	require.False(t, d.Departs(now))
+	d.Hear([]departer.Notice{{ID: "a", Born: 1, Word: departer.Gone}})
+	require.False(t, d.Departs(now))
+}
+
+func TestHostsTellOneAnother(t *testing.T) {
+	c := &clock{now: 1000}
+	a, b, far := departer.New(c, zap.NewNop()), departer.New(c, zap.NewNop()), departer.New(c, zap.NewNop())
+	a.Said(incarnation("s", 1), departer.Leaving)
+	require.Len(t, a.Told(), 1)
+	b.Hear(a.Told())
+	require.True(t, b.Departs(incarnation("s", 1)))
+	far.Hear(b.Told())
+	require.False(t, far.Departs(incarnation("s", 1)), "only what a host heard itself is told")
+	a.Said(incarnation("s", 1), departer.Gone)
+	a.Said(incarnation("s", 1), departer.Leaving)
+	require.Equal(t, departer.Gone, a.Told()[0].Word)
+	c.now += 2 * timer.Second
+	require.Empty(t, a.Told(), "for a while")
+	b.Hear([]departer.Notice{{ID: "x", Born: 1, Word: 77}})
+	require.False(t, b.Departs(incarnation("x", 1)), "words that are not known say nothing")
+}
+
+func TestWordsAreBounded(t *testing.T) {
+	c := &clock{now: 1000}
+	d := departer.New(c, zap.NewNop())
+	const most = 8192
+	for i := range most + 10 {
+		c.now++
+		d.Said(incarnation(fmt.Sprint(i), 1), departer.Gone)
+	}
+	require.False(t, d.Departs(incarnation("0", 1)), "the oldest are forgotten")
+	require.True(t, d.Departs(incarnation(fmt.Sprint(most), 1)))
+}
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
@@ -194,6 +195,9 @@
 	}
 	defer a.Close()
 	x.options.Ejector.Heard(v.ID)
+	if a.Header.Get(x.options.Names.Leaving) != "" {
+		x.options.Departer.Said(v.Incarnation(), departer.Leaving)
+	}
 	switch {
 	case a.Header.Get(x.options.Names.NotRun) != "" || a.Status == http.StatusMisdirectedRequest:
 		return again{reason: "server refused it", pause: true}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/filler"
 	"github.com/jackdawgate/jackdawgate/gossiper"
@@ -46,6 +47,7 @@
 	Picker   *picker.Picker
 	Conveyor *conveyor.Conveyor
 	Ejector  *ejector.Ejector
+	Departer *departer.Departer
 	Clock    timer.Clock
 	Logger   *zap.Logger
 	Policy   filler.Policy
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/executor"
 	"github.com/jackdawgate/jackdawgate/filler"
@@ -37,14 +38,16 @@
 
 var names = speller.Names{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
-	Signature: "Signature", NotRun: "Not-Run", ResumeAfter: "After",
+	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", ResumeAfter: "After",
 }
 
 // engine is a backend server that streams lastEvent events for each item.
 type engine struct {
 	// trickling is how many runs stall.
 	trickling int
-	mu        sync.Mutex
+	// leaves says that the server of the first run leaves.
+	leaves bool
+	mu     sync.Mutex
 	// breaks are after which event the next runs break off; statuses are what
 	// the next runs answer; hold stops runs after their second event.
 	breaks   []int
@@ -52,6 +55,8 @@
 	hold     chan struct{}
 	runs     []string
 	servers  map[string]bool
+	// counts are the runs by server.
+	counts map[string]int
 }
 
 func (e *engine) next(q *http.Request, at, body string) (status, breakAfter int, hold chan struct{}) {
@@ -63,6 +68,10 @@
 		e.servers = make(map[string]bool)
 	}
 	e.servers[at] = true
+	if e.counts == nil {
+		e.counts = make(map[string]int)
+	}
+	e.counts[at]++
 	if len(e.statuses) > 0 {
 		status, e.statuses = e.statuses[0], e.statuses[1:]
 	}
@@ -90,7 +99,11 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", status)
 		return
 	}
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+	word := ""
+	if e.leaves && len(e.seen()) == 1 {
+		word = "Leaving: 1\r\n"
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+word+"Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 	first, _ := strconv.Atoi(q.Header.Get("After"))
 	for i := first + 1; i <= lastEvent; i++ {
 		if i == breakAfter {
@@ -155,17 +168,18 @@
 	}
 	clock := timer.System()
 	ej := ejector.New(clock, zap.NewNop())
+	d := departer.New(clock, zap.NewNop())
 	touch := func() {}
 	f.queue = queuer.New(zap.NewNop(), func() { touch() })
 	p := picker.New(picker.Options{
-		Snapshot: func() cataloger.Snapshot { return s }, Ejector: ej, Changed: func() {}, Slowness: func(string) float64 { return 1 },
+		Snapshot: func() cataloger.Snapshot { return s }, Ejector: ej, Departs: d.Departs, Changed: func() {}, Slowness: func(string) float64 { return 1 },
 		Others: func(string) gossiper.Load { return gossiper.Load{Online: f.onlineNow()} },
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
 	f.executor = executor.New(executor.Options{
 		Host: "self", Names: names, Snapshot: func() cataloger.Snapshot { return s }, Digests: func() []gossiper.Digest { return nil },
-		Picker: p, Conveyor: c, Ejector: ej, Clock: clock, Logger: zap.NewNop(), Policy: filler.Policy{},
+		Picker: p, Conveyor: c, Ejector: ej, Departer: d, Clock: clock, Logger: zap.NewNop(), Policy: filler.Policy{},
 		Stall: 300,
 		Groups: []executor.Group{{Queue: f.queue, Propose: func(_ context.Context, data []byte) error {
 			f.queue.Apply(data)
@@ -190,8 +204,10 @@
 	f.executor.Touch()
 }
 
-func (f *fixture) submit(items int) {
-	j := queuer.Job{ID: "j", Host: "h", Submitted: time.Now().UnixMilli(), RunObjective: 18000, Retention: 60000, MaxAttempts: 3}
+func (f *fixture) submit(items int) { f.submitAs("j", items) }
+
+func (f *fixture) submitAs(job string, items int) {
+	j := queuer.Job{ID: job, Host: "h", Submitted: time.Now().UnixMilli(), RunObjective: 18000, Retention: 60000, MaxAttempts: 3}
 	for i := range items {
 		j.Items = append(j.Items, queuer.Item{ID: "i" + strconv.Itoa(i), Path: "/b/x", Body: []byte("body" + strconv.Itoa(i))})
 	}
@@ -290,6 +306,27 @@
 	require.Equal(t, whole(), string(f.results(1)[0].Output))
 }
 
+// DRAIN: a server says in the answer to an item that it leaves.
+func TestItemsGoToNoServerThatSaysThatItLeaves(t *testing.T) {
+	e := &engine{leaves: true}
+	f := startWith(t, e, 2)
+	f.submit(1)
+	require.Len(t, f.results(1), 1)
+	first := e.where()
+	for i := range 6 {
+		f.submitAs(fmt.Sprint("k", i), 1)
+		require.Eventually(t, func() bool { r, _, _ := f.queue.Results(fmt.Sprint("k", i), 0, 1<<20); return len(r.Results) == 1 }, patience, often)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.Len(t, e.servers, 2)
+	for at, n := range e.counts {
+		if first[at] {
+			require.Equal(t, 1, n)
+		}
+	}
+}
+
 func TestItemThatCanNeverBeDoneIsGivenUpAtOnce(t *testing.T) {
 	e := &engine{statuses: []int{422}}
 	f := start(t, e)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -27,6 +27,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/rescuer"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -69,6 +70,8 @@
 	// servers that broke calls off.
 	Suspects suspector.Records
 	Servers  ejector.Report
+	// Departures are servers that lately said to this host that they leave or are gone.
+	Departures []departer.Notice
 	// Slow are servers that the host found slower than their kin.
 	Slow comparer.Report
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -21,6 +21,7 @@
 	"github.com/jackdawgate/jackdawgate/checker"
 	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/enroller"
 	"github.com/jackdawgate/jackdawgate/follower"
@@ -83,6 +84,7 @@
 	messenger *messenger.Host
 	streams   net.Listener
 	ejector   *ejector.Ejector
+	departer  *departer.Departer
 	comparer  *comparer.Comparer
 	picker    *picker.Picker
 	conveyor  *conveyor.Conveyor
@@ -123,15 +125,17 @@
 	b.follower.Serve(b.messenger)
 	b.ejector = ejector.New(clock, l)
 	b.conveyor = conveyor.New(conveyor.Options{IDHeader: p.Names.RequestID, Clock: clock})
+	b.departer = departer.New(clock, l)
 	b.comparer = comparer.New(clock, l)
 	b.picker = picker.New(picker.Options{
 		Snapshot: b.follower.Snapshot, Others: func(id string) gossiper.Load { return b.gossiper.Others(id) },
-		Ejector: b.ejector, Slowness: b.comparer.Slowness, Changed: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
+		Ejector: b.ejector, Departs: b.departer.Departs, Slowness: b.comparer.Slowness, Changed: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
 	})
 	b.gossiper = gossiper.New(gossiper.Options{
 		Conn: datagrams, Clock: clock, Build: build, Self: asPeer(m), Peers: b.peers, Logger: l,
 	}, func(d gossiper.Digest) {
 		b.ejector.Hear(d.Host, d.Incarnation, d.Servers)
+		b.departer.Hear(d.Departures)
 		b.comparer.Hear(d.Slow)
 		hear(d)
 	})
@@ -165,7 +169,7 @@
 func (b *base) digest() gossiper.Digest {
 	return gossiper.Digest{
 		Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), Steady: b.follower.Steady(), Loads: b.picker.Loads(),
-		Servers: b.ejector.Report(), Slow: b.comparer.Report(),
+		Servers: b.ejector.Report(), Departures: b.departer.Told(), Slow: b.comparer.Report(),
 	}
 }
 
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -22,6 +22,8 @@
 	// Others returns the calls that other hosts run at a server.
 	Others  func(server string) gossiper.Load
 	Ejector *ejector.Ejector
+	// Departs says that a server leaves or is gone by its own word.
+	Departs func(v cataloger.Incarnation) bool
 	// Slowness returns how many times as long as its kin a server takes.
 	Slowness func(server string) float64
 	// Changed is called after a count changed.
@@ -122,6 +124,7 @@
 func (p *Picker) candidates(s cataloger.Snapshot, servers sampled) []selector.Candidate {
 	out := make([]selector.Candidate, 0, len(servers.list))
 	for i, v := range servers.list {
+		v.Draining = v.Draining || p.options.Departs(v.Incarnation())
 		mine, others := p.loads[v.ID], p.options.Others(v.ID)
 		c := selector.Candidate{Server: v, Online: mine.Online + others.Online, Batch: mine.Batch + others.Batch, Home: i < servers.homes}
 		c.Slots, c.Slowness = Slots(s, v), p.options.Slowness(v.ID)
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -23,7 +23,7 @@
 	changes := 0
 	return picker.New(picker.Options{
 		Snapshot: func() cataloger.Snapshot { return s }, Others: func(id string) gossiper.Load { return others[id] },
-		Ejector: ejector.New(timer.System(), zap.NewNop()), Changed: func() { changes++ }, Slowness: func(string) float64 { return 1 }, DataCentre: "d",
+		Ejector: ejector.New(timer.System(), zap.NewNop()), Changed: func() { changes++ }, Departs: func(cataloger.Incarnation) bool { return false }, Slowness: func(string) float64 { return 1 }, DataCentre: "d",
 	}), &changes
 }
 
@@ -100,7 +100,7 @@
 	s := cataloger.Snapshot{}.WithServers(list)
 	p := picker.New(picker.Options{
 		Snapshot: func() cataloger.Snapshot { return s }, Others: func(string) gossiper.Load { return gossiper.Load{} },
-		Ejector: ejector.New(timer.System(), zap.NewNop()), Changed: func() {}, Slowness: func(string) float64 { return 1 },
+		Ejector: ejector.New(timer.System(), zap.NewNop()), Changed: func() {}, Departs: func(cataloger.Incarnation) bool { return false }, Slowness: func(string) float64 { return 1 },
 	})
 	ticket, ok := p.Pick("x", selector.Request{})
 	require.True(t, ok)
--- /dev/null
+++ b/relayer/leaving_test.go
@@ -0,0 +1,105 @@
+package relayer_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	leaving = "Leaving: 1\r\nConnection: close\r\n"
+	closing = "Connection: close\r\n"
+)
+
+func answer(headers string) script { return text("200 OK", signed+headers, "a") }
+
+// to are the servers that the calls were sent to, in order.
+func (f *fixture) to() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, q := range f.requests {
+		out = append(out, q.Header.Get("Expect"))
+	}
+	return out
+}
+
+// DRAIN: a server says in an answer that it leaves, and the store does not say so.
+func TestServerThatSaysThatItLeavesGetsNothingNew(t *testing.T) {
+	f := newFixture(t, 3, answer(leaving))
+	for range 9 {
+		f.scripts = append(f.scripts, answer(closing))
+	}
+	for range 10 {
+		o, _ := f.run(route(cataloger.Idempotent, false, 3))
+		require.IsType(t, relayer.Delivered{}, o)
+	}
+	require.NotContains(t, f.to()[1:], f.to()[0])
+}
+
+// DRAIN: the word comes with a failure, and at the head of a stream that goes on.
+func TestWordOfLeavingCountsInAnyAnswerAtOnce(t *testing.T) {
+	f := newFixture(t, 3, text("500 X", signed+leaving, ""))
+	head, done := make(chan struct{}), make(chan struct{})
+	f.scripts = append(f.scripts, func(c net.Conn, _ *http.Request) {
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n"+signed+leaving+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		close(head)
+		<-done
+		_, _ = fmt.Fprint(c, "0\r\n\r\n")
+	}, answer(closing), answer(closing))
+	_, _ = f.run(route(cataloger.NonIdempotent, false, 1))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = f.run(route(cataloger.Stream, false, 1))
+	}()
+	<-head
+	require.Eventually(t, func() bool { return f.departs(f.to()[1]) }, (5 * timer.Second).Duration(), timer.Millis(1).Duration())
+	for range 2 {
+		o, _ := f.run(route(cataloger.Idempotent, false, 3))
+		require.IsType(t, relayer.Delivered{}, o)
+	}
+	close(done)
+	<-ended
+	require.NotEqual(t, f.to()[0], f.to()[1])
+	require.NotContains(t, f.to()[2:], f.to()[0])
+	require.NotContains(t, f.to()[2:], f.to()[1])
+}
+
+// departs says whether a server of the fixture leaves by its own word.
+func (f *fixture) departs(id string) bool {
+	return f.departer.Departs(f.current().Servers[id].Incarnation())
+}
+
+// DRAIN: a stream that broke is not resumed at a server that has said that it leaves.
+func TestStreamIsNotResumedWhereTheServerLeaves(t *testing.T) {
+	f := newFixture(t, 2, answer(leaving), answer(closing))
+	_, _ = f.run(route(cataloger.Idempotent, false, 3))
+	_, _ = f.run(route(cataloger.Idempotent, false, 3))
+	f.scripts = append(f.scripts, events(1, 2, false))
+	o, _ := f.run(route(cataloger.Stream, true, 3))
+	require.IsType(t, relayer.BrokenOff{}, o)
+	require.Len(t, f.to(), 3)
+}
+
+// The word holds until the server's next incarnation, which may have its identifier.
+func TestNextIncarnationOfAServerThatLeftIsUsed(t *testing.T) {
+	f := newFixture(t, 1, answer(leaving))
+	_, _ = f.run(route(cataloger.Idempotent, false, 3))
+	o, _ := f.run(route(cataloger.Idempotent, false, 3))
+	require.True(t, isNotRun(o))
+	v := f.current().Servers["s0"]
+	v.Born++
+	f.mu.Lock()
+	f.snapshot = f.snapshot.WithServer(v)
+	f.scripts = append(f.scripts, answer(closing))
+	f.mu.Unlock()
+	o, _ = f.run(route(cataloger.Idempotent, false, 3))
+	require.IsType(t, relayer.Delivered{}, o)
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/picker"
@@ -99,6 +100,7 @@
 	Picker     *picker.Picker
 	Ejector    *ejector.Ejector
 	Witness    *suspector.Witness
+	Departer   *departer.Departer
 	Budgeter   *budgeter.Budgeter
 	Forecaster *forecaster.Forecaster
 	Comparer   *comparer.Comparer
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/gossiper"
@@ -31,7 +32,7 @@
 
 var names = speller.Names{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
-	Signature: "Signature", NotRun: "Not-Run", ResumeAfter: "After",
+	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", ResumeAfter: "After",
 }
 
 // script is what a backend server does with one request.
@@ -39,10 +40,11 @@
 
 // fixture is a service of backend servers that follow one list of scripts.
 type fixture struct {
-	t       *testing.T
-	relayer *relayer.Relayer
-	picker  *picker.Picker
-	witness *suspector.Witness
+	t        *testing.T
+	relayer  *relayer.Relayer
+	picker   *picker.Picker
+	witness  *suspector.Witness
+	departer *departer.Departer
 
 	mu       sync.Mutex
 	snapshot cataloger.Snapshot
@@ -58,14 +60,15 @@
 	}
 	clock := timer.System()
 	e := ejector.New(clock, zap.NewNop())
+	f.departer = departer.New(clock, zap.NewNop())
 	f.picker = picker.New(picker.Options{
 		Snapshot: f.current, Others: func(string) gossiper.Load { return gossiper.Load{} },
-		Ejector: e, Changed: func() {}, Slowness: func(string) float64 { return 1 },
+		Ejector: e, Departs: f.departer.Departs, Changed: func() {}, Slowness: func(string) float64 { return 1 },
 	})
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
 	f.witness = suspector.NewWitness(clock, zap.NewNop(), nil)
-	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: f.witness, Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
+	f.relayer = relayer.New(relayer.Options{Names: names, Conveyor: c, Picker: f.picker, Ejector: e, Witness: f.witness, Departer: f.departer, Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -12,6 +12,7 @@
 	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/picker"
@@ -105,6 +106,9 @@
 	defer answer.Close()
 	o.Ejector.Heard(ticket.Server.ID)
 	o.Witness.Answered(ticket.Server.Incarnation())
+	if answer.Header.Get(o.Names.Leaving) != "" {
+		o.Departer.Said(ticket.Server.Incarnation(), departer.Leaving)
+	}
 	u.first = 0
 	return u.answered(ctx, ticket, answer)
 }
@@ -258,10 +262,10 @@
 // refused says what follows a server's word that it did not run the call.
 func (u *run) refused(t *picker.Ticket, a *conveyor.Answer) (Outcome, bool) {
 	_, _ = readAll(a, maxRefusalBody)
-	u.refusals++
 	u.excluded = append(u.excluded, t.Server.ID)
 	u.relayer.options.Logger.Info("server refused", zap.String("request", u.call.ID), zap.String("server", t.Server.ID),
 		zap.Int("status", a.Status), zap.Int("online", t.Load.Online), zap.Int("batch", t.Load.Batch))
+	u.refusals++
 	if a.Status == http.StatusMisdirectedRequest || u.call.Route.MaxAttempts > u.refusals+u.servers {
 		if u.refusals <= maxRefusals {
 			return nil, true
--- a/speller/speller.go
+++ b/speller/speller.go
@@ -20,6 +20,8 @@
 	Signature string
 	// NotRun says in an answer that the call was not run.
 	NotRun string
+	// Leaving says in an answer that its server leaves.
+	Leaving string
 	// ResumeAfter carries the number of the last event that arrived.
 	ResumeAfter string
 	// Wait carries how many milliseconds a read may wait for news.
