Ask no server again at whose address another one answers

Cause: all 2,260 rejected online calls were answered 421. A crashed server's entry lasts for 3.6 s, and another incarnation answers at its address within 0.4 s. The entry looks idle, so every host asks it first, again and again, and after three such answers refused its caller; items came back to it every 100 ms. Ruled out: full servers (no 503 among the rejections), resending without a pause (the 421s come at the first try), stale counts of load (the entry is rightly idle). Change: an answer 421 says that the incarnation is gone; it is not asked again, by any host, and does not count as a refusal of the call (up to eight). Evidence: TestCallFindsTheServerThatLivesAmongMany fails without it (a caller refused, gone servers asked again).

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -199,7 +199,10 @@
 		x.options.Departer.Said(v.Incarnation(), departer.Leaving)
 	}
 	switch {
-	case a.Header.Get(x.options.Names.NotRun) != "" || a.Status == http.StatusMisdirectedRequest:
+	case a.Status == http.StatusMisdirectedRequest:
+		x.options.Departer.Said(v.Incarnation(), departer.Gone)
+		return again{reason: "another server is at the address"}
+	case a.Header.Get(x.options.Names.NotRun) != "":
 		return again{reason: "server refused it", pause: true}
 	case a.Status == http.StatusUnprocessableEntity:
 		return dead{reason: "server says that it can never be done"}
--- a/relayer/leaving_test.go
+++ b/relayer/leaving_test.go
@@ -103,3 +103,17 @@
 	o, _ = f.run(route(cataloger.Idempotent, false, 3))
 	require.IsType(t, relayer.Delivered{}, o)
 }
+
+// Pattern: servers crash in bursts and others start at their addresses at once, while
+// their entries last for seconds. Each caller was refused after three answers that
+// came from another server, and each host asked in vain again and again.
+func TestCallFindsTheServerThatLivesAmongMany(t *testing.T) {
+	missed := text("421 X", "Not-Run: 1\r\n"+closing, "")
+	f := newFixture(t, 8, missed, missed, missed, missed, missed, answer(closing), answer(closing))
+	for range 2 {
+		o, _ := f.run(route(cataloger.NonIdempotent, false, 1))
+		require.IsType(t, relayer.Delivered{}, o)
+	}
+	require.Len(t, f.to(), 7)
+	require.NotContains(t, f.to()[:5], f.to()[6], "none of the gone servers is asked again")
+}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -30,8 +30,10 @@
 	// moveAfter is how long a stream that may be resumed waits for the next
 	// event before it goes on at another server.
 	moveAfter = ejector.SilentAfter
-	// maxRefusals bounds the servers that are asked and refuse.
+	// maxRefusals bounds the servers that are asked and refuse, maxMissed those that
+	// turn out to be gone, with another server at their address.
 	maxRefusals = 2
+	maxMissed   = 8
 )
 
 // run is one call under way.
@@ -42,6 +44,7 @@
 	// servers counts those that the call was sent to and may have run at.
 	servers  int
 	refusals int
+	missed   int
 	excluded []string
 	// begun says that the head of an answer was passed on, and lastEvent what
 	// was passed on since.
@@ -265,13 +268,14 @@
 	u.excluded = append(u.excluded, t.Server.ID)
 	u.relayer.options.Logger.Info("server refused", zap.String("request", u.call.ID), zap.String("server", t.Server.ID),
 		zap.Int("status", a.Status), zap.Int("online", t.Load.Online), zap.Int("batch", t.Load.Batch))
-	u.refusals++
-	if a.Status == http.StatusMisdirectedRequest || u.call.Route.MaxAttempts > u.refusals+u.servers {
-		if u.refusals <= maxRefusals {
-			return nil, true
-		}
+	if a.Status == http.StatusMisdirectedRequest {
+		u.missed++
+		u.relayer.options.Departer.Said(t.Server.Incarnation(), departer.Gone)
+		return u.given("servers that were asked are gone", retryCrowded), u.missed <= maxMissed
 	}
-	return u.given("servers refused it", retryCrowded), false
+	u.refusals++
+	again := u.refusals <= maxRefusals && u.call.Route.MaxAttempts > u.refusals+u.servers
+	return u.given("servers refused it", retryCrowded), again
 }
 
 func splitList(list string) iter.Seq[string] {
