Bytes without end from a server end the call, in bounded memory

Asked: a server in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes. An answer to another request was dropped to its end, however long. Held answers were bounded one by one (8 MB), not together; an event by 4 MB, searched from its beginning at each read. An item went on with events that have no data.

--- a/conveyor/connection.go
+++ b/conveyor/connection.go
@@ -23,8 +23,14 @@
 	// closeMargin is kept between our last use of a connection and the moment
 	// at which its server closes it.
 	closeMargin timer.Millis = 500
+	// maxHead bounds what is read for the heads of one answer, and maxStray an answer
+	// to another request that is read and dropped, in bytes.
+	maxHead  = 256 << 10
+	maxStray = 1 << 20
 )
 
+var errLongHead = errors.New("bytes that do not become an answer")
+
 // connection is a connection to a server. It is used by one exchange at a time.
 type connection struct {
 	conn   net.Conn
@@ -32,7 +38,10 @@
 	reader *bufio.Reader
 	// silence bounds each read; zero for no bound.
 	silence timer.Millis
-	reused  bool
+	// headLeft is one more than what may still be read before the head of an answer
+	// ends; zero when no head is read.
+	headLeft int
+	reused   bool
 	keep    timer.Millis
 	until   timer.Millis
 	// written is closed when the request was written, with writeErr set.
@@ -50,7 +59,15 @@
 	if n.silence > 0 {
 		_ = n.conn.SetReadDeadline(time.Now().Add(n.silence.Duration()))
 	}
-	return n.conn.Read(p)
+	if n.headLeft == 0 {
+		return n.conn.Read(p)
+	}
+	if n.headLeft == 1 {
+		return 0, errLongHead
+	}
+	got, err := n.conn.Read(p[:min(len(p), n.headLeft-1)])
+	n.headLeft -= got
+	return got, err
 }
 
 func (n *connection) close() { _ = n.conn.Close() }
@@ -112,6 +129,8 @@
 
 // head reads the beginning of an answer.
 func (n *connection) head(method string) (*http.Response, error) {
+	n.headLeft = maxHead
+	defer func() { n.headLeft = 0 }()
 	for {
 		response, err := http.ReadResponse(n.reader, &http.Request{Method: method})
 		if err != nil {
--- a/conveyor/conveyor.go
+++ b/conveyor/conveyor.go
@@ -189,7 +189,7 @@
 		if r.ID == "" || echo == "" || echo == r.ID {
 			return &Answer{Status: response.StatusCode, Header: response.Header, response: response, connection: n, conveyor: c}, nil
 		}
-		if response.ContentLength < 0 {
+		if response.ContentLength < 0 || response.ContentLength > maxStray {
 			return nil, errStray
 		}
 		if err := drop(response); err != nil {
--- /dev/null
+++ b/conveyor/endless_test.go
@@ -0,0 +1,51 @@
+package conveyor_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackdawgate/jackdawgate/conveyor"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+// Pattern: a server sends bytes that never become an answer, until the caller closes.
+func TestBytesWithoutEndAreNoAnswer(t *testing.T) {
+	const enough = 64 << 20
+	for name, part := range map[string]string{
+		"no-line":        strings.Repeat("x", 1<<10),
+		"status-line":    "HTTP/1.1 200 " + strings.Repeat("O", 1<<10),
+		"interim":        "HTTP/1.1 100 Continue\r\n\r\n",
+		"other-requests": "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 9000000000000\r\n\r\n" + strings.Repeat("x", 1<<10),
+		"headers":        "X-" + strings.Repeat("y", 100) + ": z\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address := server(t, func(c net.Conn, r *bufio.Reader) {
+				_, _, _ = readRequest(r)
+				total := 0
+				if name == "headers" {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+				}
+				_ = c.SetWriteDeadline(time.Now().Add((20 * timer.Second).Duration()))
+				for total < enough {
+					n, err := io.WriteString(c, part)
+					total += n
+					if err != nil {
+						break
+					}
+				}
+				sent <- total
+			})
+			_, err := get(t, newConveyor(t), request(address, "1"))
+			var broken *conveyor.BrokenError
+			require.True(t, errors.As(err, &broken), "%v", err)
+			require.Less(t, <-sent, enough, "the connection was closed")
+		})
+	}
+}
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -213,7 +213,9 @@
 		return again{reason: "answer cannot be used: " + strconv.Itoa(a.Status), broke: true}
 	}
 	take := func(e splitter.Event) error {
-		stalled.Reset(x.options.Stall.Duration())
+		if e.HasData {
+			stalled.Reset(x.options.Stall.Duration())
+		}
 		return t.event(e)
 	}
 	if err := splitter.Read(a, func() { x.options.Ejector.Heard(v.ID) }, take); err != nil {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -43,8 +43,9 @@
 
 // engine is a backend server that streams lastEvent events for each item.
 type engine struct {
-	// trickling is how many runs stall.
+	// trickling is how many runs stall, noise what they send then.
 	trickling int
+	noise     string
 	// leaves says that the server of the first run leaves.
 	leaves bool
 	mu     sync.Mutex
@@ -113,7 +114,7 @@
 			<-hold
 		}
 		if i == 3 && e.trickles() {
-			trickle(c)
+			trickle(c, e.noise)
 			return
 		}
 		ev := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
@@ -130,10 +131,10 @@
 	return e.trickling >= 0
 }
 
-// trickle sends a byte now and then until the connection ends.
-func trickle(c net.Conn) {
+// trickle sends a chunk now and then until the connection ends.
+func trickle(c net.Conn, noise string) {
 	for {
-		if _, err := io.WriteString(c, "1\r\n:\r\n"); err != nil {
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(noise), noise); err != nil {
 			return
 		}
 		time.Sleep(often)
@@ -267,14 +268,16 @@
 	require.Len(t, e.seen(), 3)
 }
 
-// Pattern: a stalled stream that still sends a byte now and then. Its item goes on
-// elsewhere after its last whole event.
+// Pattern: a stalled stream that still sends a byte now and then, or events without
+// data and without end. Its item goes on elsewhere after its last whole event.
 func TestItemWhoseStreamStallsGoesOn(t *testing.T) {
-	e := &engine{trickling: 1}
-	f := start(t, e)
-	f.submit(1)
-	require.Equal(t, whole(), string(f.results(1)[0].Output))
-	require.Equal(t, []string{"i0 after  body0", "i0 after 2 body0"}, e.seen())
+	for _, noise := range []string{":", ":\n\n"} {
+		e := &engine{trickling: 1, noise: noise}
+		f := start(t, e)
+		f.submit(1)
+		require.Equal(t, whole(), string(f.results(1)[0].Output))
+		require.Equal(t, []string{"i0 after  body0", "i0 after 2 body0"}, e.seen())
+	}
 }
 
 // Pattern: servers crash in a burst, several of them under the same sound item. It
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -15,8 +14,6 @@
 )
 
 const (
-	// maxBody bounds an answer that is held until it is whole, in bytes.
-	maxBody = 8 << 20
 	// maxRefusalBody bounds what is read of a refusal.
 	maxRefusalBody = 64 << 10
 	// earlyPace is the event at which a call's pace is looked at first.
@@ -26,7 +23,6 @@
 var (
 	errUnsigned = errors.New("success without the server's signature")
 	errEncoded  = errors.New("answer with an encoding that was not asked for")
-	errTooLong  = errors.New("answer is too long")
 	errSequence = errors.New("stream does not go on after the last event")
 	errCaller   = errors.New("caller is gone")
 )
@@ -114,10 +110,12 @@
 
 // pass passes an answer on once it is whole.
 func (u *run) pass(a *conveyor.Answer) error {
-	body, err := readAll(a, maxBody)
+	held, err := u.relayer.holder.Read(a)
 	if err != nil {
 		return err
 	}
+	defer held.Release()
+	body := held.Bytes()
 	h := a.Header.Clone()
 	RemoveHopHeaders(h)
 	if u.sink.Head(a.Status, h, int64(len(body))) != nil {
@@ -130,14 +128,6 @@
 	return nil
 }
 
-func readAll(a *conveyor.Answer, most int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a, int64(most)+1))
-	if err == nil && len(body) > most {
-		return nil, errTooLong
-	}
-	return body, err
-}
-
 // stream passes events on as they arrive, each one whole.
 func (u *run) stream(t *picker.Ticket, a *conveyor.Answer) error {
 	if !u.begun {
--- /dev/null
+++ b/relayer/endless_test.go
@@ -0,0 +1,63 @@
+package relayer_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/relayer"
+)
+
+// endless sends bytes behind a head until the caller closes.
+func endless(headers, part string) script {
+	return func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signed+headers+"\r\n")
+		for {
+			if _, err := io.WriteString(c, part); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Pattern: servers send bodies without end. The calls end long before their time is
+// over, and none looks whole.
+func TestAnswersWithoutEndAreEnded(t *testing.T) {
+	const calls = 40
+	part := strings.Repeat("x", 16<<10)
+	for name, s := range map[string]script{
+		"body":   endless("", part),
+		"chunks": endless("Transfer-Encoding: chunked\r\n", "4000\r\n"+part+"\r\n"),
+		"event":  endless("Content-Type: text/event-stream\r\n", part),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 8)
+			for range calls {
+				f.scripts = append(f.scripts, s)
+			}
+			var running sync.WaitGroup
+			for range calls {
+				running.Go(func() {
+					o, _ := f.run(route(cataloger.Stream, false, 1))
+					switch o := o.(type) {
+					case relayer.Unknown:
+						if o.Late {
+							t.Error("lasted until its deadline")
+						}
+					case relayer.BrokenOff:
+						if strings.Contains(o.Reason, "time is over") {
+							t.Error("lasted until its deadline")
+						}
+					default:
+						t.Errorf("%T", o)
+					}
+				})
+			}
+			running.Wait()
+		})
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/speller"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -109,7 +110,10 @@
 }
 
 // Relayer is safe for concurrent use.
-type Relayer struct{ options Options }
+type Relayer struct {
+	options Options
+	holder  holder.Holder
+}
 
 // New returns a Relayer.
 func New(o Options) *Relayer { return &Relayer{options: o} }
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"iter"
 	"math/rand/v2"
 	"net/http"
@@ -264,7 +265,7 @@
 
 // refused says what follows a server's word that it did not run the call.
 func (u *run) refused(t *picker.Ticket, a *conveyor.Answer) (Outcome, bool) {
-	_, _ = readAll(a, maxRefusalBody)
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxRefusalBody))
 	u.excluded = append(u.excluded, t.Server.ID)
 	u.relayer.options.Logger.Info("server refused", zap.String("request", u.call.ID), zap.String("server", t.Server.ID),
 		zap.Int("status", a.Status), zap.Int("online", t.Load.Online), zap.Int("batch", t.Load.Batch))
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -9,7 +9,7 @@
 )
 
 // maxEvent bounds one event, in bytes.
-const maxEvent = 4 << 20
+const maxEvent = 512 << 10
 
 // Event is one whole event as it was sent, its end included.
 type Event struct {
@@ -24,7 +24,11 @@
 
 // Splitter holds the beginning of an event whose end has not come yet. It is
 // used by one goroutine.
-type Splitter struct{ held []byte }
+type Splitter struct {
+	held []byte
+	// searched is how much of held has no event's end.
+	searched int
+}
 
 // Feed takes bytes and calls each for every event that they complete. The bytes
 // of an event are valid until each returns.
@@ -32,17 +36,20 @@
 	s.held = append(s.held, p...)
 	used := 0
 	for {
-		end := eventEnd(s.held[used:])
+		end := eventEnd(s.held[used:], s.searched)
 		if end < 0 {
 			break
 		}
 		raw := s.held[used : used+end]
 		used += end
+		s.searched = 0
 		if err := each(parse(raw)); err != nil {
 			return err
 		}
 	}
 	s.held = append(s.held[:0], s.held[used:]...)
+	// An end may begin in the last bytes.
+	s.searched = max(0, len(s.held)-longestEnd)
 	if len(s.held) > maxEvent {
 		return &TooLongError{Bytes: len(s.held)}
 	}
@@ -91,9 +98,13 @@
 	return "event of more than " + strconv.Itoa(e.Bytes) + " bytes"
 }
 
-// eventEnd returns the length of the first event with its blank line, or -1.
-func eventEnd(p []byte) int {
-	at := 0
+// longestEnd is the length of the longest blank line with the line end before it.
+const longestEnd = 4
+
+// eventEnd returns the length of the first event with its blank line, or -1. No
+// event ends before from.
+func eventEnd(p []byte, from int) int {
+	at := from
 	for {
 		i := bytes.IndexByte(p[at:], '\n')
 		if i < 0 {
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -58,3 +58,19 @@
 	require.EqualValues(t, 7, got.ID)
 	require.Equal(t, "a\nb", string(got.Data))
 }
+
+// Pattern: a server sends bytes without end that never become an event.
+func TestBytesWithoutEndAreNoEvent(t *testing.T) {
+	for _, part := range []string{strings.Repeat("x", 1000), "data: x\n", "\r"} {
+		var s splitter.Splitter
+		var failed error
+		fed := 0
+		for failed == nil && fed < 8<<20 {
+			failed = s.Feed([]byte(part), func(splitter.Event) error { return nil })
+			fed += len(part)
+		}
+		var long *splitter.TooLongError
+		require.ErrorAs(t, failed, &long)
+		require.LessOrEqual(t, fed, 1<<20)
+	}
+}
