Move what is held of an event only when events ended before it

An event that comes in many small parts was copied whole at each of them; the test of bytes without end took 4.0 s, now as below.

go test ./splitter: under 1 s.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -47,7 +47,9 @@
 			return err
 		}
 	}
-	s.held = append(s.held[:0], s.held[used:]...)
+	if used > 0 {
+		s.held = append(s.held[:0], s.held[used:]...)
+	}
 	// An end may begin in the last bytes.
 	s.searched = max(0, len(s.held)-longestEnd)
 	if len(s.held) > maxEvent {
