Batch items get the slots that no online call is likely to take

Two slots of each server stayed free for online calls, also in the 17 s in which there was none: 48 items on 64 slots. Change: a server keeps as many slots free as online calls ran there at once in the last 8 s, two at most. Evidence: tests of filler and executor.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -123,13 +123,36 @@
 	mu      sync.Mutex
 	tasks   map[key]*task
 	backlog int
+	// peaks are the most online calls that ran lately, by service.
+	peaks map[string]peak
+}
+
+// peak is the highest count of a time, and when it was counted.
+type peak struct {
+	count int
+	at    timer.Millis
+}
+
+// peakTime is for how long the highest count of online calls is remembered.
+const peakTime = 8 * timer.Second
+
+// demand notes how many online calls run at a service's servers now and returns the
+// highest count of the last peakTime.
+func (x *Executor) demand(service string, online int) int {
+	now := x.options.Clock.Now()
+	p, ok := x.peaks[service]
+	if !ok || online >= p.count || now-p.at >= peakTime {
+		p = peak{count: online, at: now}
+		x.peaks[service] = p
+	}
+	return p.count
 }
 
 // New returns an Executor that runs until Close.
 func New(o Options) *Executor {
 	defaulter.Set(&o.Stall, 6*timer.Second)
 	ctx, cancel := context.WithCancel(context.Background())
-	x := &Executor{options: o, touched: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), tasks: make(map[key]*task)}
+	x := &Executor{options: o, touched: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), tasks: make(map[key]*task), peaks: make(map[string]peak)}
 	go x.run(ctx)
 	x.runs.Go(func() { x.saveForever(ctx) })
 	return x
@@ -317,6 +340,7 @@
 	}
 	mine := x.options.Picker.Loads()
 	servers := make(map[string]cataloger.Server)
+	online := 0
 	for _, c := range x.options.Picker.Candidates(service) {
 		v := filler.Server{
 			ID: c.Server.ID, Slots: picker.Slots(s, c.Server), Online: c.Online,
@@ -332,7 +356,9 @@
 		}
 		servers[v.ID] = c.Server
 		in.Servers = append(in.Servers, v)
+		online += v.Online
 	}
+	in.Policy = in.Policy.WithDemand(x.demand(service, online), len(in.Servers))
 	return in, servers
 }
 
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -161,6 +161,11 @@
 
 // startWith runs items at several servers that are one engine.
 func startWith(t *testing.T, e *engine, servers int) *fixture {
+	return startKeeping(t, e, servers, filler.Policy{})
+}
+
+// startKeeping keeps slots free by a policy.
+func startKeeping(t *testing.T, e *engine, servers int, policy filler.Policy) *fixture {
 	f := &fixture{t: t, engine: e}
 	route := cataloger.Route{Name: "r", Host: "h", Prefix: "/b/", Kind: cataloger.Batch, Shares: []cataloger.Share{{Service: "svc", Weight: 1}}}
 	s := cataloger.Snapshot{}.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{Version: 1, Routes: []cataloger.Route{route}}))
@@ -180,7 +185,7 @@
 	t.Cleanup(c.Close)
 	f.executor = executor.New(executor.Options{
 		Host: "self", Names: names, Snapshot: func() cataloger.Snapshot { return s }, Digests: func() []gossiper.Digest { return nil },
-		Picker: p, Conveyor: c, Ejector: ej, Departer: d, Clock: clock, Logger: zap.NewNop(), Policy: filler.Policy{},
+		Picker: p, Conveyor: c, Ejector: ej, Departer: d, Clock: clock, Logger: zap.NewNop(), Policy: policy,
 		Stall: 300,
 		Groups: []executor.Group{{Queue: f.queue, Propose: func(_ context.Context, data []byte) error {
 			f.queue.Apply(data)
@@ -338,6 +343,27 @@
 	require.Len(t, e.seen(), 1)
 }
 
+// Pattern: no online call ran for long. Items get all slots; as soon as one runs, a
+// slot stays free for the next.
+func TestItemsGetAllSlotsWhereNoOnlineCallRanLately(t *testing.T) {
+	e := &engine{hold: make(chan struct{})}
+	f := startKeeping(t, e, 1, filler.Policy{FillFree: 2})
+	f.submit(8)
+	require.Eventually(t, func() bool { return len(e.seen()) == 4 }, patience, often)
+	close(e.hold)
+	f.results(8)
+
+	e = &engine{hold: make(chan struct{})}
+	f = startKeeping(t, e, 1, filler.Policy{FillFree: 2})
+	f.setOnline(1)
+	f.submit(8)
+	require.Eventually(t, func() bool { return len(e.seen()) == 2 }, patience, often)
+	f.setOnline(0)
+	require.Eventually(t, func() bool { return len(e.seen()) == 3 }, patience, often)
+	close(e.hold)
+	f.results(8)
+}
+
 // Pattern: online calls fill the server while items run there.
 func TestItemsGiveWayToOnlineCallsAndGoOnLater(t *testing.T) {
 	e := &engine{hold: make(chan struct{})}
--- a/filler/filler.go
+++ b/filler/filler.go
@@ -24,6 +24,16 @@
 	FillFree, EvictFree int
 }
 
+// WithDemand returns the policy for servers at which at most so many online calls
+// ran lately, all together. Slots that no online call is likely to take are not kept
+// free.
+func (p Policy) WithDemand(online, servers int) Policy {
+	if servers > 0 {
+		p.FillFree = min(p.FillFree, (online+servers-1)/servers)
+	}
+	return p
+}
+
 // Server is a backend server as the host knows it.
 type Server struct {
 	ID     string
--- a/filler/filler_test.go
+++ b/filler/filler_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// Pattern: online calls end while many items wait, or are few for long. Slots that
+// nobody takes are not kept free.
+func TestSlotsAreKeptFreeForAsManyOnlineCallsAsRanLately(t *testing.T) {
+	for _, c := range []struct{ online, servers, free int }{{0, 9, 0}, {1, 9, 1}, {9, 9, 1}, {10, 9, 2}, {70, 9, 2}, {5, 0, 2}} {
+		require.Equal(t, c.free, policy.WithDemand(c.online, c.servers).FillFree, "%+v", c)
+	}
+	require.Equal(t, 2, policy.FillFree)
+}
+
 func TestServersWithMostRoomAreFilledFirst(t *testing.T) {
 	in := filler.Input{
 		Self: "a", Backlogs: map[string]int{"a": 3}, Policy: policy,
