--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -22,6 +22,7 @@
 		ConfirmationAge: b.age,
 		KnownServers:    func() int { return len(b.follower.Snapshot().Servers) },
 		HeardHosts:      func() int { return len(b.gossiper.Digests()) },
+		CallsKeptApart:  func() int { return len(b.follower.Snapshot().Quarantined) },
 		Dials:           b.conveyor.Dials,
 		DroppedLines:    b.platform.DroppedLines,
 	})
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -32,6 +32,7 @@
 	confirmationAge = "jackdawgate.confirmation.age"
 	knownServers    = "jackdawgate.servers"
 	heardHosts      = "jackdawgate.hosts.heard"
+	callsKeptApart  = "jackdawgate.calls.kept-apart"
 	dials           = "jackdawgate.dials"
 	droppedLines    = "jackdawgate.log.dropped"
 )
@@ -46,6 +47,7 @@
 		{confirmationAge, "gauge, ms", "", "How old this host's knowledge of the store is. Above 3,600 it admits no request with a key."},
 		{knownServers, "gauge", "", "Backend servers that this host knows."},
 		{heardHosts, "gauge", "", "Other hosts that this host heard within the last second."},
+		{callsKeptApart, "gauge", "", "Calls under which servers ended, as the store has them, that are refused or tried by one host at a time."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
 	}
@@ -70,6 +72,7 @@
 	ConfirmationAge func() timer.Millis
 	KnownServers    func() int
 	HeardHosts      func() int
+	CallsKeptApart  func() int
 	Dials           func() uint64
 	DroppedLines    func() uint64
 }
@@ -114,6 +117,7 @@
 		confirmationAge: func() int64 { return int64(o.ConfirmationAge()) },
 		knownServers:    func() int64 { return int64(o.KnownServers()) },
 		heardHosts:      func() int64 { return int64(o.HeardHosts()) },
+		callsKeptApart:  func() int64 { return int64(o.CallsKeptApart()) },
 	}
 	for name, read := range gauges {
 		_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe(read)))
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -24,7 +24,7 @@
 	one := func() uint64 { return 1 }
 	require.NoError(t, m.Observe(measurer.Observed{
 		ConfirmationAge: func() timer.Millis { return 1 }, KnownServers: func() int { return 1 },
-		HeardHosts: func() int { return 1 }, Dials: one, DroppedLines: one,
+		HeardHosts: func() int { return 1 }, CallsKeptApart: func() int { return 1 }, Dials: one, DroppedLines: one,
 	}))
 	m.Request("delivered", 55)
 	m.StoreCall("watch")
