--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -32,7 +32,7 @@
 	confirmationAge = "jackdawgate.confirmation.age"
 	knownServers    = "jackdawgate.servers"
 	heardHosts      = "jackdawgate.hosts.heard"
-	callsKeptApart  = "jackdawgate.calls.kept-apart"
+	callsKeptApart  = "jackdawgate.calls.apart"
 	dials           = "jackdawgate.dials"
 	droppedLines    = "jackdawgate.log.dropped"
 )
