Digests whose fields travel under numbers, so that versions can be mixed

Now a field that one of them does not know is passed over or left at zero, and what is empty is left out. Digests of the landed version are not understood once more.

--- a/departer/departer.go
+++ b/departer/departer.go
@@ -39,10 +39,9 @@
 
 // Notice is a word as hosts tell it.
 type Notice struct {
-	_    struct{} `cbor:",toarray"`
-	ID   string
-	Born int64
-	Word Word
+	ID   string `cbor:"1,keyasint"`
+	Born int64  `cbor:"2,keyasint"`
+	Word Word   `cbor:"3,keyasint"`
 }
 
 // heard is a word and when it was heard.
--- a/ejector/shared.go
+++ b/ejector/shared.go
@@ -21,13 +21,12 @@
 
 // Report is what a host tells of servers.
 type Report struct {
-	_ struct{} `cbor:",toarray"`
 	// Breaks counts the calls that servers broke off since the host started, for
 	// those where that happened lately.
-	Breaks map[string]uint32
+	Breaks map[string]uint32 `cbor:"1,keyasint,omitempty"`
 	// Well are servers that others say break calls off and that answered this
 	// host lately.
-	Well []string
+	Well []string `cbor:"2,keyasint,omitempty"`
 }
 
 // teller is one incarnation of a host and a server that it told of.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -42,38 +42,39 @@
 	Batch  int
 }
 
-// Digest is what one host tells of itself.
+// Digest is what one host tells of itself. Fields travel under their numbers and may
+// be added; a number is never used again, so hosts of two versions understand what
+// both know.
 type Digest struct {
-	_ struct{} `cbor:",toarray"`
 	// Host, Incarnation and Sequence travel in the envelope.
 	Host        string `cbor:"-"`
 	Incarnation string `cbor:"-"`
 	Sequence    uint64 `cbor:"-"`
 	// Ready says that the host takes callers' requests.
-	Ready bool
+	Ready bool `cbor:"1,keyasint,omitempty"`
 	// Age is how old the host's knowledge of the store is.
-	Age timer.Millis
+	Age timer.Millis `cbor:"2,keyasint,omitempty"`
 	// Steady is for how long that has been confirmed without a gap.
-	Steady timer.Millis
+	Steady timer.Millis `cbor:"3,keyasint,omitempty"`
 	// Loads are by backend server; idle ones are left out.
-	Loads map[string]Load
+	Loads map[string]Load `cbor:"4,keyasint,omitempty"`
 	// Admitted counts the requests of workspaces since the host started; those
 	// that did not change lately may be missing.
-	Admitted map[string]uint64
+	Admitted map[string]uint64 `cbor:"5,keyasint,omitempty"`
 	// Waiting is how many tokens of batch items wait, by workspace and route.
-	Waiting map[string]int64
+	Waiting map[string]int64 `cbor:"6,keyasint,omitempty"`
 	// Backlog is how many batch items the host could run now.
-	Backlog int
+	Backlog int `cbor:"7,keyasint,omitempty"`
 	// Groups are the groups of batch jobs that the host answers for.
-	Groups []int
+	Groups []int `cbor:"8,keyasint,omitempty"`
 	// Suspects are the calls under which servers failed lately, Servers the
 	// servers that broke calls off.
-	Suspects suspector.Records
-	Servers  ejector.Report
+	Suspects suspector.Records `cbor:"9,keyasint,omitempty"`
+	Servers  ejector.Report    `cbor:"10,keyasint,omitempty"`
 	// Departures are servers that lately said to this host that they leave or are gone.
-	Departures []departer.Notice
+	Departures []departer.Notice `cbor:"11,keyasint,omitempty"`
 	// Slow are servers that the host found slower than their kin.
-	Slow comparer.Report
+	Slow comparer.Report `cbor:"12,keyasint,omitempty"`
 }
 
 // maxDatagram bounds what is read of a datagram, in bytes.
