--- a/conveyor/connection.go
+++ b/conveyor/connection.go
@@ -42,8 +42,8 @@
 	// ends; zero when no head is read.
 	headLeft int
 	reused   bool
-	keep    timer.Millis
-	until   timer.Millis
+	keep     timer.Millis
+	until    timer.Millis
 	// written is closed when the request was written, with writeErr set.
 	written  chan struct{}
 	writeErr error
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -38,14 +38,14 @@
 	leaseReuse = 300 * timer.Second
 	// callTimeout bounds one call to the store, claimTimeout a claim, for which a
 	// caller waits.
-	callTimeout  = 1 * timer.Second
-	claimTimeout = 400 * timer.Millis(1)
+	callTimeout               = timer.Second
+	claimTimeout timer.Millis = 400
 	// busyWait is when a caller may return whose call another host tries now.
 	busyWait = 2 * timer.Second
 	// catchUp is how long a host may take to hear of what it wrote itself.
 	catchUp = 3 * timer.Second
 	// retryPause is kept after a write that failed.
-	retryPause = 500 * timer.Millis(1)
+	retryPause timer.Millis = 500
 	// maxPending bounds the writes that wait for the store.
 	maxPending = 64
 )
--- a/soaker/crash.go
+++ b/soaker/crash.go
@@ -18,6 +18,8 @@
 	crashesToRefuse = 3
 	knownAfter      = 3 * time.Second
 	retriesMost     = 3
+	// kills is how often all entry hosts are killed.
+	kills = 3
 )
 
 // crashes has when servers ended under one call.
@@ -50,46 +52,40 @@
 // or after its first event, and comes again and again at any host. All entry hosts
 // are killed and start again every third of the trouble. Other load goes on.
 func RunCrashing(o Options) (Report, error) {
-	w, store, err := newWorld()
-	if err != nil {
-		return Report{}, err
-	}
-	defer w.close()
-	s := &soak{options: o, world: w, load: &load{world: w}, began: time.Now()}
 	var c crashes
-	t := &troubler{world: w, program: o.Program, note: s.note, busy: make(map[string]bool)}
-	w.crashing = func(v *server) bool {
-		n := c.add()
-		s.note("crash %d, of %s", n, v.ID)
-		t.running.Go(func() { t.replace(v, false) })
-		return n%2 == 0
-	}
-	if err := s.prepare(store); err != nil {
-		return Report{}, err
-	}
-	defer s.endHosts()
-	if err := s.startHosts(); err != nil {
-		return Report{}, err
+	var t *troubler
+	ready := func(s *soak) {
+		t = &troubler{world: s.world, program: o.Program, note: s.note, busy: make(map[string]bool)}
+		s.world.crashing = func(v *server) bool {
+			n := c.add()
+			s.note("crash %d, of %s", n, v.ID)
+			t.running.Go(func() { t.replace(v, false) })
+			return n%2 == 0
+		}
 	}
+	return run(o, ready, func(s *soak) { s.playCrashing(t, &c) })
+}
+
+// playCrashing makes load and kills all entry hosts, and checks how many servers ended.
+func (s *soak) playCrashing(t *troubler, c *crashes) {
 	loading, endLoad := context.WithCancel(context.Background())
-	s.load.begin(loading, o.Seed)
-	s.load.running.Go(func() { s.load.crash(loading, rand.New(rand.NewPCG(o.Seed, 300))) })
-	for range 3 {
-		time.Sleep(o.Trouble / 3)
+	s.load.begin(loading, s.options.Seed)
+	s.load.running.Go(func() { s.load.crash(loading, rand.New(rand.NewPCG(s.options.Seed, 300))) })
+	for range kills {
+		time.Sleep(s.options.Trouble / (kills + 1))
 		s.note("all entry hosts are killed")
 		t.killEntries()
 	}
-	time.Sleep(o.Trouble / 3)
+	time.Sleep(s.options.Trouble / (kills + 1))
 	endLoad()
 	s.load.running.Wait()
 	t.running.Wait()
 	total, retries := c.retries()
 	if total < crashesToRefuse || retries > retriesMost {
-		w.judge.breaks("a call that crashes servers is stopped", "%d servers ended, %d of them when all should have known", total, retries)
+		s.world.judge.breaks("a call that crashes servers is stopped", "%d servers ended, %d of them when all should have known", total, retries)
 	}
 	s.checkHosts()
 	s.checkJobs()
-	return s.report(), nil
 }
 
 // killEntries kills all entry hosts at once and starts them again.
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -61,12 +61,19 @@
 
 // Run makes one soak. The error is of the soak itself, not of what it judges.
 func Run(o Options) (Report, error) {
+	return run(o, func(*soak) {}, (*soak).play)
+}
+
+// run makes a soak that play plays. ready is called with it before there are servers
+// or hosts.
+func run(o Options, ready, play func(*soak)) (Report, error) {
 	w, store, err := newWorld()
 	if err != nil {
 		return Report{}, err
 	}
 	defer w.close()
 	s := &soak{options: o, world: w, load: &load{world: w}, began: time.Now()}
+	ready(s)
 	if err := s.prepare(store); err != nil {
 		return Report{}, err
 	}
@@ -74,7 +81,7 @@
 	if err := s.startHosts(); err != nil {
 		return Report{}, err
 	}
-	s.play()
+	play(s)
 	return s.report(), nil
 }
 
--- a/suspector/suspector.go
+++ b/suspector/suspector.go
@@ -32,11 +32,13 @@
 //
 // Where no host keeps a server's ledger, a Witness takes the place of the
 // Suspector. It sees only its own host's calls, and a death in its records is one
-// call that an incarnation of a server broke off, or left, before any answer. What
-// was sent to a server that had failed before, and had not answered since, says
-// nothing of the call. A crash of many servers or a failing network still blames
-// calls that are innocent, so three servers must have failed, and a call is
-// refused for some seconds first, four times as long after each further one.
+// call that an incarnation of a server broke off, before or after its first events,
+// or that ended there unanswered before the store said that the server is gone. What
+// was sent to a server that had failed just before says nothing of the call. A crash
+// of many servers or a failing network still blames calls that are innocent, so
+// three servers must have ended without an answer between, and a refused call is
+// tried again after a while, by one host at a time. Package quarantiner keeps what
+// hosts must know though they start anew.
 package suspector
 
 import "github.com/jackdawgate/jackdawgate/timer"
--- a/suspector/witness.go
+++ b/suspector/witness.go
@@ -21,11 +21,13 @@
 	// fail are taken for victims of the same failure.
 	failingFor timer.Millis = 1500
 	// leftFor is for how long it is remembered which calls ended at a server that
-	// had not answered them, maxLeft how many of one server.
-	leftFor timer.Millis = 15000
-	maxLeft              = 64
+	// had not answered them.
+	leftFor = 15 * timer.Second
 )
 
+// maxLeft is how many of the calls that ended at one server are remembered.
+const maxLeft = 64
+
 // Fingerprint names a call by what makes it the same when it comes again.
 func Fingerprint(workspace, target string, body []byte) uint64 {
 	d := xxhash.New()
