Silence towards all calls counts against a call at once

The count of ends at silent servers had waited until the store said that they were gone, 4 s and more after a silent crash; a call that comes often would end every server meanwhile. Now a server that sent nothing to any call for 0.45 s (1.5 s with all slots taken) has failed; one that others hear counts only when it is gone. TestServersThatFallSilentForAllCountAtOnce fails without it (6 of 6 sent).

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -114,6 +114,14 @@
 	e.record(server).waiting--
 }
 
+// HeardSince says whether bytes came from a server after an instant, for any call.
+func (e *Ejector) HeardSince(server string, at timer.Millis) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.servers[server]
+	return ok && r.heard > at
+}
+
 // Heard says that bytes came from a server.
 func (e *Ejector) Heard(server string) {
 	e.mu.Lock()
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -49,15 +49,15 @@
 		u.compare(t)
 		return Delivered{Status: a.Status, Server: t.Server.ID, Servers: u.servers + 1}, false
 	case errors.Is(err, errCaller):
-		u.relayer.options.Witness.Left(t.Server.Incarnation(), u.call.Fingerprint)
+		u.left(t)
 		return Left{}, false
 	case u.begun && !u.resumable:
 		u.servers++
 		if ctx.Err() != nil {
-			u.relayer.options.Witness.Left(t.Server.Incarnation(), u.call.Fingerprint)
+			u.left(t)
 			return u.stopped(ctx), false
 		}
-		u.judge(t.Server, err)
+		u.judge(t, err)
 		return BrokenOff{Reason: err.Error()}, false
 	}
 	return u.failed(ctx, t, err)
--- a/relayer/crash_test.go
+++ b/relayer/crash_test.go
@@ -14,11 +14,16 @@
 
 // crash takes the server that got the last call out of the fleet.
 func (f *fixture) crash() {
+	f.removeLast()
+	f.witness.Follow(f.current())
+}
+
+// removeLast keeps calls away from the server that got the last one.
+func (f *fixture) removeLast() {
 	seen := f.seen()
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.snapshot = f.snapshot.WithoutServer(seen[len(seen)-1].Header.Get("Expect"))
-	f.mu.Unlock()
-	f.witness.Follow(f.current())
 }
 
 // crashesUnder sends the same call again and again until it is refused, at most so
@@ -68,25 +73,47 @@
 	require.Len(t, f.seen(), 3)
 }
 
+// hang takes a call and says nothing.
+func hang(c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) }
+
+// leave runs a call whose caller leaves after so long, and returns its outcome.
+func (f *fixture) leave(after timer.Millis) relayer.Outcome {
+	ctx, cancel := context.WithTimeout(f.t.Context(), after.Duration())
+	defer cancel()
+	return f.relayer.Run(ctx, relayer.Call{
+		ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, false, 1),
+		Service: "svc", Deadline: timer.System().Now() + 3*timer.Second, Fingerprint: 7,
+	}, &sink{})
+}
+
 // BUDGET: a call whose caller left before the server's silence was noticed did not
 // count when the server turned out to have ended.
 func TestCallThatItsCallerLeftCountsWhenItsServerHasEnded(t *testing.T) {
 	f := newFixture(t, 11)
-	hang := func(c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) }
 	for range 10 {
 		f.scripts = append(f.scripts, hang)
 	}
 	for range 6 {
-		ctx, cancel := context.WithTimeout(t.Context(), timer.Millis(100).Duration())
-		o := f.relayer.Run(ctx, relayer.Call{
-			ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, false, 1),
-			Service: "svc", Deadline: timer.System().Now() + 3*timer.Second, Fingerprint: 7,
-		}, &sink{})
-		cancel()
-		if isNotRun(o) {
+		if isNotRun(f.leave(100)) {
 			break
 		}
 		f.crash()
 	}
 	require.Len(t, f.seen(), 3)
 }
+
+// BUDGET: servers that crash silently are listed for seconds. A call to which they say
+// nothing, as to all others, counts at once.
+func TestServersThatFallSilentForAllCountAtOnce(t *testing.T) {
+	f := newFixture(t, 11)
+	for range 10 {
+		f.scripts = append(f.scripts, hang)
+	}
+	for range 6 {
+		if isNotRun(f.leave(600)) {
+			break
+		}
+		f.removeLast()
+	}
+	require.Len(t, f.seen(), 3)
+}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -11,7 +11,6 @@
 	"strings"
 
 	"github.com/jackdawgate/jackdawgate/budgeter"
-	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/conveyor"
 	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
@@ -97,9 +96,9 @@
 			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("objective-ms", int64(f.Objective)), zap.Int64("patience-ms", int64(f.Patience)))
 		return NotRun{Reason: "servers are too crowded to answer in time", RetryAfter: u.laterReturn(left)}, false
 	}
-	u.events, u.sent = 0, o.Clock.Now()
 	o.Ejector.Begin(ticket.Server.ID)
 	defer o.Ejector.End(ticket.Server.ID)
+	u.events, u.sent = 0, o.Clock.Now()
 	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", ticket.Server.ID),
 		zap.Int("online", ticket.Load.Online), zap.Int("batch", ticket.Load.Batch), zap.Int("tried", len(u.excluded)),
 		zap.Int64("left-ms", int64(left)), zap.Int64("after-event", u.lastEvent))
@@ -176,12 +175,12 @@
 	}
 	if ctx.Err() != nil {
 		if sent {
-			o.Witness.Left(t.Server.Incarnation(), u.call.Fingerprint)
+			u.left(t)
 		}
 		return u.stopped(ctx), false
 	}
 	u.excluded = append(u.excluded, t.Server.ID)
-	u.judge(t.Server, err)
+	u.judge(t, err)
 	o.Logger.Warn("server failed", zap.String("request", u.call.ID), zap.String("server", t.Server.ID), zap.Bool("may-have-run", sent), zap.Error(err))
 	if !sent {
 		u.refusals++
@@ -207,19 +206,34 @@
 	return budgeter.Key{Service: u.call.Service, Workspace: u.call.Workspace}
 }
 
-// judge records what a failed exchange says of the server and of the call. A server
-// that is silent may be slow; it counts against the call once it is gone.
-func (u *run) judge(v cataloger.Server, err error) {
+// judge records what a failed exchange says of the server and of the call.
+func (u *run) judge(t *picker.Ticket, err error) {
 	o := u.relayer.options
-	o.Ejector.Failed(v.ID, err)
+	o.Ejector.Failed(t.Server.ID, err)
 	var silent *conveyor.SilentError
 	switch {
 	case !conveyor.WasSent(err):
 	case errors.As(err, &silent):
-		o.Witness.Left(v.Incarnation(), u.call.Fingerprint)
+		u.left(t)
 	default:
-		o.Witness.Failed(v.Incarnation(), u.call.Fingerprint, u.sent)
+		o.Witness.Failed(t.Server.Incarnation(), u.call.Fingerprint, u.sent)
+	}
+}
+
+// left records that the call ended at a server that had not answered it whole. A
+// server that sent nothing to any call for long has failed; another one may be slow,
+// and counts against the call only once it is gone.
+func (u *run) left(t *picker.Ticket) {
+	o := u.relayer.options
+	bound := ejector.SilentAfter
+	if t.Crowded() {
+		bound = ejector.CrowdedSilentAfter
+	}
+	if o.Clock.Now()-u.sent >= bound && !o.Ejector.HeardSince(t.Server.ID, u.sent) {
+		o.Witness.Failed(t.Server.Incarnation(), u.call.Fingerprint, u.sent)
+		return
 	}
+	o.Witness.Left(t.Server.Incarnation(), u.call.Fingerprint)
 }
 
 // stopped is the outcome of a call whose context ended.
