Calls of the test of answers without end are different calls

TestAnswersWithoutEndAreEnded failed in 3 of 8 runs: all its calls were the same one to the witness, so those that began after the third end were refused, rightly. They have fingerprints of their own now; 12 runs of the package pass.

--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/timer"
 )
 
 // endless sends bytes behind a head until the caller closes.
@@ -40,9 +41,12 @@
 				f.scripts = append(f.scripts, s)
 			}
 			var running sync.WaitGroup
-			for range calls {
+			for i := range uint64(calls) {
 				running.Go(func() {
-					o, _ := f.run(route(cataloger.Stream, false, 1))
+					o := f.relayer.Run(t.Context(), relayer.Call{
+						ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, false, 1),
+						Service: "svc", Deadline: timer.System().Now() + 3*timer.Second, Fingerprint: i + 1,
+					}, &sink{})
 					switch o := o.(type) {
 					case relayer.Unknown:
 						if o.Late {
