--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -337,3 +337,27 @@
 		require.NotEqual(t, one, other)
 	}
 }
+
+// What a witness remembers is bounded, however many calls meet crashes.
+func TestWitnessStateSize(t *testing.T) {
+	c := &clock{now: 1000}
+	w := suspector.NewWitness(c, zap.NewNop(), nil)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for call := range uint64(20000) {
+		for server := range 3 {
+			w.Failed(incarnation(fmt.Sprint("s", server, "-", call/8)), call, c.now-5)
+		}
+		if call%8 == 7 {
+			c.now += 2 * timer.Second
+			w.Told()
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	size := after.HeapAlloc - before.HeapAlloc
+	t.Logf("%d bytes after 20,000 calls that met three crashes each", size)
+	require.Less(t, size, uint64(8<<20))
+	runtime.KeepAlive(w)
+}
