--- a/executor/executor.go
+++ b/executor/executor.go
@@ -44,6 +44,8 @@
 	Names    speller.Names
 	Snapshot func() cataloger.Snapshot
 	Digests  func() []gossiper.Digest
+	// Hosts is how many hosts are heard.
+	Hosts    func() int
 	Picker   *picker.Picker
 	Conveyor *conveyor.Conveyor
 	Ejector  *ejector.Ejector
@@ -193,7 +195,7 @@
 		cancel()
 		// Many changes come together, the more the more hosts there are; one look
 		// serves them.
-		timer.Sleep(ctx, 2+timer.Millis(len(x.options.Digests())/hostsPerMilli))
+		timer.Sleep(ctx, 2+timer.Millis(x.options.Hosts()/hostsPerMilli))
 	}
 }
 
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -185,7 +185,7 @@
 	c := conveyor.New(conveyor.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
 	f.options = executor.Options{
-		Host: "self", Names: names, Snapshot: func() cataloger.Snapshot { return s }, Digests: func() []gossiper.Digest { return nil },
+		Host: "self", Names: names, Snapshot: func() cataloger.Snapshot { return s }, Digests: func() []gossiper.Digest { return nil }, Hosts: func() int { return 0 },
 		Picker: p, Conveyor: c, Ejector: ej, Departer: d, Clock: clock, Logger: zap.NewNop(), Policy: policy,
 		Stall: 300,
 		Groups: []executor.Group{{Queue: f.queue, Propose: func(_ context.Context, data []byte) error {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -128,3 +128,8 @@
 	v.id = r.Header.Get(g.options.Names.RequestID)
 	v.serve()
 }
+
+// LimitOf is the quota of a workspace.
+func LimitOf(w *cataloger.Workspace) rationer.Limit {
+	return rationer.Limit{Rate: w.Rate, Burst: w.Burst}
+}
--- a/gatekeeper/visit.go
+++ b/gatekeeper/visit.go
@@ -157,7 +157,7 @@
 func (v *visit) relay(body []byte) {
 	o := v.gatekeeper.options
 	if v.workspace != nil {
-		limit := rationer.Limit{Rate: v.workspace.Rate, Burst: v.workspace.Burst}
+		limit := LimitOf(v.workspace)
 		if d := o.Rationer.Admit(v.workspace.Name, limit); !d.Admitted {
 			v.log("over quota", zap.Float64("left", d.Level), zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
 				zap.Int("silent-hosts", d.Silent), zap.Int("hosts", d.Hosts))
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -180,6 +180,13 @@
 	return out
 }
 
+// Hosts is how many hosts are heard.
+func (g *Gossiper) Hosts() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.heard)
+}
+
 // Heard returns when a host was last heard, and false when it never was or not
 // for long.
 func (g *Gossiper) Heard(host string) (timer.Millis, bool) {
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -62,7 +62,7 @@
 	inheritance := b.newInheritor(h.rationer)
 	h.desk = broker.NewDesk(h.seats(), b.gossiper.Digests, b.messenger, l)
 	h.executor = executor.New(executor.Options{
-		Host: b.member.Name, Groups: h.groups(), Names: p.Names, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests,
+		Host: b.member.Name, Groups: h.groups(), Names: p.Names, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests, Hosts: b.gossiper.Hosts,
 		Picker: b.picker, Conveyor: b.conveyor, Ejector: b.ejector, Departer: b.departer, Clock: b.clock, Logger: l, Policy: batchPolicy, Measurer: p.Measurer,
 	})
 	close(started)
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -21,7 +21,7 @@
 	err := b.platform.Measurer.Observe(measurer.Observed{
 		ConfirmationAge: b.age,
 		KnownServers:    func() int { return len(b.follower.Snapshot().Servers) },
-		HeardHosts:      func() int { return len(b.gossiper.Digests()) },
+		HeardHosts:      b.gossiper.Hosts,
 		CallsKeptApart:  func() int { return len(b.follower.Snapshot().Quarantined) },
 		Dials:           b.conveyor.Dials,
 		DroppedLines:    b.platform.DroppedLines,
--- a/hoster/quota.go
+++ b/hoster/quota.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/inheritor"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -33,16 +34,11 @@
 	}
 	limits := make(map[string]rationer.Limit)
 	for _, w := range s.Config.Workspaces() {
-		limits[w.Name] = limitOf(w)
+		limits[w.Name] = gatekeeper.LimitOf(w)
 	}
 	r.Observe(limits)
 }
 
-// limitOf is the quota of a workspace.
-func limitOf(w *cataloger.Workspace) rationer.Limit {
-	return rationer.Limit{Rate: w.Rate, Burst: w.Burst}
-}
-
 // watchQuotas keeps the buckets of a host that admits no requests itself.
 func (b *base) watchQuotas(ctx context.Context, r *rationer.Rationer) {
 	for timer.Sleep(ctx, peerInterval) {
