--- a/gatekeeper/visit.go
+++ b/gatekeeper/visit.go
@@ -8,7 +8,6 @@
 	"strconv"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
-	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/speller"
 	"github.com/jackdawgate/jackdawgate/suspector"
