A host that hears no server blames no call for its silence

Found by reading: a host that is cut off from all servers takes each for silent, and a call that it tried at three would be kept apart on all hosts, though the next host could serve it. Silence counts at once only while other servers are heard; else once the server is gone. TestHostThatHearsNoServerBlamesNoCall fails without it.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -42,6 +42,8 @@
 	servers map[string]*record
 	// doubtful are those of servers that may have to be told of.
 	doubtful map[string]*record
+	// heard is when bytes last came from any server.
+	heard timer.Millis
 	// told is how many breaks other hosts told of last.
 	told map[teller]uint32
 }
@@ -114,12 +116,13 @@
 	e.record(server).waiting--
 }
 
-// HeardSince says whether bytes came from a server after an instant, for any call.
-func (e *Ejector) HeardSince(server string, at timer.Millis) bool {
+// SilentAlone says whether a server has sent nothing for any call since an instant,
+// while others have. A host that hears none is cut off itself.
+func (e *Ejector) SilentAlone(server string, since timer.Millis) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r, ok := e.servers[server]
-	return ok && r.heard > at
+	return ok && r.heard <= since && e.heard > since
 }
 
 // Heard says that bytes came from a server.
@@ -128,6 +131,7 @@
 	defer e.mu.Unlock()
 	r := e.record(server)
 	r.heard = e.clock.Now()
+	e.heard = r.heard
 	r.until = 0
 	r.back("it sent something")
 }
--- a/relayer/crash_test.go
+++ b/relayer/crash_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/relayer"
@@ -82,7 +83,7 @@
 	defer cancel()
 	return f.relayer.Run(ctx, relayer.Call{
 		ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, false, 1),
-		Service: "svc", Deadline: timer.System().Now() + 3*timer.Second, Fingerprint: 7,
+		Service: "svc", Deadline: f.clock.Now() + 3*timer.Second, Fingerprint: 7,
 	}, &sink{})
 }
 
@@ -110,6 +111,7 @@
 		f.scripts = append(f.scripts, hang)
 	}
 	for range 6 {
+		time.AfterFunc(timer.Millis(300).Duration(), func() { f.ejector.Heard("another") })
 		if isNotRun(f.leave(600)) {
 			break
 		}
@@ -117,3 +119,18 @@
 	}
 	require.Len(t, f.seen(), 3)
 }
+
+// Pattern: a host is cut off from all servers. Its calls are not to blame, and others
+// must go on taking them.
+func TestHostThatHearsNoServerBlamesNoCall(t *testing.T) {
+	f := newFixture(t, 11)
+	for range 6 {
+		f.scripts = append(f.scripts, hang)
+		o := f.leave(600)
+		require.False(t, isNotRun(o), "%+v", o)
+		f.removeLast()
+	}
+	require.Empty(t, f.witness.Told().Deaths)
+	f.witness.Follow(cataloger.Snapshot{})
+	require.NotEmpty(t, f.witness.Told().Deaths, "servers that are gone count")
+}
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -45,7 +45,7 @@
 				running.Go(func() {
 					o := f.relayer.Run(t.Context(), relayer.Call{
 						ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, false, 1),
-						Service: "svc", Deadline: timer.System().Now() + 60*timer.Second, Fingerprint: i + 1,
+						Service: "svc", Deadline: f.clock.Now() + 60*timer.Second, Fingerprint: i + 1,
 					}, &sink{})
 					switch o := o.(type) {
 					case relayer.Unknown:
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -45,6 +45,8 @@
 	picker   *picker.Picker
 	witness  *suspector.Witness
 	departer *departer.Departer
+	ejector  *ejector.Ejector
+	clock    timer.Clock
 
 	mu       sync.Mutex
 	snapshot cataloger.Snapshot
@@ -60,6 +62,7 @@
 	}
 	clock := timer.System()
 	e := ejector.New(clock, zap.NewNop())
+	f.ejector, f.clock = e, clock
 	f.departer = departer.New(clock, zap.NewNop())
 	f.picker = picker.New(picker.Options{
 		Snapshot: f.current, Others: func(string) gossiper.Load { return gossiper.Load{} },
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -221,15 +221,15 @@
 }
 
 // left records that the call ended at a server that had not answered it whole. A
-// server that sent nothing to any call for long has failed; another one may be slow,
-// and counts against the call only once it is gone.
+// server that alone sent nothing to any call for long has failed; another one may be
+// slow, or cut off from this host, and counts against the call only once it is gone.
 func (u *run) left(t *picker.Ticket) {
 	o := u.relayer.options
 	bound := ejector.SilentAfter
 	if t.Crowded() {
 		bound = ejector.CrowdedSilentAfter
 	}
-	if o.Clock.Now()-u.sent >= bound && !o.Ejector.HeardSince(t.Server.ID, u.sent) {
+	if o.Clock.Now()-u.sent >= bound && o.Ejector.SilentAlone(t.Server.ID, u.sent) {
 		o.Witness.Failed(t.Server.Incarnation(), u.call.Fingerprint, u.sent)
 		return
 	}
