--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -322,3 +322,23 @@
 		require.Greater(t, wait, 50*timer.Second)
 	})
 }
+
+// Pattern: the store is away when servers end under a call. The record is written when
+// it returns, and few questions are asked meanwhile.
+func TestRecordIsWrittenWhenTheStoreReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5, 3, 9)
+		defer f.close()
+		f.ledger.SetAway(true)
+		for range 3 {
+			f.call(f.hosts[0], culprit, true, false)
+		}
+		f.play(20*timer.Second, func(int) {})
+		f.ledger.SetAway(false)
+		f.play(6*timer.Second, func(int) {})
+		for i := range f.hosts {
+			f.kill(i)
+			require.False(t, f.call(f.hosts[i], culprit, true, false))
+		}
+	})
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -44,8 +44,9 @@
 	busyWait = 2 * timer.Second
 	// catchUp is how long a host may take to hear of what it wrote itself.
 	catchUp = 3 * timer.Second
-	// retryPause is kept after a write that failed.
-	retryPause timer.Millis = 500
+	// leastRetry and mostRetry bound the pause after a write that failed.
+	leastRetry timer.Millis = 500
+	mostRetry               = 4 * timer.Second
 	// maxPending bounds the writes that wait for the store.
 	maxPending = 64
 )
@@ -275,32 +276,40 @@
 	}
 }
 
-// run writes what is pending.
+// run writes what is pending. What failed is done again after a pause.
 func (q *Quarantiner) run(ctx context.Context) {
 	defer close(q.done)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-q.wake:
-		}
-		for q.step(ctx) {
+	pause := leastRetry
+	for ctx.Err() == nil {
+		fingerprint, put, ok := q.next()
+		switch {
+		case !ok:
+			q.await(ctx)
+		case q.carriedOut(ctx, fingerprint, put):
+			pause = leastRetry
+		default:
+			timer.Sleep(ctx, pause)
+			pause = min(2*pause, mostRetry)
 		}
 	}
 }
 
-// step carries out one pending write and says whether there may be another. One
-// that failed is done again after a pause.
-func (q *Quarantiner) step(ctx context.Context) bool {
-	fingerprint, put, ok := q.next()
-	if !ok || ctx.Err() != nil {
-		return false
+// await waits until something may be pending.
+func (q *Quarantiner) await(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-q.wake:
 	}
+}
+
+// carriedOut carries out a pending write. One that lost a race is done with: what
+// won it will be heard of.
+func (q *Quarantiner) carriedOut(ctx context.Context, fingerprint uint64, put bool) bool {
 	err := q.carryOut(ctx, fingerprint, put)
 	var conflict *storer.ConflictError
 	if err != nil && !errors.As(err, &conflict) {
 		q.options.Logger.Warn("call that is kept apart not written", zap.Uint64("fingerprint", fingerprint), zap.Bool("put", put), zap.Error(err))
-		return timer.Sleep(ctx, retryPause)
+		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
