The soak judges a process's end before it can be started anew

The process had been told to stop, and its log says leaving and stopped both times. Cause, in the soak: the end was announced before it was judged; the next start of the host reset what it was told, 9 ms after. Ruled out: an end of the process's own (each has its SIGTERM).

--- a/soaker/host.go
+++ b/soaker/host.go
@@ -82,10 +82,11 @@
 	h.process, h.ended, h.expected, h.killed, h.paused, h.troubled = c, ended, false, false, false, time.Now()
 	go func() {
 		err := c.Wait()
-		close(ended)
+		// Whoever waits for the end may start the process anew, which resets these.
 		h.mu.Lock()
 		expected := h.killed || (h.expected && err == nil)
 		h.mu.Unlock()
+		close(ended)
 		if !expected {
 			unexpected(err)
 		}
