--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -70,3 +70,16 @@
 		})
 	}
 }
+
+// DRAIN: a server says in its answers that it leaves, while its entry does not and the
+// store is silent.
+func TestServerThatSaysThatItLeavesGetsNothingNew(t *testing.T) {
+	r, err := soaker.RunLeaving(soaker.Options{
+		Program: program(t), Folder: t.TempDir(), Seed: *first, Trouble: 6 * time.Second, Entries: 3, Bulks: 3, Servers: 4,
+	})
+	require.NoError(t, err)
+	for _, f := range r.Faults {
+		t.Log(f)
+	}
+	require.Empty(t, r.Broken)
+}
