--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	// What the program is made of: a change of it makes go test run these anew.
+	_ "github.com/jackdawgate/jackdawgate/hoster"
+	_ "github.com/jackdawgate/jackdawgate/platform"
 	"github.com/jackdawgate/jackdawgate/soaker"
 	"github.com/stretchr/testify/require"
 )
