A host that is closed before it serves ends serving

Traced from its dump of goroutines: Close had come before the goroutine that serves; fasthttp's Shutdown does nothing for a server that has no listener yet, and Serve then went on for ever. On a real host that is a stop within the first moments of its start that does not end. Change: the host keeps its listeners and closes them itself; Serve after Close closes its own at once. TestHostThatIsClosedFirstServesNothing fails before (200 tries, the first hangs), passes after, under the race detector too.

--- a/messenger/host.go
+++ b/messenger/host.go
@@ -92,6 +92,8 @@
 	dialled  map[route]*dialling
 	accepted map[*connection]struct{}
 	closed   bool
+	// listeners are those that Serve takes connections from.
+	listeners []net.Listener
 }
 
 // dialling is a connection that is made once for all callers who want it.
@@ -136,8 +138,15 @@
 	return f, ok
 }
 
-// Serve takes peers' connections from l until Close.
+// Serve takes peers' connections from l until Close, and closes l.
 func (h *Host) Serve(l net.Listener) error {
+	h.mu.Lock()
+	h.listeners = append(h.listeners, l)
+	closed := h.closed
+	h.mu.Unlock()
+	if closed {
+		return eris.Wrap(l.Close(), "close peers' listener")
+	}
 	if h.options.ServerTLS != nil {
 		l = tls.NewListener(l, h.options.ServerTLS)
 	}
@@ -319,12 +328,17 @@
 	for c := range h.accepted {
 		accepted = append(accepted, c)
 	}
+	listeners := h.listeners
 	h.mu.Unlock()
 	h.cancel()
 	for _, c := range accepted {
 		c.fail(errClosed)
 	}
 	err := h.server.Shutdown()
+	for _, l := range listeners {
+		// The server closes only listeners that it has begun to serve.
+		_ = l.Close()
+	}
 	h.workers.Wait()
 	return eris.Wrap(err, "close peers")
 }
--- a/messenger/host_test.go
+++ b/messenger/host_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -266,3 +267,24 @@
 	require.ErrorAs(t, a.Call(t.Context(), address, "test/panic", nil, nil), &remote)
 	require.NoError(t, a.Call(t.Context(), address, "test/stream", nil, nil))
 }
+
+// Found by CI beside load: a host was closed before its goroutine had come to serve,
+// which then went on for ever.
+func TestHostThatIsClosedFirstServesNothing(t *testing.T) {
+	for range 200 {
+		h := messenger.New(messenger.Options{Self: messenger.Peer{Name: "a", Incarnation: "1"}})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		served := make(chan error, 1)
+		go func() { served <- h.Serve(l) }()
+		require.NoError(t, h.Close())
+		select {
+		case err := <-served:
+			require.NoError(t, err)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "it still serves")
+		}
+		_, err = net.DialTimeout("tcp", l.Addr().String(), time.Second)
+		require.Error(t, err)
+	}
+}
