--- a/soaker/crash.go
+++ b/soaker/crash.go
@@ -50,7 +50,7 @@
 
 // RunCrashing makes a soak in which one call crashes each server that runs it, before
 // or after its first event, and comes again and again at any host. All entry hosts
-// are killed and start again every third of the trouble. Other load goes on.
+// are killed at once and start again, a few times. Other load goes on.
 func RunCrashing(o Options) (Report, error) {
 	var c crashes
 	var t *troubler
--- a/suspector/evidence.go
+++ b/suspector/evidence.go
@@ -84,9 +84,9 @@
 	return slices.Sorted(maps.Keys(c.deaths))
 }
 
-// refused says how long ago the last death under a call was, and whether there
-// were enough to refuse it.
-func (e *evidence) refused(fingerprint uint64, now timer.Millis) (since timer.Millis, deaths int, ok bool) {
+// verdict says how long ago the last death under a call was, how many there were,
+// and whether they are enough to refuse it.
+func (e *evidence) verdict(fingerprint uint64, now timer.Millis) (since timer.Millis, deaths int, ok bool) {
 	c, known := e.calls[fingerprint]
 	if !known || now-c.last >= suspectTime {
 		return 0, 0, false
--- a/suspector/witness.go
+++ b/suspector/witness.go
@@ -60,11 +60,14 @@
 	survivals []ownSurvival
 }
 
+// leftCall is a call that ended at a server before the server answered it or failed.
 type leftCall struct {
 	fingerprint uint64
 	at          timer.Millis
 }
 
+// ownDeath is an end of a server under a call that this host saw, ownSurvival an
+// answer to a call that was suspected.
 type ownDeath struct {
 	server      cataloger.Incarnation
 	fingerprint uint64
@@ -93,7 +96,7 @@
 		return wait, false
 	}
 	w.mu.Lock()
-	_, _, suspected := w.evidence.refused(fingerprint, w.clock.Now())
+	_, _, suspected := w.evidence.verdict(fingerprint, w.clock.Now())
 	w.mu.Unlock()
 	if w.quarantine == nil || (!suspected && !w.quarantine.Known(fingerprint)) {
 		return 0, true
@@ -104,7 +107,7 @@
 // Refused says whether a call is refused whatever the store grants, and for how long.
 func (w *Witness) Refused(fingerprint uint64) (timer.Millis, bool) {
 	w.mu.Lock()
-	since, deaths, refused := w.evidence.refused(fingerprint, w.clock.Now())
+	since, deaths, refused := w.evidence.verdict(fingerprint, w.clock.Now())
 	w.mu.Unlock()
 	var wait timer.Millis
 	if refused {
@@ -205,7 +208,7 @@
 	if news {
 		w.deaths = append(w.deaths, ownDeath{server: server, fingerprint: fingerprint, at: now})
 	}
-	_, deaths, refused := w.evidence.refused(fingerprint, now)
+	_, deaths, refused := w.evidence.verdict(fingerprint, now)
 	w.logger.Info("failure held against a call", zap.String("server", server.ID), zap.Int64("born", server.Born), zap.Uint64("fingerprint", fingerprint),
 		zap.String("reason", reason), zap.Bool("counted-before", !news), zap.Int("deaths", deaths), zap.Bool("refused", refused))
 	if news && refused && w.quarantine != nil {
