Drop rules that only the witness before used; look at a call's evidence once

Read once more: since the witness keeps evidence of its own, nobody made a Table with Rules, so NewTable, Rules and the growth of a refusal were dead; the two times that remain are constants again. Admit looked at the evidence and at the store's record twice for each attempt, with four locks; one look answers both questions now. Behaviour is the same; tests keep their assertions (one call is named Wait, not Refused).

--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -317,7 +317,7 @@
 		require.False(t, f.call(f.hosts[0], culprit, true, false))
 		f.ledger.CarryOut()
 		f.play(3*timer.Second, func(int) {})
-		wait, ok := f.hosts[1].store.Refused(culprit)
+		wait, ok := f.hosts[1].store.Wait(culprit)
 		require.True(t, ok)
 		require.Greater(t, wait, 50*timer.Second)
 	})
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -137,30 +137,21 @@
 	return released
 }
 
-// Refused says whether a call has a record whose term is not over, and for how
-// long it is refused.
-func (q *Quarantiner) Refused(fingerprint uint64) (timer.Millis, bool) {
+// Wait says whether the store has a record of a call, and for how long the call is
+// refused; once its term is over it may be tried.
+func (q *Quarantiner) Wait(fingerprint uint64) (wait timer.Millis, known bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r, ok := q.records[fingerprint]
 	if !ok {
 		return 0, false
 	}
-	wait := r.since + Term(r.Trials) - q.options.Clock.Now()
-	return wait, wait > 0
-}
-
-// Known says whether the store has a record of the call.
-func (q *Quarantiner) Known(fingerprint uint64) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	_, ok := q.records[fingerprint]
-	return ok
+	return max(0, r.since+Term(r.Trials)-q.options.Clock.Now()), true
 }
 
 // Put writes a record of a call that has none, soon.
 func (q *Quarantiner) Put(fingerprint uint64) {
-	if !q.Known(fingerprint) && q.mayAsk(fingerprint) {
+	if _, known := q.Wait(fingerprint); !known && q.mayAsk(fingerprint) {
 		q.enqueue(fingerprint, true)
 	}
 }
@@ -180,7 +171,7 @@
 
 // Remove removes the record of a call that was answered, soon.
 func (q *Quarantiner) Remove(fingerprint uint64) {
-	if q.Known(fingerprint) {
+	if _, known := q.Wait(fingerprint); known {
 		q.enqueue(fingerprint, false)
 	}
 }
--- a/suspector/suspector.go
+++ b/suspector/suspector.go
@@ -44,8 +44,8 @@
 import "github.com/jackdawgate/jackdawgate/timer"
 
 const (
-	// defaultDeaths is how many deaths get a fingerprint refused.
-	defaultDeaths = 2
+	// refusedDeaths is how many deaths get a fingerprint refused.
+	refusedDeaths = 2
 	// suspectTime is how long a death counts.
 	suspectTime = 600 * timer.Second
 	// blameTime is how long a call is refused that was the only suspect in
--- a/suspector/table.go
+++ b/suspector/table.go
@@ -11,40 +11,12 @@
 // Table has the records of one host and the verdicts that follow from them. It
 // is immutable: the With methods return another one. The zero Table is empty.
 type Table struct {
-	rules  Rules
 	deaths []known
 	// survivals has when each was on this host's clock.
 	survivals map[survived]timer.Millis
 	verdicts  map[uint64]standing
 }
 
-// Rules say when a fingerprint is refused. Zero fields take the defaults.
-type Rules struct {
-	// Deaths is how many get it refused; default 2.
-	Deaths int
-	// BlameTime is how long a call is refused that was the only suspect in flight
-	// at its last death; default 10 minutes. AmbiguousTime is for one that was
-	// not; default a minute.
-	BlameTime, AmbiguousTime timer.Millis
-	// Growth multiplies the times with each further death; default 1.
-	Growth int
-}
-
-// refusal is how long a call is refused after so many deaths.
-func (r Rules) refusal(deaths int, alone bool) timer.Millis {
-	out := cmp.Or(r.AmbiguousTime, ambiguousTime)
-	if alone {
-		out = cmp.Or(r.BlameTime, blameTime)
-	}
-	for range deaths - cmp.Or(r.Deaths, defaultDeaths) {
-		out = min(out*timer.Millis(cmp.Or(r.Growth, 1)), suspectTime)
-	}
-	return out
-}
-
-// NewTable returns an empty table with these rules.
-func NewTable(r Rules) Table { return Table{rules: r} }
-
 // known is a death and when it was on this host's clock.
 type known struct {
 	Death
@@ -215,8 +187,12 @@
 
 func (t Table) standingAfter(s standing, at timer.Millis, deaths, suspects int) standing {
 	s.suspected = max(s.suspected, at+suspectTime)
-	if deaths >= cmp.Or(t.rules.Deaths, defaultDeaths) {
-		s.refused = max(s.refused, at+t.rules.refusal(deaths, suspects == 1))
+	if deaths >= refusedDeaths {
+		refusal := ambiguousTime
+		if suspects == 1 {
+			refusal = blameTime
+		}
+		s.refused = max(s.refused, at+refusal)
 	}
 	return s
 }
--- a/suspector/witness.go
+++ b/suspector/witness.go
@@ -91,14 +91,11 @@
 // back. It costs nothing but for a call that servers ended under often: of that it
 // asks the store for a trial once its term is over.
 func (w *Witness) Admit(ctx context.Context, fingerprint uint64) (wait timer.Millis, ok bool) {
-	wait, refused := w.Refused(fingerprint)
-	if refused {
+	wait, suspected := w.wait(fingerprint)
+	if wait > 0 {
 		return wait, false
 	}
-	w.mu.Lock()
-	_, _, suspected := w.evidence.verdict(fingerprint, w.clock.Now())
-	w.mu.Unlock()
-	if w.quarantine == nil || (!suspected && !w.quarantine.Known(fingerprint)) {
+	if w.quarantine == nil || !suspected {
 		return 0, true
 	}
 	return w.quarantine.Claim(ctx, fingerprint)
@@ -106,23 +103,28 @@
 
 // Refused says whether a call is refused whatever the store grants, and for how long.
 func (w *Witness) Refused(fingerprint uint64) (timer.Millis, bool) {
+	wait, _ := w.wait(fingerprint)
+	return wait, wait > 0
+}
+
+// wait says for how long a call is refused, and whether enough servers ended under it
+// or the store has a record of it.
+func (w *Witness) wait(fingerprint uint64) (wait timer.Millis, suspected bool) {
 	w.mu.Lock()
-	since, deaths, refused := w.evidence.verdict(fingerprint, w.clock.Now())
+	since, deaths, suspected := w.evidence.verdict(fingerprint, w.clock.Now())
 	w.mu.Unlock()
-	var wait timer.Millis
-	if refused {
-		wait = quarantiner.Term(deaths-deathsToRefuse) - since
+	if suspected {
+		wait = max(0, quarantiner.Term(deaths-deathsToRefuse)-since)
 	}
-	if w.quarantine != nil {
-		if refused && wait > 0 {
-			// Whoever saw the last death may have ended before it wrote this.
-			w.quarantine.Put(fingerprint)
-		}
-		if more, ok := w.quarantine.Refused(fingerprint); ok {
-			wait = max(wait, more)
-		}
+	if w.quarantine == nil {
+		return wait, suspected
 	}
-	return wait, wait > 0
+	if wait > 0 {
+		// Whoever saw the last death may have ended before it wrote this.
+		w.quarantine.Put(fingerprint)
+	}
+	more, known := w.quarantine.Wait(fingerprint)
+	return max(wait, more), suspected || known
 }
 
 // Answered records that a server sent the beginning of an answer.
