Log the parts of a prompt, its events and its age where a failure is held against a call

Logs could not tell whether crashes are held against whole calls only, known too late, or held against the wrong calls. A call now carries the hashes of its prompt's shared parts (decoded in platform/) and the log names them. No logic changed: suspector takes a Call and an Attempt in place of loose arguments, and Prompt, by which servers are preferred, is made of the identifiers alone; gatekeeper's test expects that and the parts.

--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/namer"
@@ -182,15 +183,17 @@
 	names := x.gatekeeper.options.Names
 	h := x.request.Header.Clone()
 	relayer.RemoveHopHeaders(h)
-	prompt := sharedPrompt(h.Get(names.Prompt))
+	parts := names.SharedParts(strings.Join(h.Values(names.Prompt), ","))
 	h.Del(names.Key)
 	c := relayer.Call{
 		ID: x.id, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: body,
-		Route: x.route, Service: x.route.Pick(rand.Float64()), Deadline: x.deadline(), Prompt: prompt,
+		Route: x.route, Service: x.route.Pick(rand.Float64()), Deadline: x.deadline(), Prompt: strings.Join(parts, ","),
 	}
 	c.MaxWait = c.Deadline - x.started
 	c.Workspace = x.workspaceName()
-	c.Fingerprint = suspector.Fingerprint(c.Workspace, c.Host+c.Target, body)
+	c.Suspect = suspector.Call{
+		Fingerprint: suspector.Fingerprint(c.Workspace, c.Host+c.Target, body), Parts: suspector.Parts(parts), Workspace: c.Workspace,
+	}
 	return c
 }
 
@@ -207,17 +210,6 @@
 	return x.started + wait
 }
 
-// sharedPrompt returns all parts of a comma-separated prompt header but the last.
-// These are the parts that several calls may share.
-func sharedPrompt(parts string) string {
-	for i := len(parts) - 1; i >= 0; i-- {
-		if parts[i] == ',' {
-			return parts[:i]
-		}
-	}
-	return ""
-}
-
 // finish answers the caller unless the relay has done so, and logs the outcome. It
 // aborts the connection if an answer was interrupted or the caller has disconnected.
 func (x *exchange) finish(outcome relayer.Outcome) {
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -10,8 +10,10 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/namer"
+	"github.com/jackdawgate/jackdawgate/platform"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -62,7 +64,7 @@
 	r := rationer.New(f.clock)
 	f.clock.now += 10 * timer.Second
 	f.gate = gatekeeper.New(gatekeeper.Options{
-		Names:    namer.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", ParseJobCall: jobCall},
+		Names:    namer.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", SharedParts: platform.Names().SharedParts, ParseJobCall: jobCall},
 		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs,
 		Clock: f.clock, Logger: l, MaxConfigAge: 3600,
 	})
@@ -129,7 +131,8 @@
 	require.Equal(t, "deep", c.Route.Name, "the longest prefix")
 	require.Equal(t, "w", c.Workspace)
 	require.Empty(t, c.Header.Get("Key"))
-	require.Equal(t, "a:1,b:2", c.Prompt)
+	require.Equal(t, "a,b", c.Prompt)
+	require.Equal(t, suspector.Parts([]string{"a", "b"}), c.Suspect.Parts)
 	require.Equal(t, f.clock.now+900, c.Deadline, "the route's timeout is shorter than the caller's")
 }
 
--- a/namer/namer.go
+++ b/namer/namer.go
@@ -33,6 +33,9 @@
 	Wait string
 	// Prompt carries the parts of a call's prompt.
 	Prompt string
+	// SharedParts returns the identifiers of the parts that other calls may share, in
+	// order, from the value of Prompt. The last part belongs to the call alone.
+	SharedParts func(value string) []string
 	// ParseJobCall parses a caller's request about an existing batch job. It returns
 	// false if the request is not about one.
 	ParseJobCall func(method, path, query string) (JobCall, bool)
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -152,7 +152,7 @@
 // server crashes under it; with left, the caller disconnects before that. call reports
 // whether the call was admitted.
 func (f *fleet) call(h *host, fingerprint uint64, crashes, left bool) bool {
-	if _, ok := h.tracker.Admit(f.t.Context(), fingerprint); !ok {
+	if _, ok := h.tracker.Admit(f.t.Context(), suspector.Call{Fingerprint: fingerprint}); !ok {
 		return false
 	}
 	now := f.clock.Now()
@@ -162,14 +162,15 @@
 	}
 	if !crashes {
 		h.tracker.Answered(v.Incarnation())
-		h.tracker.Completed(fingerprint)
+		h.tracker.Completed(suspector.Call{Fingerprint: fingerprint})
 		return true
 	}
 	f.crash(v)
+	a := suspector.Attempt{Call: suspector.Call{Fingerprint: fingerprint}, Server: v.Incarnation(), Sent: now}
 	if left {
-		h.tracker.Unanswered(v.Incarnation(), fingerprint)
+		h.tracker.Unanswered(a)
 	} else {
-		h.tracker.Failed(v.Incarnation(), fingerprint, now)
+		h.tracker.Failed(a)
 	}
 	if len(f.crashes) >= 3 && now > f.crashes[2]+settleTime && now > h.started+settleTime {
 		f.retries++
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -46,7 +46,7 @@
 	switch {
 	case err == nil:
 		u.relayer.options.Ejector.Succeeded(r.Server.ID)
-		u.relayer.options.Tracker.Completed(u.call.Fingerprint)
+		u.relayer.options.Tracker.Completed(u.call.Suspect)
 		u.recordTimes(r)
 		u.recordRate(r)
 		return Delivered{Status: a.Status, Server: r.Server.ID, Servers: u.attempts + 1}, false
--- a/relayer/budget_test.go
+++ b/relayer/budget_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
@@ -23,7 +24,7 @@
 	for i := range uint64(calls) {
 		o := f.relayer.Run(t.Context(), relayer.Call{
 			ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Idempotent, false, 3),
-			Service: "svc", Workspace: "w", Deadline: timer.System().Now() + 3*timer.Second, Fingerprint: i + 1,
+			Service: "svc", Workspace: "w", Deadline: timer.System().Now() + 3*timer.Second, Suspect: suspector.Call{Fingerprint: i + 1},
 		}, &sink{})
 		require.IsType(t, relayer.Unknown{}, o)
 	}
--- a/relayer/crash_test.go
+++ b/relayer/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
@@ -85,7 +86,7 @@
 	defer cancel()
 	return f.relayer.Run(ctx, relayer.Call{
 		ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, false, 1),
-		Service: "svc", Deadline: f.clock.Now() + 3*timer.Second, Fingerprint: 7,
+		Service: "svc", Deadline: f.clock.Now() + 3*timer.Second, Suspect: suspector.Call{Fingerprint: 7},
 	}, &sink{})
 }
 
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -45,7 +46,7 @@
 				running.Go(func() {
 					o := f.relayer.Run(t.Context(), relayer.Call{
 						ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{}, Route: route(cataloger.Stream, false, 1),
-						Service: "svc", Deadline: f.clock.Now() + 60*timer.Second, Fingerprint: i + 1,
+						Service: "svc", Deadline: f.clock.Now() + 60*timer.Second, Suspect: suspector.Call{Fingerprint: i + 1},
 					}, &sink{})
 					switch o := o.(type) {
 					case relayer.Unknown:
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -46,9 +46,9 @@
 	Deadline timer.Millis
 	// MaxWait is the time from the arrival of the request to Deadline.
 	MaxWait timer.Millis
-	// Fingerprint identifies the call by its content. It is the same for each
-	// repetition of a call.
-	Fingerprint uint64
+	// Suspect identifies the call by its content, for finding calls that crash
+	// servers.
+	Suspect suspector.Call
 	// Prompt identifies the leading part of the prompt, which other calls may
 	// share. It is empty if unknown.
 	Prompt string
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"go.uber.org/zap"
@@ -88,8 +89,8 @@
 	if left < minTimeLeft {
 		return u.outOfTime("no time left"), false
 	}
-	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Fingerprint); !ok {
-		o.Logger.Info("call kept apart", zap.String("request", u.call.ID), zap.Uint64("fingerprint", u.call.Fingerprint), zap.Int64("for-ms", int64(retryAfter)))
+	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
+		o.Logger.Info("call kept apart", zap.String("request", u.call.ID), zap.Uint64("fingerprint", u.call.Suspect.Fingerprint), zap.Int64("for-ms", int64(retryAfter)))
 		return u.giveUp("servers failed under this call lately", retryAfter), false
 	}
 	reservation, ok := o.Picker.Pick(u.call.Service, selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded})
@@ -229,10 +230,15 @@
 	case errors.As(err, &silent):
 		u.recordUnanswered(r)
 	default:
-		o.Tracker.Failed(r.Server.Incarnation(), u.call.Fingerprint, u.sentAt)
+		o.Tracker.Failed(u.suspectAttempt(r))
 	}
 }
 
+// suspectAttempt returns the current attempt for the tracker.
+func (u *run) suspectAttempt(r *picker.Reservation) suspector.Attempt {
+	return suspector.Attempt{Call: u.call.Suspect, Server: r.Server.Incarnation(), Sent: u.sentAt, Events: u.eventCount}
+}
+
 // recordUnanswered records that the call ended before the server had answered it
 // completely. If this server has been silent to all its calls for too long, while
 // other servers were not, the call is recorded as having crashed it. Otherwise the
@@ -245,10 +251,10 @@
 		bound = ejector.FullSilenceTimeout
 	}
 	if o.Clock.Now()-u.sentAt >= bound && o.Ejector.SilentAlone(r.Server.ID, u.sentAt) {
-		o.Tracker.Failed(r.Server.Incarnation(), u.call.Fingerprint, u.sentAt)
+		o.Tracker.Failed(u.suspectAttempt(r))
 		return
 	}
-	o.Tracker.Unanswered(r.Server.Incarnation(), u.call.Fingerprint)
+	o.Tracker.Unanswered(u.suspectAttempt(r))
 }
 
 // outcomeOfContext returns the outcome of a call whose context ended.
--- /dev/null
+++ b/suspector/call.go
@@ -0,0 +1,52 @@
+package suspector
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/timer"
+)
+
+// Call identifies a call by what repetitions of it and other calls have in common with
+// it.
+type Call struct {
+	// Fingerprint identifies the call itself; see Fingerprint. It is zero for calls
+	// that are never suspected as a whole, such as batch items.
+	Fingerprint uint64
+	// Parts identify the parts of the call's prompt that other calls may share, in
+	// order; see Parts.
+	Parts []uint64
+	// Workspace is the workspace that the call runs for.
+	Workspace string
+}
+
+// Attempt is an attempt of a call at one server.
+type Attempt struct {
+	Call
+	Server cataloger.Incarnation
+	// Sent is when the call was sent to the server.
+	Sent timer.Millis
+	// Events is the number of events that the server sent in answer.
+	Events int
+}
+
+// Fingerprint returns a hash that identifies a call: it is the same when the same
+// workspace sends the same body to the same target again.
+func Fingerprint(workspace, target string, body []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(workspace)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(target)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+// Parts returns hashes that identify the parts of a prompt with these identifiers. They
+// differ from the fingerprints of calls.
+func Parts(ids []string) []uint64 {
+	out := make([]uint64, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, xxhash.Sum64String("part\x00"+id))
+	}
+	return out
+}
--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -221,6 +221,11 @@
 
 func (c *clock) Now() timer.Millis { return c.now }
 
+// attempt returns an attempt of a call at a server.
+func attempt(server string, fingerprint uint64, sent timer.Millis) suspector.Attempt {
+	return suspector.Attempt{Call: suspector.Call{Fingerprint: fingerprint}, Server: incarnation(server), Sent: sent}
+}
+
 // The same call is sent to one host after another, and each observes the failure of one
 // server under it.
 func TestTrackersShareCrashes(t *testing.T) {
@@ -238,28 +243,28 @@
 		}
 	}
 	for i := range 2 {
-		hosts[i].Failed(incarnation(fmt.Sprint("s", i)), culprit, c.now)
+		hosts[i].Failed(attempt(fmt.Sprint("s", i), culprit, c.now))
 		exchange()
-		_, refused := hosts[0].Refused(culprit)
+		_, refused := hosts[0].Refused(suspector.Call{Fingerprint: culprit})
 		require.False(t, refused)
 	}
-	hosts[2].Failed(incarnation("s2"), culprit, c.now)
+	hosts[2].Failed(attempt("s2", culprit, c.now))
 	exchange()
 	for _, h := range hosts[:3] {
-		after, refused := h.Refused(culprit)
+		after, refused := h.Refused(suspector.Call{Fingerprint: culprit})
 		require.True(t, refused)
 		require.Equal(t, 15*timer.Second, after)
 	}
-	_, refused := hosts[3].Refused(culprit)
+	_, refused := hosts[3].Refused(suspector.Call{Fingerprint: culprit})
 	require.False(t, refused)
 
 	c.now += 16 * timer.Second
-	_, refused = hosts[0].Refused(culprit)
+	_, refused = hosts[0].Refused(suspector.Call{Fingerprint: culprit})
 	require.False(t, refused, "still refused after the wait")
 	require.Empty(t, hosts[0].Records().Crashes, "reported for longer than the report window")
-	hosts[1].Failed(incarnation("s3"), culprit, c.now)
+	hosts[1].Failed(attempt("s3", culprit, c.now))
 	exchange()
-	after, refused := hosts[0].Refused(culprit)
+	after, refused := hosts[0].Refused(suspector.Call{Fingerprint: culprit})
 	require.True(t, refused, "not refused after the next failure")
 	require.Equal(t, 60*timer.Second, after)
 }
@@ -272,14 +277,14 @@
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 3 {
 		server := fmt.Sprint("s", i)
-		w.Failed(incarnation(server), 1, c.now)
+		w.Failed(attempt(server, 1, c.now))
 		c.now += 10
-		w.Failed(incarnation(server), 2, c.now)
-		w.Failed(incarnation(server), 3, c.now-20)
+		w.Failed(attempt(server, 2, c.now))
+		w.Failed(attempt(server, 3, c.now-20))
 	}
-	_, refused := w.Refused(2)
+	_, refused := w.Refused(suspector.Call{Fingerprint: 2})
 	require.False(t, refused, "sent after the servers had failed")
-	_, refused = w.Refused(3)
+	_, refused = w.Refused(suspector.Call{Fingerprint: 3})
 	require.True(t, refused, "in flight when the servers failed")
 }
 
@@ -289,15 +294,15 @@
 	c := &clock{now: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 3 {
-		w.Failed(incarnation(fmt.Sprint("s", i)), 7, c.now)
+		w.Failed(attempt(fmt.Sprint("s", i), 7, c.now))
 	}
 	for i := range 60 {
 		for call := range uint64(10) {
-			w.Failed(incarnation(fmt.Sprint("t", i)), 100+uint64(i)*10+call, c.now-5)
+			w.Failed(attempt(fmt.Sprint("t", i), 100+uint64(i)*10+call, c.now-5))
 		}
 		c.now += 10
 	}
-	_, refused := w.Refused(7)
+	_, refused := w.Refused(suspector.Call{Fingerprint: 7})
 	require.True(t, refused)
 }
 
@@ -305,11 +310,11 @@
 	c := &clock{now: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for range 5 {
-		w.Failed(incarnation("s"), 1, c.now)
+		w.Failed(attempt("s", 1, c.now))
 		w.Answered(incarnation("s"))
 		c.now += 100
 	}
-	_, refused := w.Refused(1)
+	_, refused := w.Refused(suspector.Call{Fingerprint: 1})
 	require.False(t, refused, "the server answered, so the call did not crash it")
 }
 
@@ -317,15 +322,15 @@
 	c := &clock{now: 1000}
 	a, b := suspector.NewTracker(c, zap.NewNop(), nil), suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 2 {
-		a.Failed(incarnation(fmt.Sprint("s", i)), 7, c.now)
+		a.Failed(attempt(fmt.Sprint("s", i), 7, c.now))
 	}
 	b.Merge(a.Records())
-	b.Completed(7)
+	b.Completed(suspector.Call{Fingerprint: 7})
 	a.Merge(b.Records())
-	a.Failed(incarnation("s3"), 7, c.now)
-	_, refused := a.Refused(7)
+	a.Failed(attempt("s3", 7, c.now))
+	_, refused := a.Refused(suspector.Call{Fingerprint: 7})
 	require.False(t, refused)
-	b.Completed(8)
+	b.Completed(suspector.Call{Fingerprint: 8})
 	require.Len(t, b.Records().Successes, 1, "only suspected calls are reported")
 }
 
@@ -349,7 +354,7 @@
 	runtime.ReadMemStats(&before)
 	for call := range uint64(20000) {
 		for server := range 3 {
-			w.Failed(incarnation(fmt.Sprint("s", server, "-", call/8)), call, c.now-5)
+			w.Failed(attempt(fmt.Sprint("s", server, "-", call/8), call, c.now-5))
 		}
 		if call%8 == 7 {
 			c.now += 2 * timer.Second
--- a/suspector/tracker.go
+++ b/suspector/tracker.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/quarantiner"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -29,18 +28,6 @@
 // are dropped first.
 const maxUnanswered = 64
 
-// Fingerprint returns a hash that identifies a call: it is the same when the same
-// workspace sends the same body to the same target again.
-func Fingerprint(workspace, target string, body []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(workspace)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(target)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return d.Sum64()
-}
-
 // Tracker records the calls under which servers crash, for servers to which every host
 // sends calls independently. It uses the observations of its own host and the records of
 // the others. It is safe for concurrent use.
@@ -67,8 +54,8 @@
 // unansweredCall is a call that ended at a server before the server answered it or
 // failed.
 type unansweredCall struct {
-	fingerprint uint64
-	at          timer.Millis
+	Attempt
+	at timer.Millis
 }
 
 // localCrash is a crash of a server under a call, as observed by this host.
@@ -95,21 +82,21 @@
 // Admit reports whether a call may be sent to a server and, if not, after which wait
 // the caller may retry. It calls the store only for a call that is quarantined or has
 // enough crashes for it: once the wait of such a call is over, Admit claims a trial.
-func (t *Tracker) Admit(ctx context.Context, fingerprint uint64) (wait timer.Millis, ok bool) {
-	wait, suspected := t.wait(fingerprint)
+func (t *Tracker) Admit(ctx context.Context, c Call) (wait timer.Millis, ok bool) {
+	wait, suspected := t.wait(c.Fingerprint)
 	if wait > 0 {
 		return wait, false
 	}
 	if t.quarantine == nil || !suspected {
 		return 0, true
 	}
-	return t.quarantine.ClaimTrial(ctx, fingerprint)
+	return t.quarantine.ClaimTrial(ctx, c.Fingerprint)
 }
 
 // Refused reports whether a call is refused without requesting a trial from the
 // store, and for how long.
-func (t *Tracker) Refused(fingerprint uint64) (timer.Millis, bool) {
-	wait, _ := t.wait(fingerprint)
+func (t *Tracker) Refused(c Call) (timer.Millis, bool) {
+	wait, _ := t.wait(c.Fingerprint)
 	return wait, wait > 0
 }
 
@@ -176,7 +163,7 @@
 	now := t.clock.Now()
 	for _, c := range t.unanswered[server] {
 		if now-c.at < unansweredWindow {
-			t.recordCrash(server, c.fingerprint, "the server was removed after the call ended there without an answer")
+			t.recordCrash(c.Attempt, "the server was removed after the call ended there without an answer")
 		}
 	}
 	delete(t.unanswered, server)
@@ -184,44 +171,48 @@
 
 // Unanswered records that a call ended at a server before the server answered it or
 // failed. If the server turns out to have crashed, the crash counts against the call.
-func (t *Tracker) Unanswered(server cataloger.Incarnation, fingerprint uint64) {
+func (t *Tracker) Unanswered(a Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := append(t.unanswered[server], unansweredCall{fingerprint: fingerprint, at: t.clock.Now()})
-	t.unanswered[server] = list[max(0, len(list)-maxUnanswered):]
+	list := append(t.unanswered[a.Server], unansweredCall{Attempt: a, at: t.clock.Now()})
+	t.unanswered[a.Server] = list[max(0, len(list)-maxUnanswered):]
 }
 
-// Failed records that an incarnation of a server broke off a call that was sent at the
-// given time. The failure is not counted if the server had failed before sent, less than
-// failureWindow ago, and has not answered since.
-func (t *Tracker) Failed(server cataloger.Incarnation, fingerprint uint64, sent timer.Millis) {
+// Failed records that an incarnation of a server broke off a call. The failure is not
+// counted if the server had failed before the call was sent, less than failureWindow ago,
+// and has not answered since.
+func (t *Tracker) Failed(a Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	since, ok := t.failedAt[server]
-	if ok && sent >= since && now-since < failureWindow {
-		t.logger.Info("failure not counted against a call", zap.String("server", server.ID), zap.Uint64("fingerprint", fingerprint),
+	since, ok := t.failedAt[a.Server]
+	if ok && a.Sent >= since && now-since < failureWindow {
+		t.logger.Info("failure not counted against a call", zap.String("server", a.Server.ID), zap.Uint64("fingerprint", a.Fingerprint),
 			zap.String("reason", "the server failed before the call was sent"))
 		return
 	}
 	if !ok || now-since >= failureWindow {
-		t.failedAt[server] = now
+		t.failedAt[a.Server] = now
 	}
-	t.recordCrash(server, fingerprint, "the server broke off the call")
+	t.recordCrash(a, "the server broke off the call")
 }
 
+// maxLoggedParts bounds the parts of a prompt in one log line.
+const maxLoggedParts = 16
+
 // recordCrash records that a server crashed under a call. The caller holds t.mu.
-func (t *Tracker) recordCrash(server cataloger.Incarnation, fingerprint uint64, reason string) {
+func (t *Tracker) recordCrash(a Attempt, reason string) {
 	now := t.clock.Now()
-	added := t.evidence.add(fingerprint, crashID(server), now, now)
+	added := t.evidence.add(a.Fingerprint, crashID(a.Server), now, now)
 	if added {
-		t.crashes = append(t.crashes, localCrash{server: server, fingerprint: fingerprint, at: now})
+		t.crashes = append(t.crashes, localCrash{server: a.Server, fingerprint: a.Fingerprint, at: now})
 	}
-	_, crashes, refused := t.evidence.crashState(fingerprint, now)
-	t.logger.Info("failure held against a call", zap.String("server", server.ID), zap.Int64("born", server.StartedAt), zap.Uint64("fingerprint", fingerprint),
-		zap.String("reason", reason), zap.Bool("counted-before", !added), zap.Int("deaths", crashes), zap.Bool("refused", refused))
+	_, crashes, refused := t.evidence.crashState(a.Fingerprint, now)
+	t.logger.Info("failure held against a call", zap.String("server", a.Server.ID), zap.Int64("born", a.Server.StartedAt), zap.Uint64("fingerprint", a.Fingerprint),
+		zap.String("reason", reason), zap.Bool("counted-before", !added), zap.Int("deaths", crashes), zap.Bool("refused", refused),
+		zap.Int64("age-ms", int64(now-a.Sent)), zap.Int("events", a.Events), zap.Uint64s("parts", a.Parts[:min(len(a.Parts), maxLoggedParts)]))
 	if added && refused && t.quarantine != nil {
-		t.quarantine.Put(fingerprint)
+		t.quarantine.Put(a.Fingerprint)
 	}
 }
 
@@ -232,7 +223,8 @@
 
 // Completed records that a server answered a call completely. It is cheap unless the
 // call is suspected or quarantined.
-func (t *Tracker) Completed(fingerprint uint64) {
+func (t *Tracker) Completed(c Call) {
+	fingerprint := c.Fingerprint
 	if t.quarantine != nil {
 		t.quarantine.Remove(fingerprint)
 	}
