--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +40,13 @@
 var names = namer.Names{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
 	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", ResumeAfter: "After",
+	Prompt: "Prompt", SharedParts: sharedParts,
+}
+
+// sharedParts returns all parts of a comma-separated list but the last.
+func sharedParts(value string) []string {
+	parts := strings.Split(value, ",")
+	return parts[:len(parts)-1]
 }
 
 // engine is a backend server that streams lastEvent events for each item.
@@ -49,7 +57,11 @@
 	stallBytes string
 	// announcesLeave makes the server of the first run announce that it is leaving.
 	announcesLeave bool
-	mu             sync.Mutex
+	// crashingPart is the part of a prompt whose items break off before their first
+	// event; empty for none. crashes counts them.
+	crashingPart string
+	crashes      int
+	mu           sync.Mutex
 	// breakAt lists, for each of the next runs, the event in place of which the
 	// connection closes. statuses lists the statuses of the next responses. hold
 	// blocks runs after their second event until it is closed.
@@ -98,6 +110,12 @@
 		return
 	}
 	body, _ := io.ReadAll(q.Body)
+	if e.crashingPart != "" && slices.Contains(sharedParts(q.Header.Get("Prompt")), e.crashingPart) {
+		e.mu.Lock()
+		e.crashes++
+		e.mu.Unlock()
+		return
+	}
 	status, breakAt, hold := e.next(q, c.LocalAddr().String(), string(body))
 	if status != http.StatusOK {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", status)
--- /dev/null
+++ b/executor/prompt_test.go
@@ -0,0 +1,45 @@
+package executor_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
+)
+
+// submitPrompts submits a job with one item for each prompt.
+func (f *fixture) submitPrompts(job string, prompts ...string) {
+	j := queuer.Job{ID: job, Host: "h", Submitted: time.Now().UnixMilli(), RunObjective: 18000, Retention: 60000, MaxAttempts: 3}
+	for i, prompt := range prompts {
+		j.Items = append(j.Items, queuer.Item{ID: job + strconv.Itoa(i), Path: "/b/x", Headers: map[string]string{"prompt": prompt}})
+	}
+	data, err := queuer.Encode(queuer.Accepted{Job: j})
+	require.NoError(f.t, err)
+	f.queue.Apply(data)
+}
+
+// Items with one crashing part of their prompts were sent to servers without end, and
+// each crashed one. Items that share their other part must complete; the crashing ones
+// must be kept.
+func TestItemsWithACrashingPromptPartAreHeldBack(t *testing.T) {
+	e := &engine{crashingPart: "crashing"}
+	f := startWithServers(t, e, 6)
+	f.submitPrompts("bad", "common,crashing,0", "common,crashing,1", "common,crashing,2")
+	var sound []string
+	for i := range 40 {
+		sound = append(sound, "common,"+strconv.Itoa(i%7)+",own")
+	}
+	for i := range 4 {
+		f.submitPrompts("j"+strconv.Itoa(i), sound...)
+		timer.Sleep(context.Background(), timer.Second)
+	}
+	require.Eventually(t, func() bool { return len(f.queue.Pending()) == 3 }, waitTimeout, pollInterval)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.GreaterOrEqual(t, e.crashes, 2)
+	require.LessOrEqual(t, e.crashes, 8)
+}
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -59,12 +59,17 @@
 	// record.
 	crashes []timer.Millis
 	retries int
+	// threshold is the number of crashes after which every host must refuse what causes
+	// them; lastCrashed is the server that crashed last.
+	threshold   int
+	lastCrashed cataloger.Server
 }
 
 func newFleet(t *testing.T, seed uint64, hosts, servers int) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), clock: timer.System(),
 		servers: make(map[string]cataloger.Server), restarts: make(map[timer.Millis][]cataloger.Server),
+		threshold: 3,
 	}
 	f.ledger = storer.NewMemoryLedger(f.clock)
 	for range servers {
@@ -148,11 +153,16 @@
 	synctest.Wait()
 }
 
-// call sends a call from a host to a server in the host's view. If crashes is set, the
-// server crashes under it; with left, the caller disconnects before that. call reports
-// whether the call was admitted.
+// call sends a call without a prompt; see send.
 func (f *fleet) call(h *host, fingerprint uint64, crashes, left bool) bool {
-	if _, ok := h.tracker.Admit(f.t.Context(), suspector.Call{Fingerprint: fingerprint}); !ok {
+	return f.send(h, suspector.Call{Fingerprint: fingerprint}, crashes, left)
+}
+
+// send sends a call from a host to a server in the host's view. If crashes is set, the
+// server crashes under it; with left, the caller disconnects before that. send reports
+// whether the call was admitted.
+func (f *fleet) send(h *host, c suspector.Call, crashes, left bool) bool {
+	if _, ok := h.tracker.Admit(f.t.Context(), c); !ok {
 		return false
 	}
 	now := f.clock.Now()
@@ -162,20 +172,21 @@
 	}
 	if !crashes {
 		h.tracker.Answered(v.Incarnation())
-		h.tracker.Completed(suspector.Call{Fingerprint: fingerprint})
+		h.tracker.Completed(c)
 		return true
 	}
 	f.crash(v)
-	a := suspector.Attempt{Call: suspector.Call{Fingerprint: fingerprint}, Server: v.Incarnation(), Sent: now}
+	a := suspector.Attempt{Call: c, Server: v.Incarnation(), Sent: now}
 	if left {
 		h.tracker.Unanswered(a)
 	} else {
 		h.tracker.Failed(a)
 	}
-	if len(f.crashes) >= 3 && now > f.crashes[2]+settleTime && now > h.started+settleTime {
+	if n := f.threshold; len(f.crashes) >= n && now > f.crashes[n-1]+settleTime && now > h.started+settleTime {
 		f.retries++
 	}
 	f.crashes = append(f.crashes, now)
+	f.lastCrashed = v
 	return true
 }
 
