Refuse calls by the part of their prompts that crashes servers

Cause: crashes were counted by the whole call. Requests that share one part of their prompts and differ in the rest each began at zero. Class: the identity under which something is counted is narrower than what causes it. Now each crash is also recorded with the shared parts of the prompts of the calls that had not been answered yet (fewer than four events), told among hosts in their digests. The part that explains three crashes by different calls, and was not answered since, is refused on all hosts, in the store as calls are, and tried by one host at a time. A crash that a refused part explains counts against no other part; parts that were answered before come last; so the first part that all calls share is never refused. Calls in flight with a part that was never answered are revoked, as they would crash their servers. Ruled out: refusing by the caller or the first part (sound calls share both); a lower threshold (two crashes hit sound calls that share a rare part by chance). An answer that is no success no longer clears a call: a part is not read for it.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -81,10 +81,13 @@
 // Holds reports whether disk is among the holders.
 func (g Group) Holds(disk string) bool { return slices.Contains(g.Holders, disk) }
 
-// Quarantine is the store's record of a call that crashes backend servers.
+// Quarantine is the store's record of a call, or of a part of the prompts of calls, that
+// crashes backend servers.
 type Quarantine struct {
 	// Trials is the number of trials of the call since it was quarantined.
 	Trials int `cbor:"1,keyasint"`
+	// Workspace is a hash of the workspace whose calls crashed servers.
+	Workspace uint32 `cbor:"2,keyasint,omitempty"`
 	// Revision is the store's revision of the record.
 	Revision uint64 `cbor:"-"`
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -2,6 +2,9 @@
 // all hosts refuse them, including hosts that start later, and permits one host at a
 // time to try such a call again.
 //
+// What crashes servers may be a call that is repeated or a part of the prompts of many
+// calls. Both have a fingerprint, and a record stands for all calls with the fingerprint.
+//
 // A record is stored under a lease that no host renews, so it expires by itself. Each
 // trial is a transaction on the revision of the record: when several hosts want to try
 // a call at the same time, only one succeeds. Each trial multiplies the wait before the
@@ -13,6 +16,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -50,6 +54,10 @@
 	maxRetry              = 4 * timer.Second
 	// maxPending bounds the number of writes that wait for the store.
 	maxPending = 64
+	// maxRecords bounds the records in the store, maxWorkspaceRecords those of one
+	// workspace.
+	maxRecords          = 1024
+	maxWorkspaceRecords = 48
 )
 
 // Backoff returns how long a call is refused after the given number of trials.
@@ -79,6 +87,13 @@
 	writtenAt timer.Millis
 }
 
+// change is a record to write, or to remove if put is false. workspace identifies the
+// workspace of the record to write.
+type change struct {
+	put       bool
+	workspace uint32
+}
+
 // Quarantiner keeps the records of quarantined calls in step with the store. It is safe
 // for concurrent use.
 type Quarantiner struct {
@@ -89,8 +104,8 @@
 
 	mu      sync.Mutex
 	records map[uint64]record
-	// pending holds the records to write (true) or to remove (false), by fingerprint.
-	pending map[uint64]bool
+	// pending holds the records to write or to remove, by fingerprint.
+	pending map[uint64]change
 	// lastRequest is when a request to write a record or to grant a trial was last
 	// sent to the store, by fingerprint.
 	lastRequest map[uint64]timer.Millis
@@ -106,7 +121,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	q := &Quarantiner{
 		options: o, cancel: cancel, done: make(chan struct{}), wake: make(chan struct{}, 1),
-		records: make(map[uint64]record), pending: make(map[uint64]bool), lastRequest: make(map[uint64]timer.Millis),
+		records: make(map[uint64]record), pending: make(map[uint64]change), lastRequest: make(map[uint64]timer.Millis),
 	}
 	go q.run(ctx)
 	return q
@@ -150,13 +165,37 @@
 	if !ok {
 		return 0, false
 	}
-	return max(0, r.receivedAt+Backoff(r.Trials)-q.options.Clock.Now()), true
+	return r.wait(q.options.Clock.Now()), true
 }
 
-// Put schedules the write of a record for a call that has none.
-func (q *Quarantiner) Put(fingerprint uint64) {
+// Waits returns those of the given fingerprints of which the store has a record, and how
+// long calls with each are refused.
+func (q *Quarantiner) Waits(fingerprints []uint64) map[uint64]timer.Millis {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.records) == 0 {
+		return nil
+	}
+	now := q.options.Clock.Now()
+	out := make(map[uint64]timer.Millis)
+	for _, f := range fingerprints {
+		if r, ok := q.records[f]; ok {
+			out[f] = r.wait(now)
+		}
+	}
+	return out
+}
+
+// wait returns how long calls are refused because of the record.
+func (r record) wait(now timer.Millis) timer.Millis {
+	return max(0, r.receivedAt+Backoff(r.Trials)-now)
+}
+
+// Put schedules the write of a record for a call that has none. workspace identifies the
+// workspace of the call.
+func (q *Quarantiner) Put(fingerprint uint64, workspace uint32) {
 	if _, known := q.Wait(fingerprint); !known && q.mayRequest(fingerprint) {
-		q.enqueue(fingerprint, true)
+		q.enqueue(fingerprint, change{put: true, workspace: workspace})
 	}
 }
 
@@ -173,32 +212,50 @@
 	return true
 }
 
-// Remove schedules the removal of the record of a call that was answered.
-func (q *Quarantiner) Remove(fingerprint uint64) {
-	if _, known := q.Wait(fingerprint); known {
-		q.enqueue(fingerprint, false)
+// Remove schedules the removal of the records of what was answered.
+func (q *Quarantiner) Remove(fingerprints ...uint64) {
+	for f := range q.Waits(fingerprints) {
+		q.enqueue(f, change{})
 	}
 }
 
-// enqueue schedules a write, or a removal if put is false. It discards the request when
-// too many are pending.
-func (q *Quarantiner) enqueue(fingerprint uint64, put bool) {
+// enqueue schedules a write or a removal. It discards a write when too many are pending,
+// or when the store has too many records, in all or of the workspace.
+func (q *Quarantiner) enqueue(fingerprint uint64, c change) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if _, ok := q.pending[fingerprint]; !ok && len(q.pending) >= maxPending {
-		q.options.Logger.Warn("too many pending writes of quarantined calls; call is kept in memory only", zap.Uint64("fingerprint", fingerprint))
+	if _, ok := q.pending[fingerprint]; !ok && (len(q.pending) >= maxPending || c.put && !q.hasRoom(c.workspace)) {
+		q.options.Logger.Warn("too many quarantined calls; call is kept in memory only", zap.Uint64("fingerprint", fingerprint),
+			zap.Int("pending", len(q.pending)), zap.Int("records", len(q.records)))
 		return
 	}
-	q.pending[fingerprint] = put
+	q.pending[fingerprint] = c
 	select {
 	case q.wake <- struct{}{}:
 	default:
 	}
 }
 
+// hasRoom reports whether one more record of a workspace may be written. The caller holds
+// q.mu.
+func (q *Quarantiner) hasRoom(workspace uint32) bool {
+	n := 0
+	for _, r := range q.records {
+		if r.Workspace == workspace {
+			n++
+		}
+	}
+	for _, c := range q.pending {
+		if c.put && c.workspace == workspace {
+			n++
+		}
+	}
+	return n < maxWorkspaceRecords && len(q.records) < maxRecords
+}
+
 // ClaimTrial requests from the store the exclusive right to try a call now. If it is
 // not granted, wait is the time after which the caller may retry.
-func (q *Quarantiner) ClaimTrial(ctx context.Context, fingerprint uint64) (wait timer.Millis, granted bool) {
+func (q *Quarantiner) ClaimTrial(ctx context.Context, fingerprint uint64, workspace uint32) (wait timer.Millis, granted bool) {
 	if !q.mayRequest(fingerprint) {
 		return retryWait, false
 	}
@@ -207,7 +264,7 @@
 	q.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout.Duration())
 	defer cancel()
-	next := cataloger.Quarantine{Trials: r.Trials + 1}
+	next := cataloger.Quarantine{Trials: r.Trials + 1, Workspace: cmp.Or(r.Workspace, workspace)}
 	revision, err := q.write(ctx, fingerprint, next, storer.Revision(r.Revision))
 	q.options.Logger.Info("trial of a quarantined call", zap.Uint64("fingerprint", fingerprint), zap.Int("trial", next.Trials),
 		zap.Bool("granted", err == nil), zap.Error(err))
@@ -281,11 +338,11 @@
 	defer close(q.done)
 	pause := minRetry
 	for ctx.Err() == nil {
-		fingerprint, put, ok := q.next()
+		fingerprint, c, ok := q.next()
 		switch {
 		case !ok:
 			q.awaitWork(ctx)
-		case q.flush(ctx, fingerprint, put):
+		case q.flush(ctx, fingerprint, c):
 			pause = minRetry
 		default:
 			timer.Sleep(ctx, pause)
@@ -304,39 +361,41 @@
 
 // flush performs a pending write and reports whether it is done. A write that conflicts
 // with a newer revision is done too: a later snapshot will contain that revision.
-func (q *Quarantiner) flush(ctx context.Context, fingerprint uint64, put bool) bool {
-	err := q.apply(ctx, fingerprint, put)
+func (q *Quarantiner) flush(ctx context.Context, fingerprint uint64, c change) bool {
+	err := q.apply(ctx, fingerprint, c)
 	var conflict *storer.ConflictError
 	if err != nil && !errors.As(err, &conflict) {
-		q.options.Logger.Warn("write record of quarantined call", zap.Uint64("fingerprint", fingerprint), zap.Bool("put", put), zap.Error(err))
+		q.options.Logger.Warn("write record of quarantined call", zap.Uint64("fingerprint", fingerprint), zap.Bool("put", c.put), zap.Error(err))
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.pending[fingerprint] == put {
+	if q.pending[fingerprint] == c {
 		delete(q.pending, fingerprint)
 	}
 	return true
 }
 
 // next returns any pending write; ok is false if there is none.
-func (q *Quarantiner) next() (fingerprint uint64, put, ok bool) {
+func (q *Quarantiner) next() (fingerprint uint64, c change, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for f, put := range q.pending {
-		return f, put, true
+	for f, c := range q.pending {
+		return f, c, true
 	}
-	return 0, false, false
+	return 0, change{}, false
 }
 
 // apply performs one write or removal in the store and updates the local records.
-func (q *Quarantiner) apply(ctx context.Context, fingerprint uint64, put bool) error {
+func (q *Quarantiner) apply(ctx context.Context, fingerprint uint64, c change) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	if put {
-		revision, err := q.write(ctx, fingerprint, cataloger.Quarantine{}, 0)
+	if c.put {
+		n := cataloger.Quarantine{Workspace: c.workspace}
+		revision, err := q.write(ctx, fingerprint, n, 0)
 		if err == nil {
-			q.recordWritten(fingerprint, cataloger.Quarantine{Revision: uint64(revision)})
+			n.Revision = uint64(revision)
+			q.recordWritten(fingerprint, n)
 		}
 		return err
 	}
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -9,6 +9,7 @@
 	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/splitter"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"go.uber.org/zap"
 )
@@ -46,14 +47,16 @@
 	switch {
 	case err == nil:
 		u.relayer.options.Ejector.Succeeded(r.Server.ID)
-		u.relayer.options.Tracker.Completed(u.call.Suspect)
+		if a.Status/100 == 2 {
+			u.relayer.options.Tracker.Completed(u.call.Suspect)
+		}
 		u.recordTimes(r)
 		u.recordRate(r)
 		return Delivered{Status: a.Status, Server: r.Server.ID, Servers: u.attempts + 1}, false
 	case errors.Is(err, errCallerGone):
 		u.recordUnanswered(r)
 		return CallerGone{}, false
-	case u.headSent && !u.resumable:
+	case u.headSent && !u.resumable && !u.flight.Revoked():
 		u.attempts++
 		if ctx.Err() != nil {
 			u.recordUnanswered(r)
@@ -166,6 +169,10 @@
 	if u.eventCount == firstRateSample {
 		u.recordRate(r)
 	}
+	if u.eventCount == suspector.ProgressEvents {
+		u.flight.Progressed()
+		u.relayer.options.Tracker.Progressed(u.call.Suspect)
+	}
 	if u.sink.Write(e.Raw) != nil {
 		return errCallerGone
 	}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -35,7 +35,9 @@
 	// maxRefusals is the number of refusals or failed connections after which a call
 	// is still tried again; one more ends it. maxMisdirected is the same for addresses
 	// at which another server answered.
-	maxRefusals    = 2
+	maxRefusals = 2
+	// maxLoggedParts bounds the parts of a prompt in one log line.
+	maxLoggedParts = 16
 	maxMisdirected = 8
 )
 
@@ -61,6 +63,8 @@
 	// sentAt.
 	eventCount int
 	sentAt     timer.Millis
+	// flight is the current attempt as the tracker knows it.
+	flight *suspector.Flight
 	// firstEvent is when the first event of the current attempt came, or 0.
 	firstEvent timer.Millis
 }
@@ -89,9 +93,8 @@
 	if left < minTimeLeft {
 		return u.outOfTime("no time left"), false
 	}
-	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
-		o.Logger.Info("call kept apart", zap.String("request", u.call.ID), zap.Uint64("fingerprint", u.call.Suspect.Fingerprint), zap.Int64("for-ms", int64(retryAfter)))
-		return u.giveUp("servers failed under this call lately", retryAfter), false
+	if retryAfter, refused := o.Tracker.Refused(u.call.Suspect); refused {
+		return u.refuseSuspect(retryAfter), false
 	}
 	reservation, ok := o.Picker.Pick(u.call.Service, selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded})
 	if !ok {
@@ -103,13 +106,19 @@
 			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("objective-ms", int64(f.Objective)), zap.Int64("patience-ms", int64(f.Timeout)))
 		return NotRun{Reason: "servers are too crowded to answer in time", RetryAfter: u.overloadRetryAfter(left)}, false
 	}
+	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
+		return u.refuseSuspect(retryAfter), false
+	}
 	o.Ejector.Begin(reservation.Server.ID)
 	defer o.Ejector.End(reservation.Server.ID)
 	u.eventCount, u.sentAt = 0, o.Clock.Now()
 	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID),
 		zap.Int("online", reservation.Load.Online), zap.Int("batch", reservation.Load.Batch), zap.Int("tried", len(u.excluded)),
 		zap.Int64("left-ms", int64(left)), zap.Int64("after-event", u.lastEvent))
-	answer, err := o.Transporter.Send(ctx, u.request(reservation, left), u.firstByteTimeout(reservation, left))
+	attemptCtx, flight := o.Tracker.Start(ctx, u.call.Suspect)
+	u.flight = flight
+	defer flight.End()
+	answer, err := o.Transporter.Send(attemptCtx, u.request(reservation, left), u.firstByteTimeout(reservation, left))
 	if err != nil {
 		return u.handleFailure(ctx, reservation, err)
 	}
@@ -123,6 +132,15 @@
 	return u.handleAnswer(ctx, reservation, answer)
 }
 
+// refuseSuspect ends a call that is refused because servers crashed under it or under
+// other calls that share a part of its prompt.
+func (u *run) refuseSuspect(retryAfter timer.Millis) Outcome {
+	s := u.call.Suspect
+	u.relayer.options.Logger.Info("call kept apart", zap.String("request", u.call.ID), zap.Uint64("fingerprint", s.Fingerprint),
+		zap.Uint64s("parts", s.Parts[:min(len(s.Parts), maxLoggedParts)]), zap.Int64("for-ms", int64(retryAfter)))
+	return u.giveUp("servers failed lately under this call or a part of its prompt", retryAfter)
+}
+
 // forecastInput returns the input for deciding whether the call can be answered in
 // time at r's server. Only online calls count as ahead of it, since batch items are
 // evicted in its favour.
@@ -185,6 +203,10 @@
 	if sent {
 		u.attempts++
 	}
+	if u.flight.Revoked() {
+		retryAfter, _ := o.Tracker.Refused(u.call.Suspect)
+		return u.refuseSuspect(retryAfter), false
+	}
 	if ctx.Err() != nil {
 		if sent {
 			u.recordUnanswered(r)
--- a/suspector/call.go
+++ b/suspector/call.go
@@ -9,9 +9,11 @@
 // Call identifies a call by what repetitions of it and other calls have in common with
 // it.
 type Call struct {
-	// Fingerprint identifies the call itself; see Fingerprint. It is zero for calls
-	// that are never suspected as a whole, such as batch items.
+	// Fingerprint identifies the call itself; see Fingerprint.
 	Fingerprint uint64
+	// Owed is set for batch items. They are never suspected as a whole, only for parts
+	// that they share with others.
+	Owed bool
 	// Parts identify the parts of the call's prompt that other calls may share, in
 	// order; see Parts.
 	Parts []uint64
@@ -41,6 +43,9 @@
 	return d.Sum64()
 }
 
+// workspaceHash returns the hash of the call's workspace in records.
+func (c Call) workspaceHash() uint32 { return uint32(xxhash.Sum64String(c.Workspace)) }
+
 // Parts returns hashes that identify the parts of a prompt with these identifiers. They
 // differ from the fingerprints of calls.
 func Parts(ids []string) []uint64 {
--- a/suspector/suspector.go
+++ b/suspector/suspector.go
@@ -41,6 +41,11 @@
 // a call only after crashes of three servers without an answer in between, and a refused
 // call is tried again after a wait, by one host at a time. Package quarantiner keeps the
 // records that must survive restarts of hosts.
+//
+// What crashes servers may also be a part of a prompt that different calls share. A
+// Tracker therefore records, for each crash, the shared parts of the prompts of the calls
+// that had not been answered yet, and refuses all calls with a part that explains enough
+// of the crashes and was not answered since; see promptRecords.
 package suspector
 
 import "github.com/jackdawgate/jackdawgate/timer"
@@ -70,6 +75,23 @@
 	Fingerprints []uint64 `cbor:"3,keyasint"`
 	// Age is the time from the crash until this record was sent.
 	Age timer.Millis `cbor:"4,keyasint"`
+	// Prompts are the prompts of calls that were in flight and not yet answered.
+	Prompts []Prompt `cbor:"5,keyasint,omitempty"`
+}
+
+// Prompt holds the shared parts of a call's prompt.
+type Prompt struct {
+	Call uint64 `cbor:"1,keyasint"`
+	// Workspace is a hash of the call's workspace.
+	Workspace uint32   `cbor:"2,keyasint,omitempty"`
+	Parts     []uint64 `cbor:"3,keyasint"`
+}
+
+// SoundPart records that a call with a part in its prompt was answered.
+type SoundPart struct {
+	Part uint64 `cbor:"1,keyasint"`
+	// Age is the time from the answer until this record was sent.
+	Age timer.Millis `cbor:"2,keyasint"`
 }
 
 // Success records that a call was answered after it had been in flight at crashes.
@@ -85,6 +107,8 @@
 type Records struct {
 	Crashes   []Crash   `cbor:"1,keyasint"`
 	Successes []Success `cbor:"2,keyasint"`
+	// SoundParts are parts that occurred at recent crashes.
+	SoundParts []SoundPart `cbor:"3,keyasint,omitempty"`
 }
 
 // Verdict is the verdict on a fingerprint: Clear, Suspected or Refused.
