--- a/tester/fleet_test.go
+++ b/tester/fleet_test.go
@@ -337,3 +337,40 @@
 	require.LessOrEqual(t, crashes, 2)
 	require.Equal(t, http.StatusOK, tester.Chat(client, c.CallerAddress(0), key, "another", 4).Status)
 }
+
+// Chats that share a beginning crashed each server that ran them, and since no two were
+// alike, none was refused. Chats with another beginning must be answered meanwhile.
+func TestChatsThatShareACrashingBeginningAreRefused(t *testing.T) {
+	t.Parallel()
+	const (
+		servers = 6
+		// mostCrashes is how many servers may crash: five until every host must know the
+		// beginning, and three more.
+		mostCrashes = 8
+		calls       = 24
+	)
+	c := tester.Start(t, 3, servers)
+	key := c.CreateWorkspace("kitchen", 1000, 1000)
+	for i := range servers {
+		c.SetFaults(c.ServerAddress(i), `{"crash-marker":"poison","restart-after-ms":500}`)
+	}
+	client := tester.NewClient()
+	beginning := "poison " + strings.Repeat("what every chat of this kind begins with ", 5)
+	var last tester.Response
+	sound := 0
+	for i := range calls {
+		last = tester.Chat(client, c.CallerAddress(i%3), key, fmt.Sprint(beginning, i), 4)
+		require.NoError(t, last.Err)
+		require.NotEqual(t, http.StatusOK, last.Status)
+		if tester.Chat(client, c.CallerAddress(i%3), key, fmt.Sprint("what other chats begin with ", i), 4).Status == http.StatusOK {
+			sound++
+		}
+	}
+	require.GreaterOrEqual(t, sound, calls*85/100, "sound chats were not answered")
+	require.Contains(t, last.Body, "request-suspected")
+	crashes := 0
+	for i := range servers {
+		crashes += c.CountReceived(c.ServerAddress(i), "poison")
+	}
+	require.LessOrEqual(t, crashes, mostCrashes)
+}
