Calls that a crash ends are given up on only after hosts know of the crash

What callers saw: one server more crashed than allowed, when a call was sent again within milliseconds. Cause: the keeper host broadcast the record of a crash in the background and replied with the outcome at once; nothing ordered the two. Now the reply to the host that sent the call carries the record, and the keeper host waits up to 300 ms until the hosts that it reaches have the record, so a caller that sends the call again at any of them meets one that knows. Ruled out: the reply alone (the caller may go to a third host). TestReplyCarriesTheRecordOfACrash and TestCrashIsKnownToAllHostsBeforeItsCallsEnd do not compile without it; the second is the delayed broadcast in virtual time.

--- a/dispatcher/broken_test.go
+++ b/dispatcher/broken_test.go
@@ -336,6 +336,30 @@
 	}
 }
 
+// The host that retries a call after a crash did not know of the crash yet, since its
+// record was broadcast in the background, and the call crashed a third server.
+func TestReplyCarriesTheRecordOfACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, "m1")
+		crash := make(chan struct{})
+		f.engine("m1", func(_ int, c net.Conn) { serveUntilCrash(c, crash) })
+		owner, other := f.owner("m1")
+		ended := make(chan requester.Outcome)
+		r := chatRequest("r1", false)
+		r.Repeatable = false
+		go func() { ended <- other.Do(context.Background(), r, &recordedAnswer{}) }()
+		synctest.Wait()
+		f.stopServer("m1")
+		close(crash)
+		m, ok := (<-ended).(requester.MaybeRun)
+		require.True(t, ok)
+		require.True(t, m.ServerCrashed)
+		require.Equal(t, []uint64{7}, owner.suspects.crashes["m1"])
+		require.Len(t, other.suspects.merged, 1)
+		require.Equal(t, []uint64{7}, other.suspects.merged[0].Crashes[0].Fingerprints)
+	})
+}
+
 func TestCrashIsNotAttributedToCallSentAfterIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, "m1")
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -47,6 +47,7 @@
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/suspector"
 
 	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/exchanger"
@@ -174,8 +175,11 @@
 	// Refused reports whether calls with this fingerprint are refused, and for how
 	// long.
 	Refused(fingerprint uint64) (timer.Millis, bool)
-	// RecordCrash records that server crashed with these calls in flight.
-	RecordCrash(server string, fingerprints []uint64)
+	// RecordCrash records that server crashed with these calls in flight. It returns the
+	// record for the hosts that sent the calls.
+	RecordCrash(server string, fingerprints []uint64) suspector.Records
+	// Merge applies a record that another host returned.
+	Merge(r suspector.Records)
 }
 
 // Dispatcher runs calls. It is safe for concurrent use.
--- a/dispatcher/fixture_test.go
+++ b/dispatcher/fixture_test.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawgate/jackdawgate/registrar"
 	"github.com/jackdawgate/jackdawgate/requester"
 	"github.com/jackdawgate/jackdawgate/router"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -113,6 +114,7 @@
 	mu      sync.Mutex
 	crashes map[string][]uint64
 	refused map[uint64]bool
+	merged  []suspector.Records
 }
 
 func (s *suspectRecorder) Refused(f uint64) (timer.Millis, bool) {
@@ -121,10 +123,17 @@
 	return 0, s.refused[f]
 }
 
-func (s *suspectRecorder) RecordCrash(server string, fs []uint64) {
+func (s *suspectRecorder) RecordCrash(server string, fs []uint64) suspector.Records {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashes[server] = append(s.crashes[server], fs...)
+	return suspector.Records{Crashes: []suspector.Crash{{ID: "crash", Server: server, Fingerprints: fs}}}
+}
+
+func (s *suspectRecorder) Merge(r suspector.Records) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.merged = append(s.merged, r)
 }
 
 // healthRecorder is a Health that records its calls in order.
--- a/dispatcher/flights.go
+++ b/dispatcher/flights.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackdawgate/jackdawgate/exchanger"
 	"github.com/jackdawgate/jackdawgate/registrar"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"go.uber.org/zap"
 )
 
@@ -20,6 +21,8 @@
 	// crashChecks holds a lock for each server, held while the host determines
 	// whether the server crashed. It is acquired before mu.
 	crashChecks map[string]*sync.Mutex
+	// lastCrash holds the record of the last crash of each server.
+	lastCrash map[string]suspector.Records
 }
 
 // inFlightCall is one call on a server.
@@ -34,7 +37,9 @@
 }
 
 func newInFlightCalls() *inFlightCalls {
-	return &inFlightCalls{byServer: make(map[string]map[*inFlightCall]struct{}), crashChecks: make(map[string]*sync.Mutex)}
+	return &inFlightCalls{
+		byServer: make(map[string]map[*inFlightCall]struct{}), crashChecks: make(map[string]*sync.Mutex), lastCrash: make(map[string]suspector.Records),
+	}
 }
 
 func (f *inFlightCalls) begin(server string, fingerprint uint64) *inFlightCall {
@@ -116,6 +121,24 @@
 	return x.counted
 }
 
+func (f *inFlightCalls) setLastCrash(server string, r suspector.Records) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastCrash[server] = r
+}
+
+// crashRecord returns the record of the last crash of a server, which the reply to a call
+// that it ended carries: the host that retries the call must know of the crash before.
+func (f *inFlightCalls) crashRecord(server string) *suspector.Records {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.lastCrash[server]
+	if !ok {
+		return nil
+	}
+	return &r
+}
+
 // confirmCrash reports whether the server of a call whose connection was cut has
 // crashed, and if so passes the calls in flight to Suspects. It first checks the idle
 // connections that the probes have left. If one of them is still open, the server has
@@ -135,7 +158,7 @@
 	}
 	fingerprints := d.inFlight.takeInFlight(x)
 	if len(fingerprints) > 0 && d.options.Suspects != nil {
-		d.options.Suspects.RecordCrash(b.Name, fingerprints)
+		d.inFlight.setLastCrash(b.Name, d.options.Suspects.RecordCrash(b.Name, fingerprints))
 	}
 	d.options.Logger.Warn("backend server crashed", zap.String("server", b.Name), zap.Int("in-flight", len(fingerprints)))
 	return true
--- a/dispatcher/relay.go
+++ b/dispatcher/relay.go
@@ -8,6 +8,7 @@
 	"github.com/jackdawgate/jackdawgate/exchanger"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/requester"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -31,6 +32,8 @@
 	// Load is the server's load at the end of the call, so that the entry host has
 	// current loads of the servers it uses without fetching them.
 	Load *Load `cbor:"5,keyasint,omitempty"`
+	// Crash is the record of the crash that ended the call, if one did.
+	Crash *suspector.Records `cbor:"6,keyasint,omitempty"`
 }
 
 type headFrame struct {
@@ -127,6 +130,9 @@
 		if f.Load != nil {
 			d.loads.update(*f.Load)
 		}
+		if f.Crash != nil && d.options.Suspects != nil {
+			d.options.Suspects.Merge(*f.Crash)
+		}
 		return deliverFrame(f, v, &end)
 	})
 	if end != nil {
@@ -202,6 +208,9 @@
 	s := frameSink{send: send}
 	o := d.runAsKeeper(ctx, &r, s)
 	f := runFrame{Outcome: encodeOutcome(o)}
+	if m, ok := o.(requester.MaybeRun); ok && m.ServerCrashed {
+		f.Crash = d.inFlight.crashRecord(r.Server)
+	}
 	if d.owns(r.Server) {
 		l := d.ownLoad(r.Server)
 		f.Load = &l
--- a/suspector/runtime.go
+++ b/suspector/runtime.go
@@ -25,6 +25,9 @@
 	// hosts that a broadcast calls at the same time.
 	callTimeout        = 1 * timer.Second
 	maxConcurrentCalls = 32
+	// publishWait is how long the record of a crash may take to reach the other hosts
+	// before the calls that it ended are given up on.
+	publishWait timer.Millis = 300
 	// compareInterval is the interval between comparisons of records with another host.
 	compareInterval = 10 * timer.Second
 )
@@ -86,18 +89,22 @@
 	s.goroutines.Wait()
 }
 
-// start runs f in a goroutine that Close waits for. It does nothing after Close.
-func (s *Suspector) start(f func()) {
+// start runs f in a goroutine that Close waits for. After Close it does nothing and
+// reports false.
+func (s *Suspector) start(f func()) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.closed {
 		s.goroutines.Go(f)
 	}
+	return !s.closed
 }
 
-// RecordCrash records that server crashed with these calls in flight and
-// broadcasts the record to all hosts.
-func (s *Suspector) RecordCrash(server string, fingerprints []uint64) {
+// RecordCrash records that server crashed with these calls in flight, broadcasts the
+// record to all hosts and returns it. It returns once all hosts have received it, or after
+// publishWait: whoever learns afterwards that a call failed, such as its caller, and sends
+// it again at any host, meets a host that knows of the crash.
+func (s *Suspector) RecordCrash(server string, fingerprints []uint64) Records {
 	s.mu.Lock()
 	s.seq++
 	id := s.fleet.Incarnation() + "-" + strconv.Itoa(s.seq)
@@ -106,9 +113,20 @@
 		s.crashes.Add(s.ctx, 1)
 	}
 	s.logger.Warn("server crashed; its calls in flight are suspected", zap.String("server", server), zap.String("death", id), zap.Int("calls", len(fingerprints)))
-	s.publish(Records{Crashes: []Crash{{ID: id, Server: server, Fingerprints: fingerprints}}})
+	r := Records{Crashes: []Crash{{ID: id, Server: server, Fingerprints: fingerprints}}}
+	received := s.publish(r)
+	wait := time.NewTimer(publishWait.Duration())
+	defer wait.Stop()
+	select {
+	case <-received:
+	case <-wait.C:
+	}
+	return r
 }
 
+// Merge applies records that came with the reply of another host.
+func (s *Suspector) Merge(r Records) { s.add(r) }
+
 // RecordAnswer records that a call with this fingerprint was answered. It sends
 // messages only if the call was suspected.
 func (s *Suspector) RecordAnswer(fingerprint uint64) {
@@ -148,12 +166,13 @@
 }
 
 // publish merges r into the table and, if anything was new, broadcasts r in the
-// background.
-func (s *Suspector) publish(r Records) {
-	if !s.add(r) {
-		return
+// background. The returned channel is closed when the broadcast has ended.
+func (s *Suspector) publish(r Records) <-chan struct{} {
+	ended := make(chan struct{})
+	if !s.add(r) || !s.start(func() { defer close(ended); s.broadcast(r) }) {
+		close(ended)
 	}
-	s.start(func() { s.broadcast(r) })
+	return ended
 }
 
 // broadcast sends r to every other host. Errors are ignored: a host that missed
--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -1,6 +1,7 @@
 package suspector_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -109,7 +110,23 @@
 
 func (v staticViewer) View() coordinator.Snapshot { return v.snapshot }
 
-func startHosts(n int) (*messenger.Memory, []*suspector.Suspector) {
+func startHosts(n int) (*messenger.Memory, []*suspector.Suspector) { return startSlowHosts(n, 0) }
+
+// slowCaller delays each call.
+type slowCaller struct {
+	messenger.Caller
+	delay timer.Millis
+}
+
+func (c slowCaller) Call(ctx context.Context, address string, m messenger.Method, body []byte, each func([]byte) error) error {
+	if c.delay > 0 && !timer.Sleep(ctx, c.delay) {
+		return ctx.Err()
+	}
+	return c.Caller.Call(ctx, address, m, body, each)
+}
+
+// startSlowHosts starts hosts whose calls to one another are delayed.
+func startSlowHosts(n int, delay timer.Millis) (*messenger.Memory, []*suspector.Suspector) {
 	network, record := messenger.NewMemory(), registrar.Record{Version: 1, Epoch: 1}
 	for i := range n {
 		name := fmt.Sprint("host-", i)
@@ -119,7 +136,7 @@
 	for _, m := range record.Members {
 		h := network.Host(m.PeerAddress, messenger.Peer{Name: m.Name})
 		v := staticViewer{coordinator.Snapshot{Self: m}.WithRecord(record)}
-		out = append(out, suspector.New(coordinator.Hosts{Viewer: v}, h, h, timer.System(), zap.NewNop(), noop.Meter{}))
+		out = append(out, suspector.New(coordinator.Hosts{Viewer: v}, slowCaller{h, delay}, h, timer.System(), zap.NewNop(), noop.Meter{}))
 	}
 	return network, out
 }
@@ -157,6 +174,28 @@
 	})
 }
 
+// A caller that was told of a crash sent its call again at another host, which did not
+// know of the crash yet. The broadcast takes 60 ms here, and one host cannot be reached.
+func TestCrashIsKnownToAllHostsBeforeItsCallsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, hosts := startSlowHosts(5, 60)
+		network.Cut("host-0", "host-4", true)
+		for i := range 2 {
+			hosts[0].RecordCrash(fmt.Sprint("m", i), []uint64{culprit})
+			for _, h := range hosts[:4] {
+				require.NotEqual(t, suspector.Clear{}, h.Verdict(culprit))
+			}
+		}
+		for _, h := range hosts[:4] {
+			_, refused := h.Refused(culprit)
+			require.True(t, refused)
+		}
+		for _, h := range hosts {
+			h.Close()
+		}
+	})
+}
+
 func TestHostThatMissedACrashReceivesItLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network, hosts := startHosts(2)
