--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -172,12 +172,11 @@
 // Suspects records which calls may have crashed backend servers. Its methods are
 // called by many goroutines. See also Isolator.
 type Suspects interface {
-	// Refused reports whether calls with this fingerprint are refused, and for how
-	// long.
-	Refused(fingerprint uint64) (timer.Millis, bool)
+	// Refused reports whether a call is refused, and for how long.
+	Refused(c suspector.Call) (timer.Millis, bool)
 	// RecordCrash records that server crashed with these calls in flight. It returns the
 	// record for the hosts that sent the calls.
-	RecordCrash(server string, fingerprints []uint64) suspector.Records
+	RecordCrash(server string, calls []suspector.Call) suspector.Records
 	// Merge applies a record that another host returned.
 	Merge(r suspector.Records)
 }
--- a/dispatcher/do.go
+++ b/dispatcher/do.go
@@ -175,10 +175,10 @@
 	if d.options.Suspects == nil || r.Fingerprint == 0 {
 		return nil, false
 	}
-	wait, refused := d.options.Suspects.Refused(r.Fingerprint)
+	wait, refused := d.options.Suspects.Refused(suspectCall(r))
 	return requester.NotRun{
 		Code:       CodeSuspect,
-		Reason:     "backend servers died with this request in flight",
+		Reason:     "backend servers crashed with this request in flight, or with others that begin alike",
 		RetryAfter: wait,
 	}, refused
 }
--- a/dispatcher/fixture_test.go
+++ b/dispatcher/fixture_test.go
@@ -117,15 +117,19 @@
 	merged  []suspector.Records
 }
 
-func (s *suspectRecorder) Refused(f uint64) (timer.Millis, bool) {
+func (s *suspectRecorder) Refused(c suspector.Call) (timer.Millis, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return 0, s.refused[f]
+	return 0, s.refused[c.Fingerprint]
 }
 
-func (s *suspectRecorder) RecordCrash(server string, fs []uint64) suspector.Records {
+func (s *suspectRecorder) RecordCrash(server string, calls []suspector.Call) suspector.Records {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var fs []uint64
+	for _, c := range calls {
+		fs = append(fs, c.Fingerprint)
+	}
 	s.crashes[server] = append(s.crashes[server], fs...)
 	return suspector.Records{Crashes: []suspector.Crash{{ID: "crash", Server: server, Fingerprints: fs}}}
 }
--- a/dispatcher/flights.go
+++ b/dispatcher/flights.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 
 	"github.com/jackdawgate/jackdawgate/exchanger"
 	"github.com/jackdawgate/jackdawgate/registrar"
@@ -27,8 +28,10 @@
 
 // inFlightCall is one call on a server.
 type inFlightCall struct {
-	server      string
-	fingerprint uint64
+	server string
+	call   suspector.Call
+	// tokens counts the tokens of the answer so far.
+	tokens atomic.Int64
 	// startSeq and cutSeq give the order, on this host, in which calls were sent and
 	// connections were cut.
 	startSeq, cutSeq uint64
@@ -42,11 +45,11 @@
 	}
 }
 
-func (f *inFlightCalls) begin(server string, fingerprint uint64) *inFlightCall {
+func (f *inFlightCalls) begin(server string, c suspector.Call) *inFlightCall {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seq++
-	x := &inFlightCall{server: server, fingerprint: fingerprint, startSeq: f.seq}
+	x := &inFlightCall{server: server, call: c, startSeq: f.seq}
 	if f.byServer[server] == nil {
 		f.byServer[server] = make(map[*inFlightCall]struct{})
 	}
@@ -82,21 +85,27 @@
 }
 
 // takeInFlight removes the calls that were on the server when x's connection was cut,
-// and returns their fingerprints. Since they are removed, each counts for one crash
-// only. Calls sent later went to the successor of the crashed server.
-func (f *inFlightCalls) takeInFlight(x *inFlightCall) []uint64 {
+// and returns them. Since they are removed, each counts for one crash only. Calls sent
+// later went to the successor of the crashed server. A call whose answer was under way
+// did not crash the server by a part of its prompt, so it is returned without them.
+func (f *inFlightCalls) takeInFlight(x *inFlightCall) []suspector.Call {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []uint64
+	var out []suspector.Call
 	for y := range f.byServer[x.server] {
 		if y.startSeq > x.cutSeq {
 			continue
 		}
 		y.counted = true
 		f.removeLocked(y)
-		if y.fingerprint != 0 {
-			out = append(out, y.fingerprint)
+		if y.call.Fingerprint == 0 {
+			continue
+		}
+		c := y.call
+		if y.tokens.Load() >= suspector.ProgressEvents {
+			c.Parts = nil
 		}
+		out = append(out, c)
 	}
 	return out
 }
@@ -156,11 +165,11 @@
 		d.inFlight.remove(x)
 		return false
 	}
-	fingerprints := d.inFlight.takeInFlight(x)
-	if len(fingerprints) > 0 && d.options.Suspects != nil {
-		d.inFlight.setLastCrash(b.Name, d.options.Suspects.RecordCrash(b.Name, fingerprints))
+	calls := d.inFlight.takeInFlight(x)
+	if len(calls) > 0 && d.options.Suspects != nil {
+		d.inFlight.setLastCrash(b.Name, d.options.Suspects.RecordCrash(b.Name, calls))
 	}
-	d.options.Logger.Warn("backend server crashed", zap.String("server", b.Name), zap.Int("in-flight", len(fingerprints)))
+	d.options.Logger.Warn("backend server crashed", zap.String("server", b.Name), zap.Int("in-flight", len(calls)))
 	return true
 }
 
--- a/dispatcher/keep.go
+++ b/dispatcher/keep.go
@@ -51,10 +51,10 @@
 		defer stopWatch()
 	}
 	a, r := d.prepareAnswer(r, s)
-	f := d.inFlight.begin(b.Name, r.Request.Fingerprint)
-	result := d.exchange(ctx, r, b, &slotSink{sink: a, slot: slot}, func() bool { return d.owns(b.Name) })
+	f := d.inFlight.begin(b.Name, suspectCall(&r.Request))
+	result := d.exchange(ctx, r, b, &slotSink{sink: a, slot: slot, call: f}, func() bool { return d.owns(b.Name) })
 	d.inFlight.end(f, result)
-	d.recordAnswered(r.Request.Fingerprint, result)
+	d.recordAnswered(&r.Request, result)
 	if w, whole := result.(exchanger.Complete); whole && !r.Request.Stream {
 		slot.Progress(w.Usage.PromptTokens + w.Usage.CompletionTokens)
 	}
@@ -152,10 +152,11 @@
 	return func() { close(done) }
 }
 
-// slotSink reports tokens to the ledger as they pass through.
+// slotSink reports tokens to the ledger and to the call in flight as they pass through.
 type slotSink struct {
 	sink exchanger.Sink
 	slot keeper.Slot
+	call *inFlightCall
 }
 
 func (s *slotSink) Head(status int, headers []requester.Header) error {
@@ -165,6 +166,7 @@
 func (s *slotSink) Body(piece []byte, tokens int64) error {
 	if tokens > 0 {
 		s.slot.Progress(tokens)
+		s.call.tokens.Add(tokens)
 	}
 	return s.sink.Body(piece, tokens)
 }
--- a/dispatcher/separate.go
+++ b/dispatcher/separate.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jackdawgate/jackdawgate/exchanger"
 	"github.com/jackdawgate/jackdawgate/requester"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -27,23 +28,23 @@
 type Isolator interface {
 	// TryStart reports whether a call may run on server now. A suspect may run only if
 	// no other suspect runs there. After true, End must be called.
-	TryStart(server string, fingerprint uint64) bool
+	TryStart(server string, c suspector.Call) bool
 	// End records that a call for which TryStart returned true has ended.
-	End(server string, fingerprint uint64)
+	End(server string, c suspector.Call)
 	// RecordAnswer records that a call was answered.
-	RecordAnswer(fingerprint uint64)
+	RecordAnswer(c suspector.Call)
 }
 
 // isolateSuspect returns a function to be called when the call has ended on its
 // server, or the outcome of a call that may not run here now.
 func (d *Dispatcher) isolateSuspect(r *runRequest) (func(), requester.Outcome) {
 	s, ok := d.options.Suspects.(Isolator)
-	f := r.Request.Fingerprint
-	if !ok || f == 0 {
+	c := suspectCall(&r.Request)
+	if !ok || c.Fingerprint == 0 {
 		return func() {}, nil
 	}
-	if s.TryStart(r.Server, f) {
-		return func() { s.End(r.Server, f) }, nil
+	if s.TryStart(r.Server, c) {
+		return func() { s.End(r.Server, c) }, nil
 	}
 	if o, refused := d.refuseSuspect(&r.Request); refused {
 		return nil, o
@@ -56,9 +57,15 @@
 }
 
 // recordAnswered reports a completely answered call to the Isolator, which clears it.
-func (d *Dispatcher) recordAnswered(fingerprint uint64, result exchanger.Result) {
+func (d *Dispatcher) recordAnswered(r *requester.Request, result exchanger.Result) {
 	s, ok := d.options.Suspects.(Isolator)
-	if _, whole := result.(exchanger.Complete); ok && whole && fingerprint != 0 {
-		s.RecordAnswer(fingerprint)
+	if _, whole := result.(exchanger.Complete); ok && whole && r.Fingerprint != 0 {
+		s.RecordAnswer(suspectCall(r))
 	}
 }
+
+// suspectCall returns the call as Suspects knows it. The parts of its prompt are the
+// prefixes that other prompts may begin with too.
+func suspectCall(r *requester.Request) suspector.Call {
+	return suspector.Call{Fingerprint: r.Fingerprint, Parts: r.Prefix, Workspace: r.Workspace}
+}
--- a/dispatcher/separate_test.go
+++ b/dispatcher/separate_test.go
@@ -43,7 +43,7 @@
 		require.NoError(t, err)
 		defer d.Close()
 
-		s.RecordCrash("m0", []uint64{1, 2})
+		s.RecordCrash("m0", []suspector.Call{{Fingerprint: 1}, {Fingerprint: 2}})
 		ended := make(chan requester.Outcome, 2)
 		for n := uint64(1); n <= 2; n++ {
 			r := chatRequest("r", false)
--- a/suspector/handover.go
+++ b/suspector/handover.go
@@ -37,7 +37,7 @@
 		parts += len(c.parts)
 	}
 	for part := range t.prompts.occurrences {
-		if at := t.prompts.soundAt[part].at; at > 0 {
+		if at := t.prompts.lastAnswer(part); at != never {
 			out.SoundParts = append(out.SoundParts, SoundPart{Part: part, Age: now - at})
 		}
 	}
--- a/suspector/prompt_test.go
+++ b/suspector/prompt_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"testing/synctest"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -143,3 +144,42 @@
 	require.Less(t, size, uint64(8<<20))
 	runtime.KeepAlive(w)
 }
+
+// Calls that share the beginnings of their prompts crash servers of different hosts, among
+// sound calls that share only the first of these beginnings.
+func TestCallsThatShareACrashingBeginningAreRefusedOnAllHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const first, second, longer = 1, 2, 3
+		_, hosts := startHosts(5)
+		for i := range 3 {
+			for _, h := range hosts {
+				_, refused := h.Refused(suspector.Call{Fingerprint: uint64(i), Parts: []uint64{first, second, longer}})
+				require.False(t, refused, "after %d crashes", i)
+			}
+			sound := suspector.Call{Fingerprint: uint64(200 + i), Parts: []uint64{first}}
+			hosts[i].RecordCrash(fmt.Sprint("m", i), []suspector.Call{{Fingerprint: uint64(100 + i), Parts: []uint64{first, second, longer}}, sound})
+			timer.Sleep(t.Context(), 30)
+			hosts[4].RecordAnswer(sound)
+			synctest.Wait()
+		}
+		for _, h := range hosts {
+			wait, refused := h.Refused(suspector.Call{Fingerprint: 999, Parts: []uint64{first, second, longer, 4}})
+			require.True(t, refused)
+			require.LessOrEqual(t, wait, 60*timer.Second)
+			require.False(t, h.TryStart("m", suspector.Call{Fingerprint: 999, Parts: []uint64{first, second}}))
+			_, refused = h.Refused(suspector.Call{Fingerprint: 999, Parts: []uint64{first, 5}})
+			require.False(t, refused, "a sound call that shares the first beginning")
+		}
+		timer.Sleep(t.Context(), 61*timer.Second)
+		recovered := suspector.Call{Fingerprint: 1000, Parts: []uint64{first, second}}
+		require.True(t, hosts[0].TryStart("m", recovered), "refused for longer than the stated time")
+		hosts[0].RecordAnswer(recovered)
+		synctest.Wait()
+		hosts[0].RecordCrash("m9", []suspector.Call{{Fingerprint: 1001, Parts: []uint64{first, second}}})
+		_, refused := hosts[1].Refused(suspector.Call{Fingerprint: 1002, Parts: []uint64{first, second}})
+		require.False(t, refused, "one crash after an answer")
+		for _, h := range hosts {
+			h.Close()
+		}
+	})
+}
--- a/suspector/prompts.go
+++ b/suspector/prompts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -52,15 +53,29 @@
 	call uint64
 }
 
-// answeredPart holds when a call with a part was last answered: at any host, and at this
-// one (zero if never).
-type answeredPart struct{ at, here timer.Millis }
+// answeredPart holds when a call with a part was last answered: at any host and, if
+// answeredHere is set, at this one.
+type answeredPart struct {
+	at, here     timer.Millis
+	answeredHere bool
+}
+
+// never is the time of what has not happened.
+const never = timer.Millis(math.MinInt64)
 
 // refusedPart is a part whose calls are refused.
 type refusedPart struct {
 	workspace uint32
-	// lastCrash is when a call with this part last crashed a server.
+	// lastCrash is when a call with this part last crashed a server, relapses how often
+	// one did after the part had been refused for refusalWait.
 	lastCrash timer.Millis
+	relapses  int
+}
+
+// refusalWait returns how long calls with the part are refused after lastCrash on hosts
+// that do not claim trials.
+func (r refusedPart) refusalWait() timer.Millis {
+	return min(ambiguousRefusal<<min(r.relapses, 4), suspectTime)
 }
 
 // promptRecords finds the parts of prompts that crash servers.
@@ -106,6 +121,9 @@
 	for _, part := range c.parts {
 		p.occurrences[part]++
 		if r, ok := p.refused[part]; ok && c.at > r.lastCrash {
+			if c.at-r.lastCrash >= r.refusalWait() {
+				r.relapses++
+			}
 			r.lastCrash = c.at
 			p.refused[part] = r
 		}
@@ -244,7 +262,7 @@
 		return nil
 	}
 	compare := func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(p.soundAt[a.part].at, p.soundAt[b.part].at), cmp.Compare(b.crashes, a.crashes))
+		return cmp.Or(cmp.Compare(p.lastAnswer(a.part), p.lastAnswer(b.part)), cmp.Compare(b.crashes, a.crashes))
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Or(compare(a, b), cmp.Compare(a.part, b.part)) })
 	end := 1
@@ -267,7 +285,7 @@
 			continue
 		}
 		for _, part := range c.parts {
-			if n, ok := byPart[part]; ok && c.at > p.soundAt[part].at {
+			if n, ok := byPart[part]; ok && c.at > p.lastAnswer(part) {
 				n.count(c)
 			}
 		}
@@ -301,8 +319,9 @@
 			continue
 		}
 		n := p.soundAt[part]
-		if n.at = max(n.at, at); here {
-			n.here = at
+		n.at = max(p.lastAnswer(part), at)
+		if here {
+			n.here, n.answeredHere = at, true
 		}
 		p.soundAt[part] = n
 		if refused && at > r.lastCrash {
@@ -314,6 +333,14 @@
 	return released
 }
 
+// lastAnswer returns when a call with a part was last answered, never if none was.
+func (p *promptRecords) lastAnswer(part uint64) timer.Millis {
+	if n, ok := p.soundAt[part]; ok {
+		return n.at
+	}
+	return never
+}
+
 // dropExcessSound drops the parts that were answered the longest ago when there are more
 // than maxSoundParts. It keeps those that occur at crashes.
 func (p *promptRecords) dropExcessSound() {
@@ -340,10 +367,28 @@
 	out := make(map[uint64]timer.Millis)
 	for i := len(p.crashes) - 1; i >= 0 && p.crashes[i].at >= since; i-- {
 		for _, part := range p.crashes[i].parts {
-			if at := p.soundAt[part].here; at > 0 && len(out) < most {
-				out[part] = at
+			if n := p.soundAt[part]; n.answeredHere && len(out) < most {
+				out[part] = n.here
 			}
 		}
 	}
 	return out
 }
+
+// unconfirmed returns those of parts that occurred at a crash after they were last
+// answered.
+func (p *promptRecords) unconfirmed(parts []uint64) []uint64 {
+	parts = slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool { return p.occurrences[part] == 0 })
+	if len(parts) == 0 {
+		return nil
+	}
+	crashed := make(map[uint64]bool)
+	for _, c := range p.crashes {
+		for _, part := range c.parts {
+			if c.at > p.lastAnswer(part) {
+				crashed[part] = true
+			}
+		}
+	}
+	return slices.DeleteFunc(parts, func(part uint64) bool { return !crashed[part] })
+}
--- a/suspector/runtime.go
+++ b/suspector/runtime.go
@@ -60,6 +60,9 @@
 	closed bool
 	// activeSuspects maps a server to the fingerprint of the suspect that runs on it.
 	activeSuspects map[string]uint64
+
+	promptMu sync.Mutex
+	prompts  *promptRecords
 }
 
 // New returns a Suspector after it has registered its handlers and started to
@@ -68,7 +71,7 @@
 	fleet Fleet, caller messenger.Caller, registry messenger.Registry,
 	clock timer.Clock, logger *zap.Logger, meter metric.Meter,
 ) *Suspector {
-	s := &Suspector{sharedTable: newSharedTable(Table{}, clock), fleet: fleet, caller: caller, logger: logger, activeSuspects: make(map[string]uint64)}
+	s := &Suspector{sharedTable: newSharedTable(Table{}, clock), fleet: fleet, caller: caller, logger: logger, activeSuspects: make(map[string]uint64), prompts: newPromptRecords()}
 	var err error
 	if s.crashes, err = meter.Int64Counter("jackdawgate.suspector.deaths"); err != nil {
 		logger.Error("create counter of crashes failed", zap.Error(err))
@@ -104,7 +107,7 @@
 // record to all hosts and returns it. It returns once all hosts have received it, or after
 // publishWait: whoever learns afterwards that a call failed, such as its caller, and sends
 // it again at any host, meets a host that knows of the crash.
-func (s *Suspector) RecordCrash(server string, fingerprints []uint64) Records {
+func (s *Suspector) RecordCrash(server string, calls []Call) Records {
 	s.mu.Lock()
 	s.seq++
 	id := s.fleet.Incarnation() + "-" + strconv.Itoa(s.seq)
@@ -112,8 +115,15 @@
 	if s.crashes != nil {
 		s.crashes.Add(s.ctx, 1)
 	}
-	s.logger.Warn("server crashed; its calls in flight are suspected", zap.String("server", server), zap.String("death", id), zap.Int("calls", len(fingerprints)))
-	r := Records{Crashes: []Crash{{ID: id, Server: server, Fingerprints: fingerprints}}}
+	s.logger.Warn("server crashed; its calls in flight are suspected", zap.String("server", server), zap.String("death", id), zap.Int("calls", len(calls)))
+	c := Crash{ID: id, Server: server}
+	for _, x := range calls {
+		c.Fingerprints = append(c.Fingerprints, x.Fingerprint)
+		if len(x.Parts) > 0 {
+			c.Prompts = append(c.Prompts, s.crashedPrompt(x, len(calls)))
+		}
+	}
+	r := Records{Crashes: []Crash{c}}
 	received := s.publish(r)
 	wait := time.NewTimer(publishWait.Duration())
 	defer wait.Stop()
@@ -124,15 +134,88 @@
 	return r
 }
 
+// maxCrashParts bounds the parts of the prompts in the record of one crash.
+const maxCrashParts = 256
+
+// crashedPrompt returns the prompt of one of n calls in the record of a crash.
+func (s *Suspector) crashedPrompt(c Call, n int) Prompt {
+	s.promptMu.Lock()
+	defer s.promptMu.Unlock()
+	p := c.prompt()
+	p.Parts = s.prompts.recorded(p.Call, p.Parts)
+	p.Parts = p.Parts[:min(len(p.Parts), max(minPartsReported, maxCrashParts/n))]
+	return p
+}
+
 // Merge applies records that came with the reply of another host.
-func (s *Suspector) Merge(r Records) { s.add(r) }
+func (s *Suspector) Merge(r Records) { s.merge(r) }
 
-// RecordAnswer records that a call with this fingerprint was answered. It sends
-// messages only if the call was suspected.
-func (s *Suspector) RecordAnswer(fingerprint uint64) {
-	r, ok := s.table.Load().Success(fingerprint, s.clock.Now())
-	if ok {
-		s.publish(Records{Successes: []Success{r}})
+// merge applies records and reports whether any was new.
+func (s *Suspector) merge(r Records) bool {
+	changed := s.add(r)
+	s.promptMu.Lock()
+	defer s.promptMu.Unlock()
+	now := s.clock.Now()
+	for _, x := range r.SoundParts {
+		at := now - max(x.Age, 0)
+		if parts := []uint64{x.Part}; len(s.prompts.unconfirmed(parts)) > 0 {
+			changed = true
+			s.prompts.sound(parts, at, false)
+		}
+	}
+	for _, c := range r.Crashes {
+		for _, p := range c.Prompts {
+			refused, added := s.prompts.add(promptCrash{id: c.ID, call: p.Call, workspace: p.Workspace, parts: p.Parts, at: now - max(c.Age, 0)}, now)
+			changed = changed || added
+			if len(refused) > 0 {
+				s.logger.Warn("parts of prompts refused", zap.Uint64s("parts", refused), zap.String("death", c.ID))
+			}
+		}
+	}
+	return changed
+}
+
+// Refused reports whether a call is refused, for itself or for a part of its prompt, and
+// for how long.
+func (s *Suspector) Refused(c Call) (timer.Millis, bool) {
+	wait, refused := s.sharedTable.Refused(c.Fingerprint)
+	if w := s.partWait(c); w > 0 {
+		wait, refused = max(wait, w), true
+	}
+	return wait, refused
+}
+
+// partWait returns how long a call is refused for a part of its prompt.
+func (s *Suspector) partWait(c Call) timer.Millis {
+	s.promptMu.Lock()
+	defer s.promptMu.Unlock()
+	if len(s.prompts.refused) == 0 {
+		return 0
+	}
+	var wait timer.Millis
+	now := s.clock.Now()
+	for _, part := range c.Parts {
+		if r, ok := s.prompts.refused[part]; ok {
+			wait = max(wait, r.lastCrash+r.refusalWait()-now)
+		}
+	}
+	return wait
+}
+
+// RecordAnswer records that a call was answered. It sends messages only if the call or a
+// part of its prompt was in flight at a crash.
+func (s *Suspector) RecordAnswer(c Call) {
+	var r Records
+	if n, ok := s.table.Load().Success(c.Fingerprint, s.clock.Now()); ok {
+		r.Successes = []Success{n}
+	}
+	s.promptMu.Lock()
+	for _, part := range s.prompts.unconfirmed(c.Parts) {
+		r.SoundParts = append(r.SoundParts, SoundPart{Part: part})
+	}
+	s.promptMu.Unlock()
+	if len(r.Successes)+len(r.SoundParts) > 0 {
+		s.publish(r)
 	}
 }
 
@@ -140,8 +223,11 @@
 // a suspect may only if no other suspect runs there. Only the host that accounts for
 // the calls running on the server calls it; after true, that host calls End when the
 // call ends.
-func (s *Suspector) TryStart(server string, fingerprint uint64) bool {
-	switch s.Verdict(fingerprint).(type) {
+func (s *Suspector) TryStart(server string, c Call) bool {
+	if s.partWait(c) > 0 {
+		return false
+	}
+	switch s.Verdict(c.Fingerprint).(type) {
 	case Clear:
 		return true
 	case Refused:
@@ -152,15 +238,15 @@
 	if _, taken := s.activeSuspects[server]; taken {
 		return false
 	}
-	s.activeSuspects[server] = fingerprint
+	s.activeSuspects[server] = c.Fingerprint
 	return true
 }
 
 // End records that a call for which TryStart returned true has ended on server.
-func (s *Suspector) End(server string, fingerprint uint64) {
+func (s *Suspector) End(server string, c Call) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.activeSuspects[server] == fingerprint {
+	if s.activeSuspects[server] == c.Fingerprint {
 		delete(s.activeSuspects, server)
 	}
 }
@@ -169,7 +255,7 @@
 // background. The returned channel is closed when the broadcast has ended.
 func (s *Suspector) publish(r Records) <-chan struct{} {
 	ended := make(chan struct{})
-	if !s.add(r) || !s.start(func() { defer close(ended); s.broadcast(r) }) {
+	if !s.merge(r) || !s.start(func() { defer close(ended); s.broadcast(r) }) {
 		close(ended)
 	}
 	return ended
@@ -213,7 +299,7 @@
 	}
 	var r Records
 	if s.call(others[rand.IntN(len(others))], compareMethod, s.table.Load().Digest(), &r) == nil {
-		s.add(r)
+		s.merge(r)
 	}
 }
 
@@ -237,7 +323,7 @@
 	if err := cbor.Unmarshal(body, &r); err != nil {
 		return &messenger.RemoteError{Code: "bad-message", Message: err.Error()}
 	}
-	s.add(r)
+	s.merge(r)
 	return nil
 }
 
--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -147,25 +147,25 @@
 	synctest.Test(t, func(t *testing.T) {
 		_, hosts := startHosts(5)
 		crash := func(h int, server string, fingerprints ...uint64) {
-			hosts[h].RecordCrash(server, fingerprints)
+			hosts[h].RecordCrash(server, calls(fingerprints...))
 			synctest.Wait()
 		}
 		crash(0, "m0", culprit, 1, 2, 3)
 		// All four calls are sent again at once. Host 1 accounts for the calls on m1, which takes
 		// one suspect.
-		require.True(t, hosts[1].TryStart("m1", culprit))
-		require.False(t, hosts[1].TryStart("m1", 1), "two suspects on one server")
-		require.True(t, hosts[2].TryStart("m2", 1))
-		require.True(t, hosts[1].TryStart("m1", 50), "a call without a crash was refused")
-		hosts[2].RecordAnswer(1)
-		hosts[2].End("m2", 1)
+		require.True(t, hosts[1].TryStart("m1", suspector.Call{Fingerprint: culprit}))
+		require.False(t, hosts[1].TryStart("m1", suspector.Call{Fingerprint: 1}), "two suspects on one server")
+		require.True(t, hosts[2].TryStart("m2", suspector.Call{Fingerprint: 1}))
+		require.True(t, hosts[1].TryStart("m1", suspector.Call{Fingerprint: 50}), "a call without a crash was refused")
+		hosts[2].RecordAnswer(suspector.Call{Fingerprint: 1})
+		hosts[2].End("m2", suspector.Call{Fingerprint: 1})
 		crash(1, "m1", culprit, 50)
 		for _, h := range hosts {
-			wait, refused := h.Refused(culprit)
+			wait, refused := h.Refused(suspector.Call{Fingerprint: culprit})
 			require.True(t, refused)
 			require.InDelta(t, 600_000, float64(wait), 10)
 			for _, f := range []uint64{1, 2, 3, 50} {
-				_, refused := h.Refused(f)
+				_, refused := h.Refused(suspector.Call{Fingerprint: f})
 				require.False(t, refused, f)
 			}
 			require.Equal(t, suspector.Clear{}, h.Verdict(1))
@@ -181,13 +181,13 @@
 		network, hosts := startSlowHosts(5, 60)
 		network.Cut("host-0", "host-4", true)
 		for i := range 2 {
-			hosts[0].RecordCrash(fmt.Sprint("m", i), []uint64{culprit})
+			hosts[0].RecordCrash(fmt.Sprint("m", i), calls(culprit))
 			for _, h := range hosts[:4] {
 				require.NotEqual(t, suspector.Clear{}, h.Verdict(culprit))
 			}
 		}
 		for _, h := range hosts[:4] {
-			_, refused := h.Refused(culprit)
+			_, refused := h.Refused(suspector.Call{Fingerprint: culprit})
 			require.True(t, refused)
 		}
 		for _, h := range hosts {
@@ -201,15 +201,15 @@
 		network, hosts := startHosts(2)
 		network.Cut("host-0", "host-1", true)
 		network.Cut("host-1", "host-0", true)
-		hosts[0].RecordCrash("m0", []uint64{culprit})
-		hosts[0].RecordCrash("m1", []uint64{culprit})
+		hosts[0].RecordCrash("m0", calls(culprit))
+		hosts[0].RecordCrash("m1", calls(culprit))
 		synctest.Wait()
-		_, refused := hosts[1].Refused(culprit)
+		_, refused := hosts[1].Refused(suspector.Call{Fingerprint: culprit})
 		require.False(t, refused)
 		network.Cut("host-1", "host-0", false)
 		time.Sleep(2 * time.Minute)
 		synctest.Wait()
-		wait, refused := hosts[1].Refused(culprit)
+		wait, refused := hosts[1].Refused(suspector.Call{Fingerprint: culprit})
 		require.True(t, refused)
 		require.InDelta(t, 480_000, float64(wait), 100, "the refusal time started again when the host received the record")
 		for _, h := range hosts {
@@ -254,6 +254,15 @@
 	runtime.KeepAlive(table)
 }
 
+// calls returns calls with these fingerprints.
+func calls(fingerprints ...uint64) []suspector.Call {
+	var out []suspector.Call
+	for _, f := range fingerprints {
+		out = append(out, suspector.Call{Fingerprint: f})
+	}
+	return out
+}
+
 type clock struct{ now timer.Millis }
 
 func incarnation(id string) cataloger.Incarnation { return cataloger.Incarnation{ID: id, StartedAt: 1} }
--- a/suspector/tracker.go
+++ b/suspector/tracker.go
@@ -322,7 +322,7 @@
 		if observed && t.quarantine != nil {
 			t.quarantine.Put(part, p.Workspace)
 		}
-		if t.prompts.soundAt[part].at == 0 {
+		if t.prompts.lastAnswer(part) == never {
 			t.revoke(part)
 		}
 	}
