Read on before the connection of an unread request is closed

What callers saw: a request whose headers or body are too long is answered and its connection closed at once; a caller that is still sending has its write fail, or the connection reset, and may never read the answer. Cause: no lingering close. Such a connection is now closed for writing first and what the caller still sends is discarded, for 1 s and 1 MiB at most. It covers read errors and all refusals with a body that was not read. Ruled out: a fault of the test's client alone (TCP connections are reset too). The hosts on a platform use the standard library's server, which waits so by itself.

--- a/guardian/conn.go
+++ b/guardian/conn.go
@@ -91,11 +91,15 @@
 	net.Conn
 	writeTimeout     timer.Millis
 	finalDeadlineSet atomic.Bool
+	linger           atomic.Bool
 	conns            *conns
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if c.linger.Swap(false) {
+		c.drain()
+	}
 	c.conns.remove(c)
 	return c.Conn.Close()
 }
--- a/server/broken.go
+++ b/server/broken.go
@@ -18,5 +18,6 @@
 	e := s.receiver.ReadError(err)
 	answerer.Fail(ctx, e)
 	ctx.SetConnectionClose()
+	s.guardian.LingerOnClose(ctx.Conn())
 	s.options.Logger.Info("request could not be read", codeField(e.Code), callerField(ctx))
 }
--- a/server/life_test.go
+++ b/server/life_test.go
@@ -69,6 +69,39 @@
 	return a
 }
 
+// The server answered a request that it had not read completely and closed the
+// connection at once. The caller's next write then failed, and it did not get the answer.
+func TestAnswerToAnUnreadRequestReachesTheCaller(t *testing.T) {
+	for _, perAddress := range []int{0, 100} {
+		h := newLoopbackHarness(t, answerWith("{}"), func(o *server.Options) { o.MaxBody, o.MaxConnectionsPerAddress = 4096, perAddress })
+		authorization := "Host: host\r\nAuthorization: Bearer " + testKey + "\r\n"
+		piece := strings.Repeat("a", 4096)
+		for status, text := range map[int]string{
+			431: "GET /v1/models HTTP/1.1\r\nHost: host\r\nX-Long: " + strings.Repeat("a", 20000),
+			413: "POST /v1/chat/completions HTTP/1.1\r\n" + authorization + "Content-Length: 900000\r\n\r\n" + piece,
+		} {
+			c, err := h.dial()
+			require.NoError(t, err)
+			_, err = io.WriteString(c, text)
+			require.NoError(t, err)
+			require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+			r := bufio.NewReader(c)
+			_, err = r.Peek(1)
+			require.NoError(t, err, "no answer before the whole request was sent")
+			for range 100 {
+				_, err = io.WriteString(c, piece)
+				require.NoError(t, err, "the connection was reset while the request was being sent")
+			}
+			a, err := http.ReadResponse(r, nil)
+			require.NoError(t, err)
+			require.Equal(t, status, a.StatusCode)
+			_, err = io.ReadAll(a.Body)
+			require.NoError(t, err)
+			require.NoError(t, c.Close())
+		}
+	}
+}
+
 func TestIncompleteRequestsAreAnsweredAndAffectNoOther(t *testing.T) {
 	h := newHarness(t, answerWith("{}"), func(o *server.Options) { o.ReadTimeout = 1000 })
 	authorization := "Host: host\r\nAuthorization: Bearer " + testKey + "\r\n"
--- a/server/server.go
+++ b/server/server.go
@@ -217,6 +217,9 @@
 		ctx.SetConnectionClose()
 	}
 	s.route(ctx)
+	if ctx.Response.ConnectionClose() && ctx.RequestBodyStream() != nil {
+		s.guardian.LingerOnClose(ctx.Conn())
+	}
 	s.logError(ctx)
 }
 
