Soak with two parts of prompts that crash servers

The stand-in server crashes on a part when it begins to respond; the caller and its jobs can name parts.

--- a/soaker/crash.go
+++ b/soaker/crash.go
@@ -60,7 +60,7 @@
 	var f *faultInjector
 	setUp := func(s *soak) {
 		f = &faultInjector{env: s.env, program: o.Program, record: s.recordFault, claimed: make(map[string]bool)}
-		s.env.onCrash = func(v *server) bool {
+		s.env.onCrash = func(v *server, _ string) bool {
 			n := c.add()
 			s.recordFault("crash %d: server %s", n, v.ID)
 			f.wg.Go(func() { f.replace(v, false) })
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -50,9 +50,10 @@
 	resolver *standin.Caller
 	checker  *checker
 	hosts    []*host
-	// onCrash is called before a call crashes a server. It returns whether the call
-	// gets one event first. It is nil in soaks where no call crashes servers.
-	onCrash func(*server) bool
+	// onCrash is called before a call crashes a server, with the part of the prompt that
+	// crashes it, if any. It returns whether the call gets one event first. It is nil in
+	// soaks where no call crashes servers.
+	onCrash func(s *server, part string) bool
 
 	// configMu serializes writes of configurations.
 	configMu sync.Mutex
@@ -109,7 +110,7 @@
 		return err
 	}
 	if e.onCrash != nil {
-		s.OnCrash(func() bool { return e.onCrash(s) })
+		s.OnCrash(func(part string) bool { return e.onCrash(s, part) })
 	}
 	e.mu.Lock()
 	e.servers = append(e.servers, s)
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -77,6 +77,26 @@
 	}
 }
 
+// Requests and batch items that share a crashing part of their prompts crashed one server
+// after the other. To run the test for longer:
+// go test ./soaker -run Prompt -soak.seeds 10 -soak.trouble 30s.
+func TestCrashingPartOfPromptsIsRefusedByAllHosts(t *testing.T) {
+	path := buildProgram(t)
+	for n := range uint64(*seeds) {
+		t.Run(fmt.Sprint("seed-", *first+n), func(t *testing.T) {
+			r, err := soaker.RunCrashingPrompts(soaker.Options{
+				Program: path, Folder: t.TempDir(), Seed: *first + n, FaultPeriod: max(*faultPeriod, 18*time.Second), EntryHosts: 3, BulkHosts: 3, Servers: 8,
+			})
+			require.NoError(t, err)
+			t.Logf("answered %d, refused %d, failed %d, jobs %d", r.Answered, r.Refused, r.Failed, r.Jobs)
+			for _, f := range r.Faults {
+				t.Log(f)
+			}
+			require.Empty(t, r.Violations)
+		})
+	}
+}
+
 // A server announces in its responses that it is leaving, while its entry says
 // that it is ready and the store does not answer.
 func TestLeavingServerGetsNoNewRequests(t *testing.T) {
