Package attributor: which parts of prompts crash servers, by itself

Behaviour changes in two points. Found by TestResultDoesNotDependOnOrderOrRepetition on the moved code: a host that heard of crashes in another order refused a part that had only occurred together with the crashing one until then, and kept it refused. Such a part is released once crashes show that the other explains all of its own and more; its record in the store, pending or written, is removed. Which parts of a long prompt are told first no longer depends on their hashes alone.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -219,13 +219,29 @@
 	return true
 }
 
-// Remove schedules the removal of the records of what was answered.
+// Remove schedules the removal of the records of what was answered, and cancels their
+// pending writes.
 func (q *Quarantiner) Remove(fingerprints ...uint64) {
+	q.cancelPending(fingerprints)
 	for f := range q.Waits(fingerprints) {
 		q.enqueue(f, change{})
 	}
 }
 
+// cancelPending discards the pending writes of records.
+func (q *Quarantiner) cancelPending(fingerprints []uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.pending) == 0 {
+		return
+	}
+	for _, f := range fingerprints {
+		if q.pending[f].put {
+			delete(q.pending, f)
+		}
+	}
+}
+
 // enqueue schedules a write or a removal. It discards a write when too many are pending,
 // or when the store has too many records, in all or of the workspace.
 func (q *Quarantiner) enqueue(fingerprint uint64, c change) {
--- a/suspector/call.go
+++ b/suspector/call.go
@@ -6,6 +6,10 @@
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
+// ProgressEvents is the number of events after which an answer is under way. A part of a
+// prompt can crash a server only before that, when it is read.
+const ProgressEvents = 4
+
 // Call identifies a call by what repetitions of it and other calls have in common with
 // it.
 type Call struct {
@@ -46,6 +50,11 @@
 // workspaceHash returns the hash of the call's workspace in records.
 func (c Call) workspaceHash() uint32 { return uint32(xxhash.Sum64String(c.Workspace)) }
 
+// prompt returns the record of the call's prompt.
+func (c Call) prompt() Prompt {
+	return Prompt{Call: c.Fingerprint, Workspace: c.workspaceHash(), Parts: c.Parts}
+}
+
 // Parts returns hashes that identify the parts of a prompt with these identifiers. They
 // differ from the fingerprints of calls.
 func Parts(ids []string) []uint64 {
--- a/suspector/handover.go
+++ b/suspector/handover.go
@@ -29,17 +29,12 @@
 			n.Fingerprints = append(n.Fingerprints, fingerprint)
 		}
 	}
-	parts := 0
-	for i := len(t.prompts.crashes) - 1; i >= 0 && parts < maxKnownParts; i-- {
-		c := t.prompts.crashes[i]
-		n := crash(c.id, c.at)
-		n.Prompts = append(n.Prompts, Prompt{Call: c.call, Workspace: c.workspace, Parts: c.parts})
-		parts += len(c.parts)
+	for _, c := range t.prompts.Recent(maxKnownParts) {
+		n := crash(c.ID, c.At)
+		n.Prompts = append(n.Prompts, Prompt{Call: c.Call, Workspace: c.Workspace, Parts: c.Parts})
 	}
-	for part := range t.prompts.occurrences {
-		if at := t.prompts.lastAnswer(part); at != never {
-			out.SoundParts = append(out.SoundParts, SoundPart{Part: part, Age: now - at})
-		}
+	for part, at := range t.prompts.Answers() {
+		out.SoundParts = append(out.SoundParts, SoundPart{Part: part, Age: now - at})
 	}
 	return out
 }
--- a/suspector/runtime.go
+++ b/suspector/runtime.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/zap"
 
+	"github.com/jackdawgate/jackdawgate/attributor"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
@@ -62,7 +63,7 @@
 	activeSuspects map[string]uint64
 
 	promptMu sync.Mutex
-	prompts  *promptRecords
+	prompts  *attributor.Attributor
 }
 
 // New returns a Suspector after it has registered its handlers and started to
@@ -71,7 +72,7 @@
 	fleet Fleet, caller messenger.Caller, registry messenger.Registry,
 	clock timer.Clock, logger *zap.Logger, meter metric.Meter,
 ) *Suspector {
-	s := &Suspector{sharedTable: newSharedTable(Table{}, clock), fleet: fleet, caller: caller, logger: logger, activeSuspects: make(map[string]uint64), prompts: newPromptRecords()}
+	s := &Suspector{sharedTable: newSharedTable(Table{}, clock), fleet: fleet, caller: caller, logger: logger, activeSuspects: make(map[string]uint64), prompts: attributor.New()}
 	var err error
 	if s.crashes, err = meter.Int64Counter("jackdawgate.suspector.deaths"); err != nil {
 		logger.Error("create counter of crashes failed", zap.Error(err))
@@ -134,45 +135,13 @@
 	return r
 }
 
-// maxCrashParts bounds the parts of the prompts in the record of one crash.
-const maxCrashParts = 256
-
-// crashedPrompt returns the prompt of one of n calls in the record of a crash.
-func (s *Suspector) crashedPrompt(c Call, n int) Prompt {
-	s.promptMu.Lock()
-	defer s.promptMu.Unlock()
-	p := c.prompt()
-	p.Parts = s.prompts.recorded(p.Call, p.Parts)
-	p.Parts = p.Parts[:min(len(p.Parts), max(minPartsReported, maxCrashParts/n))]
-	return p
-}
-
 // Merge applies records that came with the reply of another host.
 func (s *Suspector) Merge(r Records) { s.merge(r) }
 
 // merge applies records and reports whether any was new.
 func (s *Suspector) merge(r Records) bool {
 	changed := s.add(r)
-	s.promptMu.Lock()
-	defer s.promptMu.Unlock()
-	now := s.clock.Now()
-	for _, x := range r.SoundParts {
-		at := now - max(x.Age, 0)
-		if parts := []uint64{x.Part}; len(s.prompts.unconfirmed(parts)) > 0 {
-			changed = true
-			s.prompts.sound(parts, at, false)
-		}
-	}
-	for _, c := range r.Crashes {
-		for _, p := range c.Prompts {
-			refused, added := s.prompts.add(promptCrash{id: c.ID, call: p.Call, workspace: p.Workspace, parts: p.Parts, at: now - max(c.Age, 0)}, now)
-			changed = changed || added
-			if len(refused) > 0 {
-				s.logger.Warn("parts of prompts refused", zap.Uint64s("parts", refused), zap.String("death", c.ID))
-			}
-		}
-	}
-	return changed
+	return s.mergePrompts(r) || changed
 }
 
 // Refused reports whether a call is refused, for itself or for a part of its prompt, and
@@ -185,23 +154,6 @@
 	return wait, refused
 }
 
-// partWait returns how long a call is refused for a part of its prompt.
-func (s *Suspector) partWait(c Call) timer.Millis {
-	s.promptMu.Lock()
-	defer s.promptMu.Unlock()
-	if len(s.prompts.refused) == 0 {
-		return 0
-	}
-	var wait timer.Millis
-	now := s.clock.Now()
-	for _, part := range c.Parts {
-		if r, ok := s.prompts.refused[part]; ok {
-			wait = max(wait, r.lastCrash+r.refusalWait()-now)
-		}
-	}
-	return wait
-}
-
 // RecordAnswer records that a call was answered. It sends messages only if the call or a
 // part of its prompt was in flight at a crash.
 func (s *Suspector) RecordAnswer(c Call) {
@@ -210,7 +162,7 @@
 		r.Successes = []Success{n}
 	}
 	s.promptMu.Lock()
-	for _, part := range s.prompts.unconfirmed(c.Parts) {
+	for _, part := range s.prompts.Unconfirmed(c.Parts) {
 		r.SoundParts = append(r.SoundParts, SoundPart{Part: part})
 	}
 	s.promptMu.Unlock()
--- a/suspector/suspector.go
+++ b/suspector/suspector.go
@@ -45,10 +45,14 @@
 // What crashes servers may also be a part of a prompt that different calls share. A
 // Tracker therefore records, for each crash, the shared parts of the prompts of the calls
 // that had not been answered yet, and refuses all calls with a part that explains enough
-// of the crashes and was not answered since; see promptRecords.
+// of the crashes and was not answered since; see package attributor. A Suspector does the
+// same with the beginnings of prompts.
 package suspector
 
-import "github.com/jackdawgate/jackdawgate/timer"
+import (
+	"github.com/jackdawgate/jackdawgate/attributor"
+	"github.com/jackdawgate/jackdawgate/timer"
+)
 
 const (
 	// refusalCrashes is the number of crashes for which a Table refuses a fingerprint.
@@ -87,6 +91,11 @@
 	Parts     []uint64 `cbor:"3,keyasint"`
 }
 
+// crash returns the record of a crash with the prompt's call in flight.
+func (p Prompt) crash(id string, at timer.Millis) attributor.Crash {
+	return attributor.Crash{ID: id, Call: p.Call, Workspace: p.Workspace, Parts: p.Parts, At: at}
+}
+
 // SoundPart records that a call with a part in its prompt was answered.
 type SoundPart struct {
 	Part uint64 `cbor:"1,keyasint"`
--- a/suspector/tracker.go
+++ b/suspector/tracker.go
@@ -1,12 +1,11 @@
 package suspector
 
 import (
-	"context"
 	"maps"
-	"slices"
 	"strconv"
 	"sync"
 
+	"github.com/jackdawgate/jackdawgate/attributor"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/quarantiner"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -27,15 +26,6 @@
 	soundWindow = 3 * timer.Second
 )
 
-const (
-	// maxSoundReported bounds the parts reported as sound in one message.
-	maxSoundReported = 128
-	// maxPartsReported bounds the parts of all prompts in one message, but of each prompt
-	// minPartsReported are always sent.
-	maxPartsReported = 1024
-	minPartsReported = 4
-)
-
 // maxUnanswered bounds the unanswered calls that are kept for one server; the oldest
 // are dropped first.
 const maxUnanswered = 64
@@ -52,7 +42,7 @@
 
 	mu       sync.Mutex
 	evidence *crashRecords
-	prompts  *promptRecords
+	prompts  *attributor.Attributor
 	// flights are the attempts that have not been answered yet.
 	flights map[*Flight]bool
 	// failedAt holds the last failure of each server that has not answered since.
@@ -91,118 +81,11 @@
 // NewTracker returns a Tracker without records. q may be nil.
 func NewTracker(c timer.Clock, l *zap.Logger, q *quarantiner.Quarantiner) *Tracker {
 	return &Tracker{
-		clock: c, logger: l, quarantine: q, evidence: newCrashRecords(), prompts: newPromptRecords(), flights: make(map[*Flight]bool),
+		clock: c, logger: l, quarantine: q, evidence: newCrashRecords(), prompts: attributor.New(), flights: make(map[*Flight]bool),
 		failedAt: make(map[cataloger.Incarnation]timer.Millis), unanswered: make(map[cataloger.Incarnation][]unansweredCall),
 	}
 }
 
-// maxClaims bounds the trials that are claimed for one call.
-const maxClaims = 8
-
-// Admit reports whether a call may be sent to a server and, if not, after which wait
-// the caller may retry. It calls the store only if the call or a part of its prompt is
-// quarantined or crashed enough servers for it: once the wait of all of them is over,
-// Admit claims their trials.
-func (t *Tracker) Admit(ctx context.Context, c Call) (wait timer.Millis, ok bool) {
-	suspects, wait := t.suspects(c)
-	if wait > 0 {
-		return wait, false
-	}
-	if t.quarantine == nil {
-		return 0, true
-	}
-	for i, s := range suspects {
-		if i == maxClaims {
-			return quarantiner.Backoff(0), false
-		}
-		if wait, ok := t.quarantine.ClaimTrial(ctx, s, c.workspaceHash()); !ok {
-			return wait, false
-		}
-	}
-	return 0, true
-}
-
-// Refused reports whether a call is refused without requesting a trial from the
-// store, and for how long.
-func (t *Tracker) Refused(c Call) (timer.Millis, bool) {
-	_, wait := t.suspects(c)
-	return wait, wait > 0
-}
-
-// RefusesParts reports whether any part of prompts may be refused. It is cheaper than
-// Refused.
-func (t *Tracker) RefusesParts() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.prompts.refused) > 0 || t.quarantine != nil && !t.quarantine.Empty()
-}
-
-// suspects returns what the call is suspected for, its fingerprint or parts of its
-// prompt, and how long it is refused. Suspected is what crashed enough servers and what
-// the store has a record of.
-func (t *Tracker) suspects(c Call) (list []uint64, wait timer.Millis) {
-	if !c.Owed {
-		if w, suspected := t.callWait(c); suspected {
-			list, wait = append(list, c.Fingerprint), w
-		}
-	}
-	for part, w := range t.partWaits(c) {
-		list, wait = append(list, part), max(wait, w)
-	}
-	slices.Sort(list)
-	return list, wait
-}
-
-// callWait returns how long a call is refused for itself, and whether it is suspected.
-func (t *Tracker) callWait(c Call) (wait timer.Millis, suspected bool) {
-	t.mu.Lock()
-	since, crashes, suspected := t.evidence.crashState(c.Fingerprint, t.clock.Now())
-	t.mu.Unlock()
-	if suspected {
-		wait = max(0, quarantiner.Backoff(crashes-trackerRefusalCrashes)-since)
-	}
-	if t.quarantine == nil {
-		return wait, suspected
-	}
-	if wait > 0 {
-		// The host that observed the last crash may have stopped before it wrote the record.
-		t.quarantine.Put(c.Fingerprint, c.workspaceHash())
-	}
-	more, known := t.quarantine.Wait(c.Fingerprint)
-	return max(wait, more), suspected || known
-}
-
-// partWaits returns the suspected parts of the call's prompt and how long calls with each
-// are refused. The record in the store, which counts the trials, decides if there is one.
-func (t *Tracker) partWaits(c Call) map[uint64]timer.Millis {
-	waits := t.refusedParts(c)
-	if t.quarantine == nil {
-		return waits
-	}
-	for part := range waits {
-		t.quarantine.Put(part, c.workspaceHash())
-	}
-	maps.Copy(waits, t.quarantine.Waits(c.Parts))
-	return waits
-}
-
-// refusedParts returns the parts of the call's prompt that crashed enough servers, and for
-// how long calls with each are refused.
-func (t *Tracker) refusedParts(c Call) map[uint64]timer.Millis {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	waits := make(map[uint64]timer.Millis)
-	if len(t.prompts.refused) == 0 {
-		return waits
-	}
-	for _, part := range c.Parts {
-		if since, ok := t.prompts.refusal(part, t.clock.Now()); ok {
-			waits[part] = max(0, quarantiner.Backoff(0)-since)
-		}
-	}
-	return waits
-}
-
 // Answered records that a server sent the beginning of an answer, so it is up.
 func (t *Tracker) Answered(server cataloger.Incarnation) {
 	t.mu.Lock()
@@ -305,34 +188,35 @@
 	}
 }
 
-// prompt returns the record of the call's prompt.
-func (c Call) prompt() Prompt {
-	return Prompt{Call: c.Fingerprint, Workspace: c.workspaceHash(), Parts: c.Parts}
-}
-
 // addPrompt records that a server crashed before it had answered a call with this prompt.
 // It reports whether that was new. The host that observed the crash also quarantines the
 // parts that are refused because of it. Calls in flight with such a part are revoked if
 // no call with it was ever answered: they would crash their servers. The caller holds
 // t.mu.
 func (t *Tracker) addPrompt(crash string, at timer.Millis, p Prompt, observed bool) bool {
-	refused, added := t.prompts.add(promptCrash{id: crash, call: p.Call, workspace: p.Workspace, parts: p.Parts, at: at}, t.clock.Now())
-	for _, part := range refused {
+	change, added := t.prompts.Add(p.crash(crash, at), t.clock.Now())
+	for _, part := range change.Refused {
 		t.logger.Warn("part of prompts refused", zap.Uint64("part", part), zap.String("crash", crash), zap.Bool("observed-here", observed))
 		if observed && t.quarantine != nil {
 			t.quarantine.Put(part, p.Workspace)
 		}
-		if t.prompts.lastAnswer(part) == never {
+		if _, answered := t.prompts.LastAnswer(part); !answered {
 			t.revoke(part)
 		}
 	}
+	for _, part := range change.Released {
+		t.logger.Info("part of prompts released", zap.Uint64("part", part), zap.String("crash", crash))
+	}
+	if t.quarantine != nil {
+		t.quarantine.Remove(change.Released...)
+	}
 	return added
 }
 
 // releaseParts records that calls with these parts were answered, by this host if here is
 // set. The caller holds t.mu.
 func (t *Tracker) releaseParts(parts []uint64, at timer.Millis, here bool) {
-	for _, part := range t.prompts.sound(parts, at, here) {
+	for _, part := range t.prompts.Answered(parts, at, here) {
 		t.logger.Info("part of prompts released", zap.Uint64("part", part), zap.Bool("answered-here", here))
 	}
 }
@@ -376,74 +260,3 @@
 	t.evidence.clear(c.Fingerprint, list, now)
 	t.successes = append(t.successes, localSuccess{Success: Success{Fingerprint: c.Fingerprint, Crashes: list}, at: now})
 }
-
-// Records returns the records that this host sends to the others now: its own
-// observations of the last reportWindow.
-func (t *Tracker) Records() Records {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	t.crashes = slices.DeleteFunc(t.crashes, func(c localCrash) bool { return now-c.at > reportWindow })
-	t.successes = slices.DeleteFunc(t.successes, func(s localSuccess) bool { return now-s.at > reportWindow })
-	var out Records
-	at := make(map[cataloger.Incarnation]int)
-	for _, c := range t.crashes {
-		i, ok := at[c.Server]
-		if !ok {
-			i = len(out.Crashes)
-			at[c.Server] = i
-			out.Crashes = append(out.Crashes, Crash{ID: crashID(c.Server), Server: c.Server.ID, Age: now - c.at})
-		}
-		if c.call {
-			out.Crashes[i].Fingerprints = append(out.Crashes[i].Fingerprints, c.Fingerprint)
-		}
-		if c.prompt {
-			out.Crashes[i].Prompts = append(out.Crashes[i].Prompts, t.reportedPrompt(c.Call))
-		}
-	}
-	for part, at := range t.prompts.answeredHere(now-soundWindow, maxSoundReported) {
-		out.SoundParts = append(out.SoundParts, SoundPart{Part: part, Age: now - at})
-	}
-	for _, s := range t.successes {
-		s.Age = now - s.at
-		out.Successes = append(out.Successes, s.Success)
-	}
-	return out
-}
-
-// reportedPrompt returns the record of a call's prompt that is sent to other hosts. The
-// more crashes are reported, the fewer parts of each prompt are sent, so that the message
-// stays small. The caller holds t.mu.
-func (t *Tracker) reportedPrompt(c Call) Prompt {
-	p := c.prompt()
-	p.Parts = t.prompts.recorded(p.Call, p.Parts)
-	p.Parts = p.Parts[:min(len(p.Parts), max(minPartsReported, maxPartsReported/len(t.crashes)))]
-	return p
-}
-
-// Merge applies the records of another host.
-func (t *Tracker) Merge(r Records) {
-	if len(r.Crashes)+len(r.Successes)+len(r.SoundParts) == 0 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	for _, s := range r.SoundParts {
-		t.releaseParts([]uint64{s.Part}, now-max(s.Age, 0), false)
-	}
-	for _, c := range r.Crashes {
-		if c.Age < 0 || c.Age >= suspectTime {
-			continue
-		}
-		for _, f := range c.Fingerprints[:min(len(c.Fingerprints), maxInFlight)] {
-			t.evidence.add(f, c.ID, now-c.Age, now)
-		}
-		for _, p := range c.Prompts[:min(len(c.Prompts), maxInFlight)] {
-			t.addPrompt(c.ID, now-c.Age, p, false)
-		}
-	}
-	for _, s := range r.Successes {
-		t.evidence.clear(s.Fingerprint, s.Crashes, now)
-	}
-}
