--- a/batcher/fixture_test.go
+++ b/batcher/fixture_test.go
@@ -248,7 +248,7 @@
 }
 
 func inputLine(name string) string {
-	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":"m","name":%q}}`+"\n", name, name)
+	return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":"m","name":%q,"messages":[{"role":"user","content":%q}]}}`+"\n", name, name, name)
 }
 
 func itemNames(prefix string, n int) []string {
--- a/batcher/job_test.go
+++ b/batcher/job_test.go
@@ -380,3 +380,27 @@
 		require.LessOrEqual(t, count["1"], 2, "the job due first goes first: %v", count)
 	})
 }
+
+// Items that share the beginning of a prompt carry it as online calls do, so that one that
+// crashes servers is found.
+func TestItemsCarryThePrefixesOfTheirPrompts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		defer c.close()
+		prefixes := make(map[string][]uint64)
+		c.do = func(ctx context.Context, r requester.Request, s requester.Sink) requester.Outcome {
+			c.mu.Lock()
+			prefixes[customID(r)] = r.Prefix
+			c.mu.Unlock()
+			return answer(ctx, r, s, time.Millisecond, 200)
+		}
+		long := strings.Repeat("what all of them begin with ", 5)
+		names := []string{long + "a", long + "b"}
+		j := c.submit("k", names)
+		c.waitEnded(j.ID, time.Hour)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		require.NotEmpty(t, prefixes[names[0]])
+		require.Equal(t, prefixes[names[0]], prefixes[names[1]])
+	})
+}
--- a/server/prompt.go
+++ b/prefixer/prefixer.go
@@ -1,4 +1,9 @@
-package server
+// Package prefixer hashes the prefixes of the prompts of model calls.
+//
+// The hashes are the identifiers that engines use for the blocks of their prefix cache.
+// Calls that share them are best run where the blocks are cached, and if a prefix crashes
+// engines, it does so in every call that begins with it.
+package prefixer
 
 import (
 	"encoding/json"
@@ -13,10 +18,23 @@
 	maxPrefixes      = 256
 )
 
-// prefixHashes returns the hashes of successively longer prefixes of a prompt.
-// They are the identifiers that engines use for the blocks of their prefix
-// cache: the hash of the model, a zero byte and the prefix.
-func prefixHashes(model, prompt string) []uint64 {
+// Prompt holds the fields of a model call's body that make up its prompt.
+type Prompt struct {
+	Messages []Message       `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+// Message is one message of a chat. Content is a string or a list of content parts.
+type Message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Hashes returns the hashes of successively longer prefixes of the prompt: of the model,
+// a zero byte and the prefix.
+func (p Prompt) Hashes(model string) []uint64 { return hashes(model, p.text()) }
+
+func hashes(model, prompt string) []uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	// Writing to a Digest never returns an error.
@@ -30,16 +48,16 @@
 	return out
 }
 
-// promptText returns the text from which prefix hashes are made. It must equal the
-// text from which the engines make theirs. For a chat, each message is rendered as
+// text returns the text from which the hashes are made. It must equal the text from which
+// the engines make theirs. For a chat, each message is rendered as
 // "ROLE: CONTENT" and a line feed. Parts without a text are left out, and the input
 // of an embeddings call has no text.
-func (m modelBody) promptText() string {
-	if len(m.Messages) == 0 {
-		return contentText(m.Prompt)
+func (p Prompt) text() string {
+	if len(p.Messages) == 0 {
+		return contentText(p.Prompt)
 	}
 	var b strings.Builder
-	for _, x := range m.Messages {
+	for _, x := range p.Messages {
 		b.WriteString(x.Role + ": " + contentText(x.Content) + "\n")
 	}
 	return b.String()
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -9,6 +9,7 @@
 	"github.com/jackdawgate/jackdawgate/bookkeeper"
 	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/parser"
+	"github.com/jackdawgate/jackdawgate/prefixer"
 	"github.com/jackdawgate/jackdawgate/regulator"
 	"github.com/jackdawgate/jackdawgate/replicator"
 	"github.com/jackdawgate/jackdawgate/requester"
@@ -231,7 +232,10 @@
 	if err := json.Unmarshal(a.raw, &l); err != nil {
 		return requester.Request{}, "", err
 	}
-	var b parser.Body
+	var b struct {
+		parser.Body
+		prefixer.Prompt
+	}
 	if err := json.Unmarshal(l.Body, &b); err != nil {
 		return requester.Request{}, l.CustomID, err
 	}
@@ -240,6 +244,7 @@
 		Method: l.Method, Path: l.URL, Body: l.Body, Model: b.Model, Repeatable: true, Timeout: timeout,
 		Headers:         []requester.Header{{Name: "Content-Type", Value: "application/json"}},
 		Fingerprint:     xxhash.Sum64String(l.Method + " " + l.URL + "\n" + string(l.Body)),
+		Prefix:          b.Hashes(b.Model),
 		EstimatedTokens: int64(len(l.Body))/bytesPerToken + b.MaxTokens,
 		Resume:          a.resume,
 	}, l.CustomID, nil
--- a/server/model.go
+++ b/server/model.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/uuid"
 	"github.com/jackdawgate/jackdawgate/answerer"
+	"github.com/jackdawgate/jackdawgate/prefixer"
 	"github.com/jackdawgate/jackdawgate/receiver"
 	"github.com/jackdawgate/jackdawgate/requester"
 	"github.com/valyala/fasthttp"
@@ -14,18 +15,13 @@
 // body is passed to the Doer unchanged, with all its fields. Engines are the
 // backend servers that run models.
 type modelBody struct {
-	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
-	Messages            []message       `json:"messages"`
-	Prompt              json.RawMessage `json:"prompt"`
-	Input               json.RawMessage `json:"input"`
-	MaxTokens           int64           `json:"max_tokens"`
-	MaxCompletionTokens int64           `json:"max_completion_tokens"`
-}
-
-type message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
+	Model               string             `json:"model"`
+	Stream              bool               `json:"stream"`
+	Messages            []prefixer.Message `json:"messages"`
+	Prompt              json.RawMessage    `json:"prompt"`
+	Input               json.RawMessage    `json:"input"`
+	MaxTokens           int64              `json:"max_tokens"`
+	MaxCompletionTokens int64              `json:"max_completion_tokens"`
 }
 
 // handleModel runs a call to a model.
@@ -69,7 +65,7 @@
 	r.Repeatable = true
 	// Embeddings are never streamed; the field is ignored for them.
 	r.Stream = m.Stream && path != requester.PathEmbeddings
-	r.Prefix = prefixHashes(m.Model, m.promptText())
+	r.Prefix = prefixer.Prompt{Messages: m.Messages, Prompt: m.Prompt}.Hashes(m.Model)
 	r.EstimatedTokens = m.estimateTokens(len(body))
 	return r, true
 }
