key give: a short -id without a name no longer panics

What operators saw: 'jackdawgate key give kitchen -id x' ended with a stack trace (slice bounds out of range). Cause: the generated name takes the first eight bytes of the identifier, whatever its length. TestKeyIsNamedAfterAShortIdentifier panicked before and passes. Not mended: a repeated 'key give' with the same -id still conflicts, as each attempt makes another secret.

--- a/operator/key.go
+++ b/operator/key.go
@@ -38,6 +38,9 @@
 	f.StringVar(&k.name, "name", "", "`name` of the key; default one generated from the workspace")
 }
 
+// maxIDInName is how many bytes of the change's identifier are part of a generated name.
+const maxIDInName = 8
+
 // Run implements commander.Command.
 func (k *KeyGive) Run(ctx context.Context, e commander.Env, args []string) error {
 	if err := checkArgumentCount(args, "WORKSPACE"); err != nil {
@@ -45,7 +48,8 @@
 	}
 	id := k.name
 	if id == "" {
-		id = args[0] + "-" + k.changeID()[:8]
+		change := k.changeID()
+		id = args[0] + "-" + change[:min(len(change), maxIDInName)]
 	}
 	text, key, err := authenticator.NewKey(id, args[0])
 	if err != nil {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -108,6 +108,16 @@
 	s.fail("workspace create hall -id first", commander.ExitFailed, "first")
 }
 
+// An identifier of a change that is shorter than eight characters made the command panic
+// when the key had no name.
+func TestKeyIsNamedAfterAShortIdentifier(t *testing.T) {
+	t.Parallel()
+	s := startCommandLine(t)
+	s.succeed("workspace create kitchen")
+	s.succeed("key give kitchen -id x")
+	require.Contains(t, s.succeed("key list -json"), `"id": "kitchen-x"`)
+}
+
 func TestJobCommands(t *testing.T) {
 	t.Parallel()
 	s := startCommandLine(t)
