batcher: a list asks owners at the same time and leaves out removed jobs

What callers saw: a list of jobs failed whole if one was removed while it was made; and it took up to 2 s for each job whose owner did not reply. Now the owners of a page are asked at the same time, 32 at most, and a job that is gone is left out.

--- a/batcher/query.go
+++ b/batcher/query.go
@@ -11,6 +11,7 @@
 	"github.com/jackdawgate/jackdawgate/tallier"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 )
 
 // localStatus returns the state of a job that this host runs.
@@ -142,13 +143,37 @@
 	if !ok {
 		return submitter.JobPage{}, &submitter.NotFoundError{Kind: "job", ID: p.After}
 	}
-	out := submitter.JobPage{More: more}
-	for _, e := range chosen {
-		j, err := b.Status(ctx, workspace, e.ID)
-		if err != nil {
-			return submitter.JobPage{}, err
+	jobs, err := b.statuses(ctx, workspace, chosen)
+	return submitter.JobPage{Jobs: jobs, More: more}, err
+}
+
+// maxStatusCalls bounds the owners that are asked at the same time for one list.
+const maxStatusCalls = 32
+
+// statuses returns the jobs of a list, in its order. It leaves out those that have been
+// removed meanwhile.
+func (b *Batcher) statuses(ctx context.Context, workspace string, list []submitter.Entry) ([]submitter.Job, error) {
+	found := make([]*submitter.Job, len(list))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxStatusCalls)
+	for i, e := range list {
+		g.Go(func() error {
+			j, err := b.Status(ctx, workspace, e.ID)
+			if missing := new(submitter.NotFoundError); errors.As(err, &missing) {
+				return nil
+			}
+			found[i] = &j
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	var out []submitter.Job
+	for _, j := range found {
+		if j != nil {
+			out = append(out, *j)
 		}
-		out.Jobs = append(out.Jobs, j)
 	}
 	return out, nil
 }
