Bound what a host reports of failures; evicted items say nothing of their servers

Failures within 1.5 s were reported without a bound, and since the prompts came to it, a few thousand failing calls made a digest that no datagram holds: the host's whole digest would not be sent. 256 at most are kept now, the newest. TestReportOfManyFailuresFitsIntoADatagram failed before. An item that the host itself evicted was kept as unanswered and could be held against its parts when the server left as planned soon after. It is not recorded any more. SoundPart is called AnsweredPart.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -280,7 +280,6 @@
 		return retry{reason: "a part of its prompt crashes servers"}
 	}
 	if ctx.Err() != nil {
-		x.options.Tracker.Unanswered(a)
 		return retry{reason: "evicted"}
 	}
 	x.options.Ejector.Failed(a.Server.ID, err)
--- a/suspector/beginning.go
+++ b/suspector/beginning.go
@@ -24,7 +24,7 @@
 	defer s.promptMu.Unlock()
 	changed := false
 	now := s.clock.Now()
-	for _, x := range r.SoundParts {
+	for _, x := range r.AnsweredParts {
 		if parts := []uint64{x.Part}; len(s.prompts.Unconfirmed(parts)) > 0 {
 			s.prompts.Answered(parts, now-max(x.Age, 0), false)
 			changed = true
--- a/suspector/handover.go
+++ b/suspector/handover.go
@@ -34,7 +34,7 @@
 		n.Prompts = append(n.Prompts, Prompt{Call: c.Call, Workspace: c.Workspace, Parts: c.Parts})
 	}
 	for part, at := range t.prompts.Answers() {
-		out.SoundParts = append(out.SoundParts, SoundPart{Part: part, Age: now - at})
+		out.AnsweredParts = append(out.AnsweredParts, AnsweredPart{Part: part, Age: now - at})
 	}
 	return out
 }
--- a/suspector/prompt_test.go
+++ b/suspector/prompt_test.go
@@ -117,6 +117,19 @@
 	require.Less(t, sent, 20)
 }
 
+// Thousands of calls with long prompts fail at a host within one report window. What it
+// reports must still fit into a datagram with the rest of its digest.
+func TestReportOfManyFailuresFitsIntoADatagram(t *testing.T) {
+	c := &clock{now: 1000}
+	w := suspector.NewTracker(c, zap.NewNop(), nil)
+	for call := range uint64(5000) {
+		w.Failed(promptAttempt(fmt.Sprint("i-", call), call, fmt.Sprint("w", call%50), manyParts(call, 20)...))
+	}
+	frame, err := cbor.Marshal(w.Records())
+	require.NoError(t, err)
+	require.Less(t, len(frame), 48<<10)
+}
+
 // Records of prompts are bounded in memory and in the message that a host sends.
 func TestPromptStateSize(t *testing.T) {
 	c := &clock{now: 1000}
--- a/suspector/report.go
+++ b/suspector/report.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxSoundReported bounds the parts reported as sound in one message.
-	maxSoundReported = 128
+	// maxAnswersReported bounds the parts reported as answered in one message.
+	maxAnswersReported = 128
 	// maxPartsReported bounds the parts of all prompts in one message, but of each prompt
 	// minPartsReported are always sent.
 	maxPartsReported = 1024
@@ -39,8 +39,8 @@
 			out.Crashes[i].Prompts = append(out.Crashes[i].Prompts, t.reportedPrompt(c.Call))
 		}
 	}
-	for part, at := range t.prompts.AnsweredHere(now-soundWindow, maxSoundReported) {
-		out.SoundParts = append(out.SoundParts, SoundPart{Part: part, Age: now - at})
+	for part, at := range t.prompts.AnsweredHere(now-answerWindow, maxAnswersReported) {
+		out.AnsweredParts = append(out.AnsweredParts, AnsweredPart{Part: part, Age: now - at})
 	}
 	for _, s := range t.successes {
 		s.Age = now - s.at
@@ -61,13 +61,13 @@
 
 // Merge applies the records of another host.
 func (t *Tracker) Merge(r Records) {
-	if len(r.Crashes)+len(r.Successes)+len(r.SoundParts) == 0 {
+	if len(r.Crashes)+len(r.Successes)+len(r.AnsweredParts) == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	for _, s := range r.SoundParts {
+	for _, s := range r.AnsweredParts {
 		t.releaseParts([]uint64{s.Part}, now-max(s.Age, 0), false)
 	}
 	for _, c := range r.Crashes {
--- a/suspector/runtime.go
+++ b/suspector/runtime.go
@@ -163,10 +163,10 @@
 	}
 	s.promptMu.Lock()
 	for _, part := range s.prompts.Unconfirmed(c.Parts) {
-		r.SoundParts = append(r.SoundParts, SoundPart{Part: part})
+		r.AnsweredParts = append(r.AnsweredParts, AnsweredPart{Part: part})
 	}
 	s.promptMu.Unlock()
-	if len(r.Successes)+len(r.SoundParts) > 0 {
+	if len(r.Successes)+len(r.AnsweredParts) > 0 {
 		s.publish(r)
 	}
 }
--- a/suspector/suspector.go
+++ b/suspector/suspector.go
@@ -96,8 +96,8 @@
 	return attributor.Crash{ID: id, Call: p.Call, Workspace: p.Workspace, Parts: p.Parts, At: at}
 }
 
-// SoundPart records that a call with a part in its prompt was answered.
-type SoundPart struct {
+// AnsweredPart records that a call with a part in its prompt was answered.
+type AnsweredPart struct {
 	Part uint64 `cbor:"1,keyasint"`
 	// Age is the time from the answer until this record was sent.
 	Age timer.Millis `cbor:"2,keyasint"`
@@ -116,8 +116,8 @@
 type Records struct {
 	Crashes   []Crash   `cbor:"1,keyasint"`
 	Successes []Success `cbor:"2,keyasint"`
-	// SoundParts are parts that occurred at recent crashes.
-	SoundParts []SoundPart `cbor:"3,keyasint,omitempty"`
+	// AnsweredParts are parts that occurred at recent crashes.
+	AnsweredParts []AnsweredPart `cbor:"3,keyasint,omitempty"`
 }
 
 // Verdict is the verdict on a fingerprint: Clear, Suspected or Refused.
--- a/suspector/tracker.go
+++ b/suspector/tracker.go
@@ -21,14 +21,19 @@
 	// If a server is removed, the calls that ended there without an answer within the
 	// last unansweredWindow are blamed for its crash.
 	unansweredWindow = 15 * timer.Second
-	// soundWindow is how long after a crash this host reports which parts of the prompts
+	// answerWindow is how long after a crash this host reports which parts of the prompts
 	// that were in flight it has answered.
-	soundWindow = 3 * timer.Second
+	answerWindow = 3 * timer.Second
 )
 
-// maxUnanswered bounds the unanswered calls that are kept for one server; the oldest
-// are dropped first.
-const maxUnanswered = 64
+const (
+	// maxUnanswered bounds the unanswered calls that are kept for one server; the oldest
+	// are dropped first.
+	maxUnanswered = 64
+	// maxLocalCrashes bounds the crashes that this host observed and reports; the oldest
+	// are dropped first. All of them must fit into one datagram.
+	maxLocalCrashes = 256
+)
 
 // Tracker records the calls under which servers crash, for servers to which every host
 // sends calls independently. It uses the observations of its own host and the records of
@@ -51,7 +56,7 @@
 	// for servers that have answered nothing since.
 	unanswered map[cataloger.Incarnation][]unansweredCall
 	// crashes and successes are what this host observed within the last reportWindow,
-	// oldest first.
+	// oldest first; of the crashes maxLocalCrashes at most.
 	crashes   []localCrash
 	successes []localSuccess
 }
@@ -178,6 +183,7 @@
 	}
 	if crash.call || crash.prompt {
 		t.crashes = append(t.crashes, crash)
+		t.crashes = t.crashes[max(0, len(t.crashes)-maxLocalCrashes):]
 	}
 	_, crashes, refused := t.evidence.crashState(a.Fingerprint, now)
 	t.logger.Info("failure held against a call", zap.String("server", a.Server.ID), zap.Int64("born", a.Server.StartedAt), zap.Uint64("fingerprint", a.Fingerprint),
