--- a/suspector/tracker.go
+++ b/suspector/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -30,8 +31,8 @@
 	// maxUnanswered bounds the unanswered calls that are kept for one server; the oldest
 	// are dropped first.
 	maxUnanswered = 64
-	// maxLocalCrashes bounds the crashes that this host observed and reports; the oldest
-	// are dropped first. All of them must fit into one datagram.
+	// maxLocalCrashes bounds the crashes that this host observed and reports. All of them
+	// must fit into one datagram.
 	maxLocalCrashes = 256
 )
 
@@ -183,7 +184,7 @@
 	}
 	if crash.call || crash.prompt {
 		t.crashes = append(t.crashes, crash)
-		t.crashes = t.crashes[max(0, len(t.crashes)-maxLocalCrashes):]
+		t.dropExcessCrash()
 	}
 	_, crashes, refused := t.evidence.crashState(a.Fingerprint, now)
 	t.logger.Info("failure held against a call", zap.String("server", a.Server.ID), zap.Int64("born", a.Server.StartedAt), zap.Uint64("fingerprint", a.Fingerprint),
@@ -194,6 +195,23 @@
 	}
 }
 
+// dropExcessCrash drops the oldest of the crashes to report of the workspace that has most
+// of them, if there are too many. The caller holds t.mu.
+func (t *Tracker) dropExcessCrash() {
+	if len(t.crashes) <= maxLocalCrashes {
+		return
+	}
+	counts := make(map[string]int)
+	most := t.crashes[0].Workspace
+	for _, c := range t.crashes {
+		if counts[c.Workspace]++; counts[c.Workspace] > counts[most] {
+			most = c.Workspace
+		}
+	}
+	i := slices.IndexFunc(t.crashes, func(c localCrash) bool { return c.Workspace == most })
+	t.crashes = slices.Delete(t.crashes, i, i+1)
+}
+
 // addPrompt records that a server crashed before it had answered a call with this prompt.
 // It reports whether that was new. The host that observed the crash also quarantines the
 // parts that are refused because of it. Calls in flight with such a part are revoked if
