forwarder: a call that is no stream is recorded if its handler panics

What an owner saw: no usage record of such a call, though a backend server may have run it; the bill was too low by it. Cause: only streams recovered from a panic before the outcome was recorded. Both do by the same function now. TestPanickedCallIsRecorded failed before (one record of two).

--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -24,7 +24,7 @@
 	defer f.options.Guardian.End(call)
 	start := time.Now()
 	w := &bufferedAnswer{limit: f.options.MaxAnswer}
-	outcome := f.options.Doer.Do(call.Context, r, w)
+	outcome := f.callDoer(call.Context, r, w)
 	f.recordEnd(r, call, outcome, start)
 	if err := f.options.Guardian.Check(call); err != nil {
 		call.Cancel(err)
@@ -38,6 +38,18 @@
 	ctx.Response.SetBodyRaw(w.body)
 }
 
+// callDoer runs a call. A panic of the Doer ends this call with an internal error, not the
+// process, and the call is recorded like any other: a backend server may have run it.
+func (f *Forwarder) callDoer(ctx context.Context, r requester.Request, s requester.Sink) (o requester.Outcome) {
+	defer func() {
+		if p := recover(); p != nil {
+			answerer.LogPanic(f.options.Logger, p)
+			o = requester.MaybeRun{Code: answerer.CodeInternal, Reason: "internal error"}
+		}
+	}()
+	return f.options.Doer.Do(ctx, r, s)
+}
+
 // failure returns the error to respond with and true if the call has no
 // complete answer or its caller may no longer receive it. bufferErr is the
 // error of buffering the answer, if any.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -95,7 +95,7 @@
 	})
 	defer stop()
 	start := time.Now()
-	t.outcome = t.callDoer()
+	t.outcome = t.forwarder.callDoer(t.call.Context, t.request, t)
 	t.forwarder.recordEnd(t.request, t.call, t.outcome, start)
 	close(t.ended)
 	if e, failed := t.forwarder.failure(t.call, t.request, t.outcome, nil); failed {
@@ -105,18 +105,6 @@
 	t.finish(io.EOF)
 }
 
-// callDoer runs the call. A panic of the Doer ends this call with an internal
-// error, not the process.
-func (t *stream) callDoer() (o requester.Outcome) {
-	defer func() {
-		if r := recover(); r != nil {
-			answerer.LogPanic(t.forwarder.options.Logger, r)
-			o = requester.MaybeRun{Code: answerer.CodeInternal, Reason: "internal error"}
-		}
-	}()
-	return t.forwarder.options.Doer.Do(t.call.Context, t.request, t)
-}
-
 // respondWithoutStream responds to a call that ended before its stream started.
 func (t *stream) respondWithoutStream(ctx *fasthttp.RequestCtx) {
 	if e, failed := t.forwarder.failure(t.call, t.request, t.outcome, nil); failed {
--- a/server/life_test.go
+++ b/server/life_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -276,3 +277,29 @@
 	require.NoError(t, h.server.Close())
 	require.Less(t, time.Since(began), 5*time.Second, "Close does not wait for the call that panicked")
 }
+
+// outcomeRecorder is a Recorder that keeps the names of the outcomes of calls.
+type outcomeRecorder struct {
+	mu       sync.Mutex
+	outcomes []string
+}
+
+func (r *outcomeRecorder) Record(_ context.Context, _ requester.Request, o requester.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.outcomes = append(r.outcomes, requester.OutcomeName(o))
+}
+
+// A call that is no stream left no usage record if its handler panicked, though a backend
+// server may have run it.
+func TestPanickedCallIsRecorded(t *testing.T) {
+	recorder := &outcomeRecorder{}
+	h := newHarness(t, doerFunc(func(context.Context, requester.Request, requester.Sink) requester.Outcome {
+		panic("fault")
+	}), func(o *server.Options) { o.Recorder = recorder })
+	require.Equal(t, "internal-error", h.do(h.request("POST", "/v1/chat/completions", chatBody)).code)
+	require.Equal(t, "internal-error", h.do(h.request("POST", "/v1/chat/completions", streamBody)).code)
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	require.Equal(t, []string{"maybe-run", "maybe-run"}, recorder.outcomes)
+}
