A bill names the holders that did not answer

What an owner saw: a bill that was too low, without a word, when holders of usage records could not be reached. Cause: Report dropped the list of unreached holders that Collect returns. It is part of the bill now, and 'usage report' says so on standard error. TestBillNamesTheHoldersThatDidNotAnswer failed before (nil). Which time is lacking is not known to the caller: any part of the period whose records are on no other holder; the field says that.

--- a/operator/usage.go
+++ b/operator/usage.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/administrator"
@@ -85,6 +86,9 @@
 	if err := u.get(ctx, e, administrator.UsagePath+q, &bill); err != nil {
 		return err
 	}
+	if len(bill.Unreached) > 0 {
+		_, _ = fmt.Fprintf(e.Stderr, "the report may be incomplete: no answer from %s\n", strings.Join(bill.Unreached, ", "))
+	}
 	if u.jsonOutput {
 		return printJSON(e.Stdout, bill)
 	}
--- a/recorder/bill.go
+++ b/recorder/bill.go
@@ -50,6 +50,9 @@
 	// Tips has the last record of each chain, sorted by incarnation. Its key in JSON is
 	// "heads".
 	Tips []ChainTip `json:"heads"`
+	// Unreached names the holders that did not answer, sorted. Usage of any part of the
+	// query's period may be missing if their records are on no other holder.
+	Unreached []string `json:"unreached,omitempty"`
 }
 
 // Chain contains all records of one incarnation, in order. Batches can be iterated
--- a/recorder/collect.go
+++ b/recorder/collect.go
@@ -80,13 +80,14 @@
 // errStopped ends the reading of a segment when the consumer needs no more batches.
 var errStopped = errors.New("iteration stopped")
 
-// Report computes the bill from the records that the holders have. If holders do not
-// answer, the bill may be incomplete, which Report does not indicate; use Collect and
-// Compute to detect this.
+// Report computes the bill from the records that the holders have. The bill names the
+// holders that do not answer; it may then be incomplete.
 func Report(ctx context.Context, a *replicator.Client, q Query, keys Keys) (Bill, error) {
-	chains, _, err := Collect(ctx, a)
+	chains, unreached, err := Collect(ctx, a)
 	if err != nil {
 		return Bill{}, err
 	}
-	return Compute(q, chains, keys)
+	b, err := Compute(q, chains, keys)
+	b.Unreached = slices.Sorted(slices.Values(unreached))
+	return b, err
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -184,6 +184,26 @@
 	})
 }
 
+// A bill that was computed while holders could not be reached did not say so, though their
+// records may be missing from it.
+func TestBillNamesTheHoldersThatDidNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		defer f.close()
+		require.NoError(t, f.hosts["h5"].recorder.Record(t.Context(), entry("a")))
+		time.Sleep(5 * time.Second)
+		bill, err := recorder.Report(t.Context(), f.hosts["h5"].client, recorder.Query{}, f.keys())
+		require.NoError(t, err)
+		require.Empty(t, bill.Unreached)
+		for _, holder := range []string{"h1", "h2"} {
+			f.net.Cut("h5", holder, true)
+		}
+		bill, err = recorder.Report(t.Context(), f.hosts["h5"].client, recorder.Query{}, f.keys())
+		require.NoError(t, err)
+		require.Equal(t, []string{"h1", "h2"}, bill.Unreached)
+	})
+}
+
 // After a host failure, flushed entries must be kept, the loss must be within the
 // bound, the host's segments must be sealed, and its key must remain trusted.
 func TestHostFailureLosesNoMoreThanTheBound(t *testing.T) {
