No trial is claimed for a call with too many suspects; plainer names

A call with more than eight quarantined parts had eight trials claimed, and wasted, before it was refused; it is refused before any claim now. Call.Owed is called Batch, and the log field of a prompt's parts is made in one place. Behaviour is otherwise as before; suspector, quarantiner, relayer and executor pass.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -296,7 +296,7 @@
 	t := &task{key: k, group: g, job: j, failedAt: make(map[string]bool)}
 	names := x.options.Names
 	t.suspect = suspector.Call{
-		Fingerprint: suspector.Fingerprint(j.Workspace, t.item().ID, nil), Owed: true, Workspace: j.Workspace,
+		Fingerprint: suspector.Fingerprint(j.Workspace, t.item().ID, nil), Batch: true, Workspace: j.Workspace,
 		Parts: suspector.Parts(names.SharedParts(t.header(names).Get(names.Prompt))),
 	}
 	return t
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -35,9 +35,7 @@
 	// maxRefusals is the number of refusals or failed connections after which a call
 	// is still tried again; one more ends it. maxMisdirected is the same for addresses
 	// at which another server answered.
-	maxRefusals = 2
-	// maxLoggedParts bounds the parts of a prompt in one log line.
-	maxLoggedParts = 16
+	maxRefusals    = 2
 	maxMisdirected = 8
 )
 
@@ -137,7 +135,7 @@
 func (u *run) refuseSuspect(retryAfter timer.Millis) Outcome {
 	s := u.call.Suspect
 	u.relayer.options.Logger.Info("call kept apart", zap.String("request", u.call.ID), zap.Uint64("fingerprint", s.Fingerprint),
-		zap.Uint64s("parts", s.Parts[:min(len(s.Parts), maxLoggedParts)]), zap.Int64("for-ms", int64(retryAfter)))
+		s.PartsField(), zap.Int64("for-ms", int64(retryAfter)))
 	return u.giveUp("servers failed lately under this call or a part of its prompt", retryAfter)
 }
 
--- a/suspector/admit.go
+++ b/suspector/admit.go
@@ -24,10 +24,10 @@
 	if t.quarantine == nil {
 		return 0, true
 	}
-	for i, s := range suspects {
-		if i == maxClaims {
-			return quarantiner.Backoff(0), false
-		}
+	if len(suspects) > maxClaims {
+		return quarantiner.Backoff(0), false
+	}
+	for _, s := range suspects {
 		if wait, ok := t.quarantine.ClaimTrial(ctx, s, c.workspaceHash()); !ok {
 			return wait, false
 		}
@@ -54,7 +54,7 @@
 // prompt, and how long it is refused. Suspected is what crashed enough servers and what
 // the store has a record of.
 func (t *Tracker) suspects(c Call) (list []uint64, wait timer.Millis) {
-	if !c.Owed {
+	if !c.Batch {
 		if w, suspected := t.callWait(c); suspected {
 			list, wait = append(list, c.Fingerprint), w
 		}
--- a/suspector/call.go
+++ b/suspector/call.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
 )
 
 // ProgressEvents is the number of events after which an answer is under way. A part of a
@@ -15,9 +16,9 @@
 type Call struct {
 	// Fingerprint identifies the call itself; see Fingerprint.
 	Fingerprint uint64
-	// Owed is set for batch items. They are never suspected as a whole, only for parts
+	// Batch is set for batch items. They are never suspected as a whole, only for parts
 	// that they share with others.
-	Owed bool
+	Batch bool
 	// Parts identify the parts of the call's prompt that other calls may share, in
 	// order; see Parts.
 	Parts []uint64
@@ -55,6 +56,14 @@
 	return Prompt{Call: c.Fingerprint, Workspace: c.workspaceHash(), Parts: c.Parts}
 }
 
+// maxLoggedParts bounds the parts of a prompt in one log line.
+const maxLoggedParts = 16
+
+// PartsField returns the log field with the parts of the call's prompt.
+func (c Call) PartsField() zap.Field {
+	return zap.Uint64s("parts", c.Parts[:min(len(c.Parts), maxLoggedParts)])
+}
+
 // Parts returns hashes that identify the parts of a prompt with these identifiers. They
 // differ from the fingerprints of calls.
 func Parts(ids []string) []uint64 {
--- a/suspector/tracker.go
+++ b/suspector/tracker.go
@@ -171,14 +171,11 @@
 	t.recordCrash(a, "the server broke off the call")
 }
 
-// maxLoggedParts bounds the parts of a prompt in one log line.
-const maxLoggedParts = 16
-
 // recordCrash records that a server crashed under a call. The caller holds t.mu.
 func (t *Tracker) recordCrash(a Attempt, reason string) {
 	now := t.clock.Now()
 	crash := localCrash{Attempt: a, at: now}
-	crash.call = !a.Owed && t.evidence.add(a.Fingerprint, crashID(a.Server), now, now)
+	crash.call = !a.Batch && t.evidence.add(a.Fingerprint, crashID(a.Server), now, now)
 	if a.Events < ProgressEvents {
 		crash.prompt = t.addPrompt(crashID(a.Server), now, a.prompt(), true)
 	}
@@ -189,7 +186,7 @@
 	_, crashes, refused := t.evidence.crashState(a.Fingerprint, now)
 	t.logger.Info("failure held against a call", zap.String("server", a.Server.ID), zap.Int64("born", a.Server.StartedAt), zap.Uint64("fingerprint", a.Fingerprint),
 		zap.String("reason", reason), zap.Bool("counted-before", !crash.call), zap.Int("deaths", crashes), zap.Bool("refused", refused),
-		zap.Int64("age-ms", int64(now-a.Sent)), zap.Int("events", a.Events), zap.Uint64s("parts", a.Parts[:min(len(a.Parts), maxLoggedParts)]))
+		zap.Int64("age-ms", int64(now-a.Sent)), zap.Int("events", a.Events), a.PartsField())
 	if crash.call && refused && t.quarantine != nil {
 		t.quarantine.Put(a.Fingerprint, a.workspaceHash())
 	}
@@ -268,7 +265,7 @@
 // call is suspected or quarantined.
 func (t *Tracker) Completed(c Call) {
 	t.Progressed(c)
-	if c.Owed {
+	if c.Batch {
 		return
 	}
 	if t.quarantine != nil {
