--- a/suspector/report.go
+++ b/suspector/report.go
@@ -8,7 +8,7 @@
 
 const (
 	// maxAnswersReported bounds the parts reported as answered in one message.
-	maxAnswersReported = 64
+	maxAnswersReported = 128
 	// maxPartsReported bounds the parts of all prompts in one message, but of each prompt
 	// minPartsReported are always sent.
 	maxPartsReported = 1024
@@ -35,7 +35,7 @@
 		if c.call {
 			out.Crashes[i].Fingerprints = append(out.Crashes[i].Fingerprints, c.Fingerprint)
 		}
-		if c.prompt && now-c.at <= promptWindow {
+		if c.prompt {
 			out.Crashes[i].Prompts = append(out.Crashes[i].Prompts, t.reportedPrompt(c.Call))
 		}
 	}
--- a/suspector/tracker.go
+++ b/suspector/tracker.go
@@ -22,11 +22,9 @@
 	// If a server is removed, the calls that ended there without an answer within the
 	// last unansweredWindow are blamed for its crash.
 	unansweredWindow = 15 * timer.Second
-	// promptWindow is how long the prompts of a crash are included, answerWindow how long
-	// after a crash this host reports which parts of the prompts that were in flight it has
-	// answered. Every host receives them with each digest of every other.
-	promptWindow timer.Millis = 500
-	answerWindow timer.Millis = 500
+	// answerWindow is how long after a crash this host reports which parts of the prompts
+	// that were in flight it has answered.
+	answerWindow = 3 * timer.Second
 )
 
 const (
