Logs and failing tests for servers that name a limit

Cause: the logs could not tell whether the limit is read by nobody, is known to single hosts only, or is worked against by the choice by load. Changed: answers that name a limit are logged with the request's age; no logic.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -238,6 +238,10 @@
 	if answer.Header.Get(x.options.Names.Leaving) != "" {
 		x.options.Departer.Record(v.Incarnation(), departer.Leaving)
 	}
+	if limit := answer.Header.Values(x.options.Names.Limit); len(limit) > 0 {
+		x.options.Logger.Info("server named a limit", zap.String("item", t.item().ID), zap.String("server", v.ID), zap.Strings("limit", limit),
+			zap.Int64("sent-ms-ago", int64(x.options.Clock.Now()-attempt.Sent)))
+	}
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
 		x.options.Departer.Record(v.Incarnation(), departer.Gone)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -40,7 +40,7 @@
 
 var names = namer.Names{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
-	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", ResumeAfter: "After",
+	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", ResumeAfter: "After",
 	Prompt: "Prompt", SharedParts: sharedParts,
 }
 
@@ -58,6 +58,8 @@
 	stallBytes string
 	// announcesLeave makes the server of the first run announce that it is leaving.
 	announcesLeave bool
+	// limit is the limit that all responses name; empty for none.
+	limit string
 	// crashingPart is the part of a prompt whose items break off before their first
 	// event; empty for none. crashes are the times at which they did.
 	crashingPart string
@@ -129,6 +131,9 @@
 	if e.announcesLeave && len(e.received()) == 1 {
 		header = "Leaving: 1\r\n"
 	}
+	if e.limit != "" {
+		header += "Limit: " + e.limit + "\r\n"
+	}
 	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 	first, _ := strconv.Atoi(q.Header.Get("After"))
 	for i := first + 1; i <= lastEvent; i++ {
--- a/namer/namer.go
+++ b/namer/namer.go
@@ -25,6 +25,9 @@
 	NotRun string
 	// Leaving marks an answer whose backend server is leaving.
 	Leaving string
+	// Limit carries the requests a second that a backend server takes from all hosts
+	// together, as a decimal number, while the server asks for a limit.
+	Limit string
 	// ResumeAfter carries the number of the last event that was received; the
 	// stream resumes after it.
 	ResumeAfter string
--- /dev/null
+++ b/relayer/limit_test.go
@@ -0,0 +1,68 @@
+package relayer_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/stretchr/testify/require"
+)
+
+// limitedAt returns a script by which only the given server names a limit.
+func limitedAt(server, limit string) script {
+	return func(c net.Conn, q *http.Request) {
+		headers := closing
+		if q.Header.Get("Expect") == server {
+			headers += "Limit: " + limit + "\r\n"
+		}
+		answer(headers)(c, q)
+	}
+}
+
+// repeated returns n times the same script.
+func repeated(n int, s script) []script {
+	var out []script
+	for range n {
+		out = append(out, s)
+	}
+	return out
+}
+
+// countTo returns how many calls were sent to a server.
+func (f *fixture) countTo(server string) int {
+	n := 0
+	for _, id := range f.targets() {
+		if id == server {
+			n++
+		}
+	}
+	return n
+}
+
+// A server named a limit in its answers, and calls were sent to it as before.
+func TestServerGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
+	f := newFixture(t, 1, repeated(30, limitedAt("s0", "1"))...)
+	for i := range 30 {
+		o, _ := f.run(route(cataloger.Idempotent, false, 2))
+		if i == 0 {
+			require.IsType(t, relayer.Delivered{}, o)
+			continue
+		}
+		if refused, ok := o.(relayer.NotRun); ok {
+			require.Positive(t, refused.RetryAfter)
+		}
+	}
+	require.LessOrEqual(t, f.countTo("s0"), 4)
+}
+
+// One of two servers names a limit. Calls beyond it must go to the other one.
+func TestCallsBeyondALimitGoToOtherServers(t *testing.T) {
+	f := newFixture(t, 2, repeated(30, limitedAt("s0", "1"))...)
+	for range 30 {
+		o, _ := f.run(route(cataloger.Idempotent, false, 2))
+		require.IsType(t, relayer.Delivered{}, o)
+	}
+	require.LessOrEqual(t, f.countTo("s0"), 4)
+}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -32,7 +32,7 @@
 
 var names = namer.Names{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
-	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", ResumeAfter: "After",
+	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", ResumeAfter: "After",
 }
 
 // script is the behaviour of a backend server for one request.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -126,6 +126,10 @@
 	if answer.Header.Get(o.Names.Leaving) != "" {
 		o.Departer.Record(reservation.Server.Incarnation(), departer.Leaving)
 	}
+	if limit := answer.Header.Values(o.Names.Limit); len(limit) > 0 {
+		o.Logger.Info("server named a limit", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID), zap.Strings("limit", limit),
+			zap.Int64("sent-ms-ago", int64(o.Clock.Now()-u.sentAt)))
+	}
 	u.firstEvent = 0
 	return u.handleAnswer(ctx, reservation, answer)
 }
