--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -39,8 +39,9 @@
 	Shares  []Share
 	Timeout timer.Millis
 	// Objective is the time within which the answer to a request should begin.
-	Objective   timer.Millis
-	GapBound    timer.Millis
+	Objective timer.Millis
+	GapBound  timer.Millis
+	// Priority is 0 for the most urgent requests.
 	Priority    int
 	MaxAttempts int
 	// Public routes accept requests without a key.
@@ -84,7 +85,8 @@
 
 // Workspace is a customer of the fleet.
 type Workspace struct {
-	Name     string
+	Name string
+	// Priority is 0 for the most urgent workspaces.
 	Priority int
 	// Rate is in requests a second over all hosts; zero means no limit.
 	Rate  float64
@@ -108,6 +110,9 @@
 	workspaces map[string]*Workspace
 	keys       map[string]*Workspace
 	anonymous  bool
+	// workspacePriorities and routePriorities are the distinct priorities of workspaces and
+	// of routes that are not for batch jobs, in ascending order.
+	workspacePriorities, routePriorities []int
 }
 
 // ConfigParts holds the parts of a Config. Keys maps a key to the name of its workspace.
@@ -134,7 +139,11 @@
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
+		if r.Kind != Batch {
+			c.routePriorities = append(c.routePriorities, r.Priority)
+		}
 	}
+	c.routePriorities = distinct(c.routePriorities)
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
@@ -144,7 +153,9 @@
 	for i := range p.Workspaces {
 		w := &p.Workspaces[i]
 		c.workspaces[w.Name] = w
+		c.workspacePriorities = append(c.workspacePriorities, w.Priority)
 	}
+	c.workspacePriorities = distinct(c.workspacePriorities)
 	for key, name := range p.Keys {
 		if w, ok := c.workspaces[name]; ok {
 			c.keys[key] = w
@@ -153,6 +164,24 @@
 	return c
 }
 
+// distinct returns the different values of list in ascending order.
+func distinct(list []int) []int {
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// Rank returns the number of classes of requests that are more urgent than those of a
+// workspace on a route. The priority of the workspace goes before that of the route. The
+// workspace is nil for requests without a key.
+func (c *Config) Rank(w *Workspace, r *Route) int {
+	rank, _ := slices.BinarySearch(c.routePriorities, r.Priority)
+	if w != nil {
+		of, _ := slices.BinarySearch(c.workspacePriorities, w.Priority)
+		rank += of * len(c.routePriorities)
+	}
+	return rank
+}
+
 // Match returns the route of host with the longest prefix of path.
 func (c *Config) Match(host, path string) (*Route, bool) {
 	for _, r := range c.routes[host] {
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -74,7 +74,7 @@
 	x.options.Logger.Info("item sent", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID), zap.Int("events", t.eventCount()))
 	x.options.Ejector.Begin(v.ID)
 	var result outcome = retry{reason: "unexpected error", interrupted: true}
-	recoverer.Do(x.options.Logger, "running an item", func() { result = x.exchange(ctx, t, v) })
+	recoverer.Do(x.options.Logger, "running an item", func() { result = x.exchange(ctx, t, reservation) })
 	x.options.Ejector.End(v.ID)
 	reservation.Release()
 	f := queuer.Finished{Job: t.key.ref.Job, Item: t.key.ref.Item}
@@ -209,10 +209,11 @@
 	}
 }
 
-// exchange sends an item to server v and adds the events of the response to the
-// item's output. A run that receives no whole event with data for Options.Stall
-// is cancelled.
-func (x *Executor) exchange(ctx context.Context, t *task, v cataloger.Server) outcome {
+// exchange sends an item to the server of its reservation and adds the events of the
+// response to the item's output. A run that receives no whole event with data for
+// Options.Stall is cancelled.
+func (x *Executor) exchange(ctx context.Context, t *task, reservation *picker.Reservation) outcome {
+	v := reservation.Server
 	remaining, limited := t.remaining()
 	if limited && remaining <= 0 {
 		return abandoned{reason: reasonExpired}
@@ -228,8 +229,10 @@
 	attempt := suspector.Attempt{Call: t.suspect, Server: v.Incarnation(), Sent: x.options.Clock.Now()}
 	stallTimer := time.AfterFunc(x.options.Stall.Duration(), flight.End)
 	defer stallTimer.Stop()
+	reservation.SetSent(true)
 	answer, err := x.options.Transporter.Send(runCtx, x.request(t, v, remaining), silenceTimeout)
 	if err != nil {
+		reservation.SetSent(transporter.WasSent(err))
 		return x.interrupted(ctx, runCtx, flight, attempt, err)
 	}
 	defer answer.Close()
@@ -238,9 +241,8 @@
 	if answer.Header.Get(x.options.Names.Leaving) != "" {
 		x.options.Departer.Record(v.Incarnation(), departer.Leaving)
 	}
-	if limit := answer.Header.Values(x.options.Names.Limit); len(limit) > 0 {
-		x.options.Logger.Info("server named a limit", zap.String("item", t.item().ID), zap.String("server", v.ID), zap.Strings("limit", limit),
-			zap.Int64("sent-ms-ago", int64(x.options.Clock.Now()-attempt.Sent)))
+	if answer.Status != http.StatusMisdirectedRequest {
+		reservation.Answered(answer.Header.Values(x.options.Names.Limit), answer.Status == http.StatusOK && answer.Header.Get(x.options.Names.Signature) != "")
 	}
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -26,7 +26,9 @@
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"go.uber.org/zap"
@@ -145,9 +147,14 @@
 	mu      sync.Mutex
 	tasks   map[key]*task
 	backlog int
+	// limited is the number of items that could start but for the limits of servers.
+	limited int
 	// peaks holds the recent peak number of online calls, by service. Only the
 	// deciding goroutine uses it, with mu held.
 	peaks map[string]peak
+	// yielding holds the services whose online calls need what the limits of servers
+	// leave. Only the deciding goroutine uses it, with mu held.
+	yielding map[string]bool
 }
 
 // peak is the highest count within a window, and when it was measured.
@@ -175,7 +182,7 @@
 func New(o Options) *Executor {
 	defaulter.Set(&o.Stall, 6*timer.Second)
 	ctx, cancel := context.WithCancel(context.Background())
-	x := &Executor{options: o, woken: make(chan struct{}, 1), cancel: cancel, stopped: make(chan struct{}), tasks: make(map[key]*task), peaks: make(map[string]peak)}
+	x := &Executor{options: o, woken: make(chan struct{}, 1), cancel: cancel, stopped: make(chan struct{}), tasks: make(map[key]*task), peaks: make(map[string]peak), yielding: make(map[string]bool)}
 	go x.run(ctx)
 	x.workers.Go(func() { x.savePeriodically(ctx) })
 	return x
@@ -236,14 +243,19 @@
 			byService[service] = append(byService[service], t)
 		}
 	}
+	heldBack := 0
 	for service, list := range byService {
-		x.fill(ctx, s, service, list)
+		heldBack += x.fill(ctx, s, service, list)
 	}
 	for _, service := range x.servicesInUse(s) {
 		if _, ok := byService[service]; !ok {
 			x.fill(ctx, s, service, nil)
 		}
 	}
+	if heldBack != x.limited {
+		x.limited = heldBack
+		x.options.Measurer.ItemsHeldBack(heldBack)
+	}
 }
 
 // refresh updates the tasks from the queues and returns those that could start,
@@ -369,8 +381,9 @@
 	return out
 }
 
-// fill starts and evicts items on the servers of one service as filler.Plan decides.
-func (x *Executor) fill(ctx context.Context, s cataloger.Snapshot, service string, ready []*task) {
+// fill starts and evicts items on the servers of one service as filler.Plan decides. It
+// returns how many of the ready items the limits of servers hold back.
+func (x *Executor) fill(ctx context.Context, s cataloger.Snapshot, service string, ready []*task) int {
 	in, servers := x.input(s, service, len(ready))
 	start, evict := filler.Plan(in)
 	for id, n := range evict {
@@ -383,10 +396,12 @@
 		for i, v := range in.Servers {
 			in.Servers[i].Closed = v.Closed || avoided[v.ID]
 			v.Batch[x.options.Host] += start[v.ID]
+			in.Servers[i].Starts = max(0, v.Starts-start[v.ID])
 		}
 		more, _ := filler.Plan(in)
-		x.assign(ctx, more, rest, servers)
+		rest = x.assign(ctx, more, rest, servers)
 	}
+	return min(len(rest), in.HeldBack())
 }
 
 // input returns what filler.Plan needs to decide about a service for which this host
@@ -400,10 +415,15 @@
 	mine := x.options.Picker.Loads()
 	servers := make(map[string]cataloger.Server)
 	online := 0
-	for _, c := range x.options.Picker.Candidates(service) {
+	candidates := x.options.Picker.Candidates(service, x.class(service))
+	x.yielding[service] = needsLimited(candidates)
+	for _, c := range candidates {
 		v := filler.Server{
 			ID: c.Server.ID, Slots: picker.Slots(s, c.Server), Online: c.Online,
-			Closed: c.Server.Draining || !c.Usable, Batch: map[string]int{},
+			Closed: c.Server.Draining || !c.Usable, Batch: map[string]int{}, Limited: c.Room.Limited,
+		}
+		if c.Room.Open {
+			v.Starts = 1
 		}
 		if n := mine[v.ID].Batch; n > 0 {
 			v.Batch[x.options.Host] = n
@@ -421,6 +441,27 @@
 	return in, servers
 }
 
+// yieldShare is the share of the slots of servers without a limit from which on online
+// calls need the servers with one.
+const yieldShare = 0.6
+
+// needsLimited reports whether online calls need what the limits of servers leave.
+func needsLimited(list []selector.Candidate) bool {
+	online, slots := 0, 0
+	for _, c := range list {
+		if !c.Room.Limited && c.Usable && !c.Server.Draining {
+			online += c.Online
+			slots += c.Slots
+		}
+	}
+	return float64(online) >= yieldShare*float64(slots)
+}
+
+// class returns the class of the items of a service, as of the last decision.
+func (x *Executor) class(service string) throttler.Batch {
+	return throttler.Batch{Yield: x.yielding[service]}
+}
+
 // assign starts ready items on servers, as many as start says for each, and returns
 // those that it did not start. No item starts on a server that it avoids.
 func (x *Executor) assign(ctx context.Context, start filler.Counts, ready []*task, servers map[string]cataloger.Server) []*task {
@@ -431,7 +472,9 @@
 			if i < 0 {
 				break
 			}
-			x.start(ctx, ready[i], servers[id])
+			if !x.start(ctx, ready[i], servers[id]) {
+				break
+			}
 			ready = slices.Delete(ready, i, i+1)
 		}
 	}
@@ -480,16 +523,21 @@
 
 func (t *task) item() *queuer.Item { return &t.job.Items[t.key.ref.Item] }
 
-// start runs an item on server v on a goroutine of its own. The caller holds x.mu.
-func (x *Executor) start(ctx context.Context, t *task, v cataloger.Server) {
+// start runs an item on server v on a goroutine of its own. It returns false if the
+// server's limit leaves no room for it. The caller holds x.mu.
+func (x *Executor) start(ctx context.Context, t *task, v cataloger.Server) bool {
+	reservation, ok := x.options.Picker.Reserve(v, x.class(v.Service))
+	if !ok {
+		return false
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	t.running, t.server, t.cancel, t.evicted = true, v.ID, cancel, 0
 	t.started = x.options.Clock.Now()
-	reservation := x.options.Picker.Reserve(v)
 	x.workers.Go(func() {
 		defer cancel()
 		x.execute(ctx, t, v, reservation)
 	})
+	return true
 }
 
 // unixMillis returns the wall-clock time in Unix milliseconds.
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -26,6 +26,7 @@
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/tester/harness"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"github.com/stretchr/testify/require"
@@ -231,7 +232,7 @@
 	touch := func() {}
 	f.queue = queuer.New(zap.NewNop(), func() { touch() })
 	p := picker.New(picker.Options{
-		Snapshot: f.current, Ejector: ej, Leaving: d.IsLeaving, OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
+		Snapshot: f.current, Ejector: ej, Leaving: d.IsLeaving, Throttler: throttler.New(clock, zap.NewNop()), OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
 		RemoteLoad: func(string) gossiper.Load { return gossiper.Load{Online: f.onlineNow()} },
 	})
 	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock})
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -183,7 +183,7 @@
 	"server known": true, "server gone": true, "server failed": true, "server refused": true,
 	"starting": true, "leaving": true, "stopped": true, "store did not answer": true, "store answers again": true,
 	"group given up": true, "group served": true, "manifest written": true, "log lines dropped": true,
-	"host known": true, "host gone": true, "configuration in force": true,
+	"server's limit changed": true, "host known": true, "host gone": true, "configuration in force": true,
 }
 
 // addContext fills t.Context from lines.
--- a/filler/filler.go
+++ b/filler/filler.go
@@ -44,6 +44,9 @@
 	Batch map[string]int
 	// Closed means that no items are started there. Items may still be evicted.
 	Closed bool
+	// Limited is set if the server named a limit, which lets Starts items start now.
+	Limited bool
+	Starts  int
 }
 
 // batchTotal returns the number of batch items of all hosts.
@@ -55,6 +58,14 @@
 	return n
 }
 
+// free returns how many more items could start there by its slots alone.
+func (s Server) free(p Policy) int {
+	if s.Closed {
+		return 0
+	}
+	return max(0, s.Slots-s.Online-s.batchTotal()-p.FreeAfterStart)
+}
+
 // Input is what a host decides from. Hosts whose Inputs differ only in Self make
 // decisions that fit together.
 type Input struct {
@@ -78,8 +89,11 @@
 			evict[s.ID] = n
 			continue
 		}
-		free := s.Slots - s.Online - s.batchTotal() - in.Policy.FreeAfterStart
-		if s.Closed || free <= 0 || remaining <= 0 || in.filler(s.ID) != in.Self {
+		free := s.free(in.Policy)
+		if s.Limited {
+			free = min(free, s.Starts)
+		}
+		if free <= 0 || remaining <= 0 || in.filler(s.ID) != in.Self {
 			continue
 		}
 		start[s.ID] = min(free, remaining)
@@ -88,10 +102,30 @@
 	return start, evict
 }
 
-// byFreeSlots returns the servers ordered by free slots, most first.
+// HeldBack returns the number of slots that are free for items on servers whose limits let
+// no item start.
+func (in Input) HeldBack() int {
+	n := 0
+	for _, s := range in.Servers {
+		if s.Limited && s.Starts == 0 {
+			n += s.free(in.Policy)
+		}
+	}
+	return n
+}
+
+// byFreeSlots returns the servers ordered by free slots, most first. Servers whose limit
+// lets items start come before all others: a limit is a number of requests, and items
+// are the requests that run longest.
 func byFreeSlots(servers []Server) []Server {
 	out := slices.Clone(servers)
 	slices.SortStableFunc(out, func(a, b Server) int {
+		if a.Limited != b.Limited {
+			if a.Limited {
+				return -1
+			}
+			return 1
+		}
 		return (a.Online + a.batchTotal() - a.Slots) - (b.Online + b.batchTotal() - b.Slots)
 	})
 	return out
--- a/filler/filler_test.go
+++ b/filler/filler_test.go
@@ -100,3 +100,19 @@
 		}
 	})
 }
+
+// A limit is a number of requests, and items run longer than calls. So items go to servers
+// with a limit first, as many as it lets start.
+func TestItemsGoToServersWithALimitFirst(t *testing.T) {
+	in := filler.Input{
+		Self: "h", Backlogs: map[string]int{"h": 3},
+		Servers: []filler.Server{
+			{ID: "open", Slots: 8},
+			{ID: "limited", Slots: 8, Online: 2, Limited: true, Starts: 1},
+			{ID: "exhausted", Slots: 8, Limited: true},
+		},
+	}
+	start, _ := filler.Plan(in)
+	require.Equal(t, filler.Counts{"limited": 1, "open": 2}, start)
+	require.Equal(t, 8, in.HeldBack())
+}
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -190,6 +190,7 @@
 		Route: x.route, Service: x.route.Pick(rand.Float64()), Deadline: x.deadline(), Prompt: strings.Join(parts, ","),
 	}
 	c.MaxWait = c.Deadline - x.started
+	c.Rank = x.snapshot.Config.Rank(x.workspace, x.route)
 	c.Workspace = x.workspaceName()
 	c.Suspect = suspector.Call{
 		Fingerprint: suspector.Fingerprint(c.Workspace, c.Host+c.Target, body), Parts: suspector.Parts(parts), Workspace: c.Workspace,
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -34,6 +34,7 @@
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/recoverer"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -80,6 +81,8 @@
 	// Slowdowns are the servers that the host measured to be slower than other servers
 	// of the same service.
 	Slowdowns comparer.Report `cbor:"12,keyasint,omitempty"`
+	// Limits are limits that servers named, and what the host sent to these servers.
+	Limits []throttler.Notice `cbor:"13,keyasint,omitempty"`
 }
 
 // maxDatagram is the size of the receive buffer, in bytes.
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -74,7 +74,8 @@
 	go h.handler.Expire(ctx, s.Bounds.Keep, timer.Wall)
 	go h.reportRetirement(ctx)
 	h.workers.Go(func() { h.inherit(ctx, bootstrapper, h.rationer) })
-	h.workers.Go(func() { h.inheritSuspects(ctx) })
+	h.workers.Go(func() { h.inheritKnown(ctx) })
+	h.workers.Go(func() { h.watchLimits(ctx) })
 	h.workers.Go(func() { h.watchQuotas(ctx, h.rationer) })
 	return h, nil
 }
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -64,7 +64,7 @@
 	}
 	e.base = b
 	relay := relayer.New(relayer.Options{
-		Names: p.Names, Transporter: b.transporter, Picker: b.picker, Ejector: b.ejector, Tracker: b.tracker, Departer: b.departer,
+		Names: p.Names, Transporter: b.transporter, Picker: b.picker, Throttler: b.throttler, Ejector: b.ejector, Tracker: b.tracker, Departer: b.departer,
 		Budgeter: e.budgeter, Forecaster: e.forecaster, Comparer: b.comparer, Clock: b.clock, Logger: l,
 	})
 	jobs := broker.New(broker.Options{
@@ -84,7 +84,8 @@
 	b.follower.Notify(e.removeUnconfigured)
 	go e.watch(ctx)
 	e.workers.Go(func() { e.inherit(ctx, bootstrapper, e.rationer) })
-	e.workers.Go(func() { e.inheritSuspects(ctx) })
+	e.workers.Go(func() { e.inheritKnown(ctx) })
+	e.workers.Go(func() { e.watchLimits(ctx) })
 	b.serve()
 	return e, e.listen()
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -32,6 +32,7 @@
 	"github.com/jackdawgate/jackdawgate/quarantiner"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"github.com/rotisserie/eris"
@@ -89,6 +90,7 @@
 	ejector     *ejector.Ejector
 	departer    *departer.Departer
 	comparer    *comparer.Comparer
+	throttler   *throttler.Throttler
 	picker      *picker.Picker
 	transporter *transporter.Transporter
 	// tracker records what crashes servers; quarantiner writes these records to the
@@ -137,8 +139,10 @@
 	b.transporter = transporter.New(transporter.Options{IDHeader: p.Names.RequestID, Clock: clock})
 	b.departer = departer.New(clock, l)
 	b.comparer = comparer.New(clock, l)
+	b.throttler = throttler.New(clock, l)
 	b.picker = picker.New(picker.Options{
-		Snapshot: b.follower.Snapshot, RemoteLoad: func(id string) gossiper.Load { return b.gossiper.PeerLoad(id) },
+		Throttler: b.throttler,
+		Snapshot:  b.follower.Snapshot, RemoteLoad: func(id string) gossiper.Load { return b.gossiper.PeerLoad(id) },
 		Ejector: b.ejector, Leaving: b.departer.IsLeaving, Slowdown: b.comparer.Slowdown, OnChange: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
 	})
 	b.gossiper = gossiper.New(gossiper.Options{
@@ -147,6 +151,7 @@
 		b.ejector.Merge(d.Host, d.Incarnation, d.ServerFailures)
 		b.departer.Merge(d.LeaveNotices)
 		b.comparer.Merge(d.Slowdowns)
+		b.throttler.Merge(d.Host, d.Incarnation, d.Limits)
 		b.tracker.Merge(d.Suspects)
 		onDigest(d)
 	})
@@ -154,6 +159,7 @@
 	b.follower.Notify(b.removeServers)
 	b.follower.Notify(b.tracker.ApplySnapshot)
 	b.serveSuspects()
+	b.serveLimits()
 	if err := b.serveMetrics(); err != nil {
 		return nil, err
 	}
@@ -183,7 +189,7 @@
 	return gossiper.Digest{
 		Host: b.member.Name, Incarnation: b.member.Incarnation, Age: b.age(), ConfirmedFor: b.follower.ConfirmedFor(), Loads: b.picker.Loads(),
 		ServerFailures: b.ejector.Report(), LeaveNotices: b.departer.Notices(), Slowdowns: b.comparer.Report(),
-		Suspects: b.tracker.Records(),
+		Suspects: b.tracker.Records(), Limits: b.throttler.Notices(),
 	}
 }
 
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -23,6 +23,8 @@
 		KnownServers:     func() int { return len(b.follower.Snapshot().Servers) },
 		ReachableHosts:   b.gossiper.Hosts,
 		QuarantinedCalls: func() int { return len(b.follower.Snapshot().Quarantined) },
+		LimitedServers:   b.throttler.InForce,
+		HeldBackCalls:    b.throttler.Refused,
 		Dials:            b.transporter.Dials,
 		DroppedLines:     b.platform.DroppedLines,
 	})
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -33,6 +33,9 @@
 	knownServers     = "jackdawgate.servers"
 	reachableHosts   = "jackdawgate.hosts.heard"
 	quarantinedCalls = "jackdawgate.calls.apart"
+	serverLimits     = "jackdawgate.servers.limited"
+	heldBackCalls    = "jackdawgate.calls.limited"
+	heldBackItems    = "jackdawgate.items.limited"
 	dials            = "jackdawgate.dials"
 	droppedLines     = "jackdawgate.log.dropped"
 )
@@ -48,6 +51,9 @@
 		{knownServers, "gauge", "", "Backend servers that this host knows."},
 		{reachableHosts, "gauge", "", "Other hosts that this host heard within the last second."},
 		{quarantinedCalls, "gauge", "", "Calls under which servers ended, as the store has them, that are refused or tried by one host at a time."},
+		{serverLimits, "gauge", "", "Backend servers that named a limit which is in force."},
+		{heldBackCalls, "counter", "", "Calls that were refused because the limits of the servers left no room."},
+		{heldBackItems, "gauge", "", "Batch items that could run now but for the limits of the servers."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
 	}
@@ -74,6 +80,8 @@
 	KnownServers     func() int
 	ReachableHosts   func() int
 	QuarantinedCalls func() int
+	LimitedServers   func() int
+	HeldBackCalls    func() uint64
 	Dials            func() uint64
 	DroppedLines     func() uint64
 }
@@ -87,6 +95,7 @@
 
 	requests, storeCalls, items metric.Int64Counter
 	requestDuration             metric.Int64Histogram
+	heldBackItems               metric.Int64Gauge
 }
 
 // durationBounds holds the bucket bounds of the histogram of request durations, in
@@ -110,6 +119,9 @@
 			return nil, eris.Wrap(err, "make counter")
 		}
 	}
+	if m.heldBackItems, err = m.meter.Int64Gauge(heldBackItems); err != nil {
+		return nil, eris.Wrap(err, "make gauge")
+	}
 	m.requestDuration, err = m.meter.Int64Histogram(requestDuration, metric.WithExplicitBucketBoundaries(durationBounds...))
 	return m, eris.Wrap(err, "make histogram")
 }
@@ -121,6 +133,7 @@
 		knownServers:     func() int64 { return int64(o.KnownServers()) },
 		reachableHosts:   func() int64 { return int64(o.ReachableHosts()) },
 		quarantinedCalls: func() int64 { return int64(o.QuarantinedCalls()) },
+		serverLimits:     func() int64 { return int64(o.LimitedServers()) },
 	}
 	for name, read := range gauges {
 		_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe(read)))
@@ -128,7 +141,7 @@
 			return eris.Wrap(err, "make gauge")
 		}
 	}
-	counters := map[string]func() uint64{dials: o.Dials, droppedLines: o.DroppedLines}
+	counters := map[string]func() uint64{dials: o.Dials, heldBackCalls: o.HeldBackCalls, droppedLines: o.DroppedLines}
 	for name, read := range counters {
 		_, err := m.meter.Int64ObservableCounter(name, metric.WithInt64Callback(observe(func() int64 { return int64(read()) })))
 		if err != nil {
@@ -172,6 +185,14 @@
 	m.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// ItemsHeldBack sets the number of batch items that could run but for the limits of servers.
+func (m *Measurer) ItemsHeldBack(n int) {
+	if m == nil {
+		return
+	}
+	m.heldBackItems.Record(context.Background(), int64(n))
+}
+
 // ServeHTTP implements http.Handler. It writes all metrics in the text format of Prometheus.
 func (m *Measurer) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.handler.ServeHTTP(w, r) }
 
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -1,15 +1,19 @@
 // Package picker chooses backend servers for calls and counts the calls that this
-// host has in flight at each of them. Choosing and counting are one atomic step, so
-// concurrent calls do not all choose the same server.
+// host has in flight at each of them, and those that count towards a server's limit.
+// Choosing and counting are one atomic step, so concurrent calls do not all choose the
+// same server.
 package picker
 
 import (
+	"fmt"
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/jackdawgate/jackdawgate/throttler"
+	"github.com/jackdawgate/jackdawgate/timer"
 )
 
 // defaultSlots is the default for slots that neither a server nor its service states.
@@ -30,6 +34,8 @@
 	// Slowdown returns a server's slowdown factor: how many times as long it takes
 	// as the other servers of its service.
 	Slowdown func(server string) float64
+	// Throttler holds the limits that servers named.
+	Throttler *throttler.Throttler
 	// OnChange is called, without the lock, after a count has changed.
 	OnChange   func()
 	DataCentre string
@@ -50,7 +56,8 @@
 	return &Picker{options: o, loads: make(map[string]gossiper.Load)}
 }
 
-// Reservation reserves a server for one call, which is counted until Release.
+// Reservation reserves a server for one call, which is counted until Release. It must be
+// used by one goroutine at a time.
 type Reservation struct {
 	Server cataloger.Server
 	// Load counts the other calls at the server at the time of the choice. It is
@@ -61,53 +68,132 @@
 	picker *Picker
 	batch  bool
 	once   sync.Once
+	// mark is what was known of the server's limit before the call was sent. counted is
+	// set if the call was counted towards the limit, sent if it reached the server.
+	mark          throttler.Mark
+	counted, sent bool
 }
 
 // ServerFull reports whether all slots were taken, so that the call has to wait for
 // one.
 func (r *Reservation) ServerFull() bool { return r.Load.Online+r.Load.Batch >= r.Slots }
 
+// SetSent records whether the call reached the server, or is about to. A call that did
+// not by the time of Release does not count towards the server's limit.
+func (r *Reservation) SetSent(sent bool) { r.sent = sent }
+
+// Answered applies what the head of the answer says of the server's limit: the values of
+// the header that names it. whole is set for answers that name a limit if there is one.
+func (r *Reservation) Answered(limit []string, whole bool) {
+	r.picker.options.Throttler.Heard(r.Server.Incarnation(), r.mark, limit, whole)
+}
+
 // Release stops counting the call. Only the first Release has an effect.
 func (r *Reservation) Release() {
-	r.once.Do(func() { r.picker.countAndNotify(r.Server.ID, r.batch, -1) })
+	r.once.Do(func() {
+		if r.counted && !r.sent {
+			r.picker.options.Throttler.Refund(r.Server.Incarnation())
+		}
+		r.picker.countAndNotify(r.Server.ID, r.batch, -1)
+	})
+}
+
+// NoServerError reports that no server of a service can be used.
+type NoServerError struct{ Service string }
+
+func (e *NoServerError) Error() string { return "no usable server of service " + e.Service }
+
+// HeldBackError reports that the limits of the usable servers leave no room for a call.
+type HeldBackError struct {
+	Service string
+	// Servers is their number, Rate the sum of their limits in requests a second.
+	Servers int
+	Rate    float64
+	// RetryAfter is the time after which the first of them may have room, Age the time
+	// since the newest of their limits was confirmed.
+	RetryAfter, Age timer.Millis
+}
+
+func (e *HeldBackError) Error() string {
+	return fmt.Sprintf("limits of %d servers of service %s, %g requests/s together, leave no room", e.Servers, e.Service, e.Rate)
 }
 
-// Pick chooses a server of service for an online call and counts the call there. It
-// returns false if no server is usable. If a sample of the servers has no usable one,
-// it considers all of them.
-func (p *Picker) Pick(service string, r selector.Request) (*Reservation, bool) {
+// heldBackError returns the error for a call that these candidates have no room for.
+func heldBackError(service string, list []selector.Candidate) *HeldBackError {
+	e := &HeldBackError{Service: service, Servers: len(list)}
+	for i, c := range list {
+		e.Rate += c.Room.Rate
+		if i == 0 || c.Room.RetryAfter < e.RetryAfter {
+			e.RetryAfter = c.Room.RetryAfter
+		}
+		if i == 0 || c.Room.Age < e.Age {
+			e.Age = c.Room.Age
+		}
+	}
+	return e
+}
+
+// Pick chooses a server of service for an online call and counts the call there. If a
+// sample of the servers has none, it considers all of them. It returns a *NoServerError
+// or a *HeldBackError if there is none.
+func (p *Picker) Pick(service string, r selector.Request) (*Reservation, error) {
 	s := p.options.Snapshot()
 	r.DataCentre = p.options.DataCentre
-	p.mu.Lock()
 	servers := s.ServersOf(service)
-	list := p.candidates(s, sample(servers, r.PromptPrefix))
-	i := selector.Choose(r, list)
-	if i < 0 && len(list) < len(servers) {
-		list = p.candidates(s, allOf(servers))
-		i = selector.Choose(r, list)
-	}
-	if i < 0 {
-		p.mu.Unlock()
-		return nil, false
+	p.mu.Lock()
+	out, err := p.pick(s, r, service, sample(servers, r.PromptPrefix))
+	if err != nil && len(servers) >= sampleThreshold {
+		out, err = p.pick(s, r, service, allOf(servers))
 	}
-	c := list[i]
-	p.add(c.Server.ID, false, 1)
 	p.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
 	p.options.OnChange()
-	return p.newReservation(s, c, false), true
+	return out, nil
 }
 
-// Reserve counts a batch call at a server that was chosen elsewhere.
-func (p *Picker) Reserve(v cataloger.Server) *Reservation {
+// pick chooses one of servers and counts the call there. p.mu must be held.
+func (p *Picker) pick(s cataloger.Snapshot, r selector.Request, service string, servers subset) (*Reservation, error) {
+	class := throttler.Online{Rank: r.Rank}
+	list := p.candidates(s, servers, class)
+	for {
+		i := selector.Choose(r, list)
+		if i < 0 {
+			if held := selector.HeldBack(r, list); len(held) > 0 {
+				return nil, heldBackError(service, held)
+			}
+			return nil, &NoServerError{Service: service}
+		}
+		out := p.newReservation(s, list[i], false)
+		var ok bool
+		if out.counted, ok = p.options.Throttler.Take(out.Server.Incarnation(), class); ok {
+			p.add(out.Server.ID, false, 1)
+			return out, nil
+		}
+		// Another host's report used up the limit after the candidates were listed.
+		list[i].Room = p.options.Throttler.Room(out.Server.Incarnation(), class)
+		list[i].Room.Open = false
+	}
+}
+
+// Reserve counts a batch call at a server that was chosen elsewhere. It returns false if
+// the server's limit leaves no room for it.
+func (p *Picker) Reserve(v cataloger.Server, class throttler.Batch) (*Reservation, bool) {
+	out := &Reservation{Server: v, picker: p, batch: true, mark: p.options.Throttler.Mark(v.Incarnation())}
+	var ok bool
+	if out.counted, ok = p.options.Throttler.Take(v.Incarnation(), class); !ok {
+		return nil, false
+	}
 	p.countAndNotify(v.ID, true, 1)
-	return &Reservation{Server: v, picker: p, batch: true}
+	return out, true
 }
 
 // newReservation returns the Reservation of a call that has been counted.
 func (p *Picker) newReservation(s cataloger.Snapshot, c selector.Candidate, batch bool) *Reservation {
 	return &Reservation{
 		Server: c.Server, Load: gossiper.Load{Online: c.Online, Batch: c.Batch},
-		Slots: Slots(s, c.Server), picker: p, batch: batch,
+		Slots: Slots(s, c.Server), picker: p, batch: batch, mark: p.options.Throttler.Mark(c.Server.Incarnation()),
 	}
 }
 
@@ -125,22 +211,23 @@
 }
 
 // Candidates returns the servers of a service with the calls that all hosts are known
-// to have in flight there.
-func (p *Picker) Candidates(service string) []selector.Candidate {
+// to have in flight there, and the room that their limits leave for a batch item.
+func (p *Picker) Candidates(service string, class throttler.Batch) []selector.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.options.Snapshot()
-	return p.candidates(s, allOf(s.ServersOf(service)))
+	return p.candidates(s, allOf(s.ServersOf(service)), class)
 }
 
-// candidates returns the candidates for servers. p.mu must be held.
-func (p *Picker) candidates(s cataloger.Snapshot, servers subset) []selector.Candidate {
+// candidates returns the candidates for servers, for a call of a class. p.mu must be held.
+func (p *Picker) candidates(s cataloger.Snapshot, servers subset, class throttler.Class) []selector.Candidate {
 	out := make([]selector.Candidate, 0, len(servers.list))
 	for i, v := range servers.list {
 		v.Draining = v.Draining || p.options.Leaving(v.Incarnation())
 		mine, others := p.loads[v.ID], p.options.RemoteLoad(v.ID)
 		c := selector.Candidate{Server: v, Online: mine.Online + others.Online, Batch: mine.Batch + others.Batch, Home: i < servers.homes}
 		c.Slots, c.Slowdown = Slots(s, v), p.options.Slowdown(v.ID)
+		c.Room = p.options.Throttler.Room(v.Incarnation(), class)
 		c.Usable = p.options.Ejector.Usable(v.ID, c.Online+c.Batch > c.Slots)
 		out = append(out, c)
 	}
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -9,6 +9,7 @@
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -23,7 +24,7 @@
 	changes := 0
 	return picker.New(picker.Options{
 		Snapshot: func() cataloger.Snapshot { return s }, RemoteLoad: func(id string) gossiper.Load { return others[id] },
-		Ejector: ejector.New(timer.System(), zap.NewNop()), OnChange: func() { changes++ }, Leaving: func(cataloger.Incarnation) bool { return false }, Slowdown: func(string) float64 { return 1 }, DataCentre: "d",
+		Ejector: ejector.New(timer.System(), zap.NewNop()), OnChange: func() { changes++ }, Leaving: func(cataloger.Incarnation) bool { return false }, Throttler: throttler.New(timer.System(), zap.NewNop()), Slowdown: func(string) float64 { return 1 }, DataCentre: "d",
 	}), &changes
 }
 
@@ -32,31 +33,32 @@
 	p, _ := start(3, nil)
 	seen := make(map[string]int)
 	for range 12 {
-		reservation, ok := p.Pick("x", selector.Request{})
-		require.True(t, ok)
+		reservation, err := p.Pick("x", selector.Request{})
+		require.NoError(t, err)
 		seen[reservation.Server.ID]++
 		require.False(t, reservation.ServerFull())
 	}
 	require.Equal(t, map[string]int{"s00000": 4, "s00001": 4, "s00002": 4}, seen)
-	reservation, ok := p.Pick("x", selector.Request{})
-	require.True(t, ok)
+	reservation, err := p.Pick("x", selector.Request{})
+	require.NoError(t, err)
 	require.True(t, reservation.ServerFull(), "all slots are taken")
 }
 
 func TestCallsOfOtherHostsCount(t *testing.T) {
 	p, _ := start(2, map[string]gossiper.Load{"s00000": {Online: 3}})
 	for range 3 {
-		reservation, ok := p.Pick("x", selector.Request{})
-		require.True(t, ok)
+		reservation, err := p.Pick("x", selector.Request{})
+		require.NoError(t, err)
 		require.Equal(t, "s00001", reservation.Server.ID)
 	}
 }
 
 func TestEndedCallsNoLongerCount(t *testing.T) {
 	p, changes := start(1, nil)
-	reservation, ok := p.Pick("x", selector.Request{})
+	reservation, err := p.Pick("x", selector.Request{})
+	require.NoError(t, err)
+	batch, ok := p.Reserve(reservation.Server, throttler.Batch{})
 	require.True(t, ok)
-	batch := p.Reserve(reservation.Server)
 	require.Equal(t, map[string]gossiper.Load{"s00000": {Online: 1, Batch: 1}}, p.Loads())
 	for range 2 {
 		reservation.Release()
@@ -71,8 +73,8 @@
 	p, _ := start(5000, nil)
 	most, seen := 0, make(map[string]int)
 	for range 4000 {
-		reservation, ok := p.Pick("x", selector.Request{})
-		require.True(t, ok)
+		reservation, err := p.Pick("x", selector.Request{})
+		require.NoError(t, err)
 		seen[reservation.Server.ID]++
 		most = max(most, seen[reservation.Server.ID])
 	}
@@ -83,8 +85,8 @@
 	p, _ := start(5000, nil)
 	homes := make(map[string]bool)
 	for range 100 {
-		reservation, ok := p.Pick("x", selector.Request{PromptPrefix: "shared"})
-		require.True(t, ok)
+		reservation, err := p.Pick("x", selector.Request{PromptPrefix: "shared"})
+		require.NoError(t, err)
 		homes[reservation.Server.ID] = true
 		reservation.Release()
 	}
@@ -100,10 +102,10 @@
 	s := cataloger.Snapshot{}.WithServers(list)
 	p := picker.New(picker.Options{
 		Snapshot: func() cataloger.Snapshot { return s }, RemoteLoad: func(string) gossiper.Load { return gossiper.Load{} },
-		Ejector: ejector.New(timer.System(), zap.NewNop()), OnChange: func() {}, Leaving: func(cataloger.Incarnation) bool { return false }, Slowdown: func(string) float64 { return 1 },
+		Ejector: ejector.New(timer.System(), zap.NewNop()), OnChange: func() {}, Leaving: func(cataloger.Incarnation) bool { return false }, Throttler: throttler.New(timer.System(), zap.NewNop()), Slowdown: func(string) float64 { return 1 },
 	})
-	reservation, ok := p.Pick("x", selector.Request{})
-	require.True(t, ok)
+	reservation, err := p.Pick("x", selector.Request{})
+	require.NoError(t, err)
 	require.Equal(t, "s01234", reservation.Server.ID)
 }
 
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -1,7 +1,8 @@
-// Package rationer limits each workspace to its rate and burst over all hosts together,
-// without a host that decides for the others.
+// Package rationer limits the requests of all hosts together to a rate and burst, without
+// a host that decides for the others. Workspaces have such limits, and so do backend
+// servers that name one.
 //
-// Every host keeps the complete token bucket of each workspace. It takes from the bucket
+// Every host keeps the complete token bucket of each limit. It takes from the bucket
 // one token for each request that it admits and, as digests arrive, for each request that
 // the other hosts admitted. A bucket may therefore fall below zero by the requests that
 // were admitted while digests were in transit. This debt is refilled before further
@@ -17,18 +18,26 @@
 // empty at its start and are refilled from then on, whether they are used or not. The
 // level of a bucket on any host is therefore a lower bound, and a new host may take over
 // the levels of any host that has kept running (Levels, Inherit).
+//
+// The limits of servers may be lower than one request a second for the whole fleet, and
+// every host sees the same token at the same time. So the hosts take turns at them: only
+// few hosts at a time may take a token (Claim).
 package rationer
 
 import (
+	"math"
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
-// Limit is the quota of a workspace over all hosts. A Rate of zero means no quota.
+// Limit is a limit over all hosts. A Rate of zero means no limit.
 type Limit struct {
 	// Rate is in requests a second, Burst in requests.
 	Rate, Burst float64
+	// Turns is set if the hosts take turns. A bucket then holds at least one request on a
+	// part of the fleet too that hears no other hosts.
+	Turns bool
 }
 
 // Peer is another host that admits requests.
@@ -66,20 +75,31 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   []Peer
+	silent  silentCount
+	order   Order
+}
+
+// silentCount is the number of silent peers at a time; nil if it is to be counted.
+type silentCount struct {
+	at    timer.Millis
+	peers *int
 }
 
-// bucket is the token bucket of one workspace.
+// bucket is the token bucket of one limit.
 type bucket struct {
 	limit Limit
 	// level is in requests at refilledAt; it may be negative.
 	level      float64
 	refilledAt timer.Millis
+	// fullSince is when the bucket became full; zero if it is not.
+	fullSince timer.Millis
 	// admitted is the number of requests that this host admitted since its start.
 	admitted uint64
 	// lastCounts holds the last count from each other host. reserved holds the requests
 	// that were reserved for a host while it was silent.
 	lastCounts map[string]lastCount
 	reserved   map[string]float64
+	turnState
 }
 
 // lastCount is the number of requests that an incarnation of a host reported as admitted.
@@ -101,7 +121,7 @@
 	for _, b := range r.buckets {
 		r.refill(b, now)
 	}
-	r.peers = peers
+	r.peers, r.silent = peers, silentCount{}
 }
 
 // Decision reports whether a request was admitted, with the state that decided it.
@@ -111,6 +131,10 @@
 	RetryAfter timer.Millis
 	// Level is the level of the bucket before the request, in requests.
 	Level float64
+	// Capacity is the highest level that the bucket can have, Idle the time since a token
+	// was last taken, as far as known. Only claims have them.
+	Capacity float64
+	Idle     timer.Millis
 	// Hosts is the number of hosts that admit requests, Silent the number of those that
 	// are silent.
 	Silent, Hosts int
@@ -135,12 +159,16 @@
 
 // silentPeers returns the number of silent peers. The caller holds r.mu.
 func (r *Rationer) silentPeers(now timer.Millis) int {
+	if r.silent.peers != nil && r.silent.at == now {
+		return *r.silent.peers
+	}
 	n := 0
 	for _, p := range r.peers {
 		if p.silent(now, r.started) {
 			n++
 		}
 	}
+	r.silent = silentCount{at: now, peers: &n}
 	return n
 }
 
@@ -151,6 +179,7 @@
 	if b, ok := r.buckets[workspace]; ok && b.admitted > 0 {
 		b.level++
 		b.admitted--
+		b.taken = b.taken[:max(0, len(b.taken)-1)]
 	}
 }
 
@@ -209,14 +238,44 @@
 	}
 	seconds := float64(now-b.refilledAt) / float64(timer.Second)
 	b.refilledAt = now
+	if r.silentPeers(now) > 0 {
+		r.reserve(b, now, seconds)
+	}
+	reachable := r.reachableShare(now)
+	rate, capacity := b.limit.Rate*reachable, b.limit.capacity(reachable)
+	b.level += rate * seconds
+	switch {
+	case b.level < capacity:
+		b.fullSince = 0
+	case b.fullSince == 0:
+		b.fullSince = now - timer.Millis(math.Round(min((b.level-capacity)/rate, seconds)*float64(timer.Second)))
+	}
+	b.level = min(b.level, capacity)
+}
+
+// reserve reserves the shares of silent hosts for the last seconds. The caller holds r.mu.
+func (r *Rationer) reserve(b *bucket, now timer.Millis, seconds float64) {
 	share := b.limit.Rate / float64(len(r.peers)+1)
 	for _, p := range r.peers {
 		if p.silent(now, r.started) {
 			b.reserved[p.Name] += share * seconds
 		}
 	}
-	reachable := float64(len(r.peers)+1-r.silentPeers(now)) / float64(len(r.peers)+1)
-	b.level = min(b.limit.Burst*reachable, b.level+b.limit.Rate*reachable*seconds)
+}
+
+// reachableShare returns the share of the hosts that are not silent, this one included.
+// The caller holds r.mu.
+func (r *Rationer) reachableShare(now timer.Millis) float64 {
+	return float64(len(r.peers)+1-r.silentPeers(now)) / float64(len(r.peers)+1)
+}
+
+// capacity returns how many requests a bucket holds when this share of the hosts is
+// reachable.
+func (l Limit) capacity(reachable float64) float64 {
+	if l.Turns {
+		return max(1, l.Burst*reachable)
+	}
+	return l.Burst * reachable
 }
 
 // merge takes from the bucket the tokens for the requests that host admitted since its
@@ -232,7 +291,16 @@
 	if previous.incarnation == incarnation {
 		delta -= float64(previous.count)
 	}
+	b.subtract(host, delta)
+}
+
+// subtract takes from the bucket the tokens for delta requests of host, less those
+// reserved while host was silent.
+func (b *bucket) subtract(host string, delta float64) {
 	covered := min(b.reserved[host], max(delta, 0))
 	delete(b.reserved, host)
 	b.level -= delta - covered
+	if delta > covered {
+		b.fullSince = 0
+	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,6 +23,7 @@
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"go.uber.org/zap"
@@ -49,6 +50,8 @@
 	// Suspect identifies the call by its content, for finding calls that crash
 	// servers.
 	Suspect suspector.Call
+	// Rank is the number of configured classes of calls that are more urgent.
+	Rank int
 	// Prompt identifies the leading part of the prompt, which other calls may
 	// share. It is empty if unknown.
 	Prompt string
@@ -109,6 +112,7 @@
 	Names       namer.Names
 	Transporter *transporter.Transporter
 	Picker      *picker.Picker
+	Throttler   *throttler.Throttler
 	Ejector     *ejector.Ejector
 	Tracker     *suspector.Tracker
 	Departer    *departer.Departer
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -24,6 +24,7 @@
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/tester/harness"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"github.com/stretchr/testify/require"
@@ -41,13 +42,14 @@
 // fixture is a service whose backend servers share one list of scripts. Each request
 // consumes the next script, whichever server receives it.
 type fixture struct {
-	t        *testing.T
-	relayer  *relayer.Relayer
-	picker   *picker.Picker
-	tracker  *suspector.Tracker
-	departer *departer.Departer
-	ejector  *ejector.Ejector
-	clock    timer.Clock
+	t         *testing.T
+	relayer   *relayer.Relayer
+	picker    *picker.Picker
+	tracker   *suspector.Tracker
+	departer  *departer.Departer
+	throttler *throttler.Throttler
+	ejector   *ejector.Ejector
+	clock     timer.Clock
 
 	mu       sync.Mutex
 	snapshot cataloger.Snapshot
@@ -65,14 +67,15 @@
 	e := ejector.New(clock, zap.NewNop())
 	f.ejector, f.clock = e, clock
 	f.departer = departer.New(clock, zap.NewNop())
+	f.throttler = throttler.New(clock, zap.NewNop())
 	f.picker = picker.New(picker.Options{
 		Snapshot: f.current, RemoteLoad: func(string) gossiper.Load { return gossiper.Load{} },
-		Ejector: e, Leaving: f.departer.IsLeaving, OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
+		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
 	})
 	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
 	f.tracker = suspector.NewTracker(clock, zap.NewNop(), nil)
-	f.relayer = relayer.New(relayer.Options{Names: names, Transporter: c, Picker: f.picker, Ejector: e, Tracker: f.tracker, Departer: f.departer, Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
+	f.relayer = relayer.New(relayer.Options{Names: names, Transporter: c, Picker: f.picker, Throttler: f.throttler, Ejector: e, Tracker: f.tracker, Departer: f.departer, Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
 	return f
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -37,6 +37,10 @@
 	// at which another server answered.
 	maxRefusals    = 2
 	maxMisdirected = 8
+	// maxHeldBack is how long a call that cannot be refused any more waits for a server
+	// whose limit leaves room, heldBackInterval how often it looks for one.
+	maxHeldBack      = timer.Second
+	heldBackInterval = timer.Millis(50)
 )
 
 // run is a call in flight.
@@ -57,6 +61,8 @@
 	headSent  bool
 	lastEvent int64
 	resumable bool
+	// heldSince is when the limits of servers first left no room, or 0.
+	heldSince timer.Millis
 	// eventCount counts the events of the current attempt, which was sent at
 	// sentAt.
 	eventCount int
@@ -94,9 +100,9 @@
 	if retryAfter, refused := o.Tracker.Refused(u.call.Suspect); refused {
 		return u.refuseSuspect(retryAfter), false
 	}
-	reservation, ok := o.Picker.Pick(u.call.Service, selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded})
-	if !ok {
-		return u.giveUp("no server to send to", retryNoServer), false
+	reservation, err := o.Picker.Pick(u.call.Service, selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded, Rank: u.call.Rank})
+	if err != nil {
+		return u.handleNoServer(ctx, err, left)
 	}
 	defer reservation.Release()
 	if f := u.forecastInput(reservation); u.attempts == 0 && !o.Forecaster.InTime(f) {
@@ -116,8 +122,10 @@
 	attemptCtx, flight := o.Tracker.Start(ctx, u.call.Suspect)
 	u.flight = flight
 	defer flight.End()
+	reservation.SetSent(true)
 	answer, err := o.Transporter.Send(attemptCtx, u.request(reservation, left), u.firstByteTimeout(reservation, left))
 	if err != nil {
+		reservation.SetSent(transporter.WasSent(err))
 		return u.handleFailure(ctx, reservation, err)
 	}
 	defer answer.Close()
@@ -126,14 +134,37 @@
 	if answer.Header.Get(o.Names.Leaving) != "" {
 		o.Departer.Record(reservation.Server.Incarnation(), departer.Leaving)
 	}
-	if limit := answer.Header.Values(o.Names.Limit); len(limit) > 0 {
-		o.Logger.Info("server named a limit", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID), zap.Strings("limit", limit),
-			zap.Int64("sent-ms-ago", int64(o.Clock.Now()-u.sentAt)))
+	if answer.Status != http.StatusMisdirectedRequest {
+		reservation.Answered(answer.Header.Values(o.Names.Limit), u.validate(answer) == nil && answer.Status/100 == 2)
 	}
 	u.firstEvent = 0
 	return u.handleAnswer(ctx, reservation, answer)
 }
 
+// handleNoServer handles a call for which there is no server now. Its results are those
+// of attempt. A call that may have run, or whose answer has begun, waits for a moment if
+// only the limits of servers hold it back; another one is refused at once.
+func (u *run) handleNoServer(ctx context.Context, err error, left timer.Millis) (Outcome, bool) {
+	o := u.relayer.options
+	var held *picker.HeldBackError
+	if !errors.As(err, &held) {
+		return u.giveUp("no server to send to", retryNoServer), false
+	}
+	if u.heldSince == 0 {
+		u.heldSince = o.Clock.Now()
+	}
+	if (u.headSent || u.attempts > 0) && o.Clock.Now()-u.heldSince < maxHeldBack {
+		if !timer.Sleep(ctx, min(held.RetryAfter, heldBackInterval)) {
+			return u.outcomeOfContext(ctx), false
+		}
+		return nil, true
+	}
+	retryAfter := o.Throttler.RefuseUntil(u.call.Service, held.Rate, held.RetryAfter, left/3)
+	o.Logger.Info("held back by servers' limits", zap.String("request", u.call.ID), zap.String("service", held.Service), zap.Int("limited", held.Servers),
+		zap.Float64("limits", held.Rate), zap.Int64("age-ms", int64(held.Age)), zap.Int64("room-in-ms", int64(held.RetryAfter)), zap.Int64("retry-after-ms", int64(retryAfter)))
+	return u.giveUp("the limits of the servers leave no room", retryAfter), false
+}
+
 // refuseSuspect ends a call that is refused because servers crashed under it or under
 // other calls that share a part of its prompt.
 func (u *run) refuseSuspect(retryAfter timer.Millis) Outcome {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -3,11 +3,19 @@
 // Engines admit calls in order of arrival, without priorities, so the best server
 // is the one with the fewest calls; a call that must wait waits least there.
 // Batch calls can be evicted in favour of online ones and count a little less.
+//
+// A server that named a limit is chosen only while the limit leaves room, and then only
+// if the others have hardly a free slot: what it takes is a number of requests, however
+// long they run, so it is kept for long ones and for peaks. That weighs more than a prompt
+// in the server's cache. What can no longer be saved up is used like the room of others. A
+// server with a limit that got nothing for a while is preferred, since only an answer
+// tells that its limit has ended.
 package selector
 
 import (
 	"github.com/jackdawgate/jackdawgate/assigner"
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/throttler"
 )
 
 // Weights of the compared properties, in calls.
@@ -17,6 +25,10 @@
 	coldPromptWeight = 0.2
 	// slowdownWeight is added for a server whose slowdown factor is two.
 	slowdownWeight = 0.75
+	// limitShare is the share of its slots that is added for a server with a limit,
+	// probeWeight is subtracted for one that should get a request.
+	limitShare  = 0.85
+	probeWeight = 1.0
 )
 
 // Candidate is a server that could take a call.
@@ -31,6 +43,8 @@
 	Slowdown float64
 	// Usable is false for servers that appear not to answer.
 	Usable bool
+	// Room is what the server's limit leaves for the call.
+	Room throttler.Room
 	// Home reports whether the server is one of those among which the server that
 	// caches the call's shared prompt parts is chosen.
 	Home bool
@@ -44,25 +58,42 @@
 	PromptPrefix string
 	// Excluded are the identifiers of servers that were already tried.
 	Excluded []string
+	// Rank is the number of configured classes of calls that are more urgent.
+	Rank int
 }
 
+// HeldBack reports whether the server's limit leaves no room for the call.
+func (c Candidate) HeldBack() bool { return c.Room.Limited && !c.Room.Open }
+
 // Choose returns the index of the best candidate, or -1 if there is none. A
-// candidate that is not usable is chosen only when no usable one is left.
+// candidate that is not usable is chosen only when there is no usable one, not even
+// one that is held back.
 func Choose(r Request, list []Candidate) int {
-	if i := choose(r, list, true); i >= 0 {
+	if i := choose(r, list, true); i >= 0 || len(HeldBack(r, list)) > 0 {
 		return i
 	}
 	return choose(r, list, false)
 }
 
+// HeldBack returns the candidates that could be chosen if their limits left room.
+func HeldBack(r Request, list []Candidate) []Candidate {
+	var out []Candidate
+	for _, c := range list {
+		if c.HeldBack() && c.Usable && !c.Server.Draining && !excluded(r, c.Server.ID) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 func choose(r Request, list []Candidate, usable bool) int {
 	best, bestScore := -1, 0.0
 	home := promptHome(r, list)
 	for i, c := range list {
-		if c.Server.Draining || c.Usable != usable || excluded(r, c.Server.ID) {
+		if c.Server.Draining || c.Usable != usable || c.HeldBack() || excluded(r, c.Server.ID) {
 			continue
 		}
-		s := c.expectedLoad()
+		s := c.expectedLoad() + c.limitScore()
 		if c.Server.DataCentre != r.DataCentre {
 			s += farWeight
 		}
@@ -88,6 +119,14 @@
 	return load + slow*(slowdownWeight+over)
 }
 
+// limitScore returns what the server's limit adds to its score, in calls.
+func (c Candidate) limitScore() float64 {
+	if c.Room.Probe {
+		return -probeWeight
+	}
+	return limitShare * float64(c.Slots) * c.Room.Restraint
+}
+
 func excluded(r Request, id string) bool {
 	for _, e := range r.Excluded {
 		if e == id {
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/stretchr/testify/require"
 )
 
@@ -71,3 +72,26 @@
 	other.Online = 16
 	require.Equal(t, 0, choose())
 }
+
+// The only usable server has no room, and another one does not answer. The caller is told
+// when there is room, and is not sent to the one that does not answer.
+func TestCallDoesNotGoToASilentServerBecauseOfALimit(t *testing.T) {
+	limited, silent := candidate("limited", 0, 0), candidate("silent", 0, 0)
+	limited.Room, silent.Usable = throttler.Room{Limited: true}, false
+	require.Empty(t, choose(selector.Request{}, limited, silent))
+	require.Len(t, selector.HeldBack(selector.Request{}, []selector.Candidate{limited, silent}), 1)
+	limited.Room.Open = true
+	require.Equal(t, "limited", choose(selector.Request{}, limited, silent))
+}
+
+// The server that caches a prompt has a limit. The call goes there only if others have
+// hardly a free slot.
+func TestLimitWeighsMoreThanACachedPrompt(t *testing.T) {
+	home, other := candidate("home", 0, 0), candidate("other", 3, 0)
+	home.Slots, other.Slots, other.Home = 8, 8, false
+	require.Equal(t, "home", choose(selector.Request{PromptPrefix: "p"}, home, other))
+	home.Room = throttler.Room{Limited: true, Open: true, Restraint: 1}
+	require.Equal(t, "other", choose(selector.Request{PromptPrefix: "p"}, home, other))
+	other.Online = 8
+	require.Equal(t, "home", choose(selector.Request{PromptPrefix: "p"}, home, other))
+}
--- /dev/null
+++ b/throttler/admit.go
@@ -0,0 +1,164 @@
+package throttler
+
+import (
+	"maps"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/timer"
+)
+
+// Class is the urgency of a request: Online or Batch.
+type Class interface{ class() }
+
+// Online is the class of callers' requests. Rank is the number of configured classes that
+// are more urgent.
+type Online struct{ Rank int }
+
+// Batch is the class of batch items. The caller decides which host sends them.
+type Batch struct {
+	// Yield is set while online requests need what the limits leave. Items then get only
+	// what stays unused.
+	Yield bool
+}
+
+func (Online) class() {}
+func (Batch) class()  {}
+
+const (
+	// reservePerRank is the share of the burst that each class leaves to the more urgent
+	// ones, maxOnlineReserve what online requests leave at most.
+	reservePerRank   = 0.25
+	maxOnlineReserve = 0.75
+)
+
+const (
+	// idleProbe is the time without a request after which a server with a limit is
+	// preferred to others, so that the end of its limit is noticed.
+	idleProbe timer.Millis = 1000
+)
+
+// Room is what a limit leaves for a request.
+type Room struct {
+	// Limited is set if the server has a limit. The other fields apply only then.
+	Limited bool
+	// Open reports whether the request may be sent now.
+	Open bool
+	// RetryAfter is the time after which it may be, if it may not now.
+	RetryAfter timer.Millis
+	// Rate is in requests a second. Age is the time since an answer or another host's
+	// report last confirmed or changed it here.
+	Rate float64
+	Age  timer.Millis
+	// Restraint is 1 if the limit is just not used up, and 0 if what it leaves can no
+	// longer be saved up.
+	Restraint float64
+	// Probe is set if the server should get the request so that it can tell whether its
+	// limit still applies.
+	Probe bool
+}
+
+// Room returns what the limit of a server leaves for a request of a class.
+func (t *Throttler) Room(v cataloger.Incarnation, c Class) Room {
+	if t.known.Load() == 0 {
+		return Room{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.limited(v)
+	if !ok {
+		return Room{}
+	}
+	d := t.counts.Peek(e.claim(c))
+	return Room{
+		Limited: true, Open: d.Admitted, RetryAfter: d.RetryAfter, Rate: e.word.rate, Age: t.clock.Now() - max(e.heardAt, e.changedAt),
+		Restraint: restraint(d), Probe: d.Admitted && (e.confirm || d.Idle >= idleProbe),
+	}
+}
+
+// restraint returns Room.Restraint.
+func restraint(d rationer.Decision) float64 {
+	if d.Capacity <= 1 {
+		return 1
+	}
+	return min(1, (d.Capacity-d.Level)/(d.Capacity-1))
+}
+
+// Take counts a request that is about to be sent to a server. ok is false if the server's
+// limit does not allow it. If counted is set and the request is not sent after all, it is
+// returned with Refund.
+func (t *Throttler) Take(v cataloger.Incarnation, c Class) (counted, ok bool) {
+	if t.known.Load() == 0 {
+		return false, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, limited := t.limited(v)
+	if !limited {
+		return false, true
+	}
+	if !t.counts.Take(e.claim(c)).Admitted {
+		return false, false
+	}
+	e.confirm = false
+	t.reported[e] = struct{}{}
+	return true, true
+}
+
+// Refund returns a request that was taken and not sent.
+func (t *Throttler) Refund(v cataloger.Incarnation) {
+	if t.known.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.limited(v); ok {
+		t.counts.Refund(e.key)
+	}
+}
+
+// limited returns the entry of a server whose limit is in force. t.mu must be held.
+func (t *Throttler) limited(v cataloger.Incarnation) (*entry, bool) {
+	e, ok := t.entries[v]
+	return e, ok && !e.word.ended()
+}
+
+// claim returns the claim for a request of a class.
+func (e *entry) claim(c Class) rationer.Claim {
+	out := rationer.Claim{Key: e.key, Limit: e.limit(), Advance: e.confirm}
+	switch c := c.(type) {
+	case Online:
+		out.Reserve = min(reservePerRank*float64(c.Rank), maxOnlineReserve)
+	case Batch:
+		out.AnyTurn = true
+		if c.Yield {
+			out.Reserve = 1
+		}
+	}
+	return out
+}
+
+// RefuseUntil returns the time after which a caller whose call was held back should come
+// again, and counts the call. The calls that this host holds back for a service get its
+// share of the places there, one after the other, so that they do not all come for the
+// first one. rate is the sum of the limits and first the time until one of them has room.
+// A caller that is not willing to wait for its place gets none.
+func (t *Throttler) RefuseUntil(service string, rate float64, first, patience timer.Millis) timer.Millis {
+	t.refused.Add(1)
+	interval := timer.Millis(float64(timer.Second) * float64(t.counts.Order().Hosts) / max(rate, minRate))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	maps.DeleteFunc(t.places, func(_ string, at timer.Millis) bool { return at < now })
+	place := now + first
+	if last, ok := t.places[service]; ok {
+		place = max(place, last+interval)
+	}
+	if place-now <= patience {
+		t.places[service] = place
+	}
+	return place - now
+}
+
+// Refused returns how many calls were held back.
+func (t *Throttler) Refused() uint64 { return t.refused.Load() }
