A refusal that a server writes again is not taken for the next answer

Report of other operators: callers were told 'not run' for requests that a server ran, and such requests ran twice. Cause: a connection was kept after any whole answer, and an answer without an identifier was believed on it, as was one with the identifier of a request that is sent again under the same one (a batch item). So an earlier refusal, 421, failure or success that a faulty server writes once more counted for the next request. Fix: a connection is kept only after a success that echoed the identifier, and an answer without one on a connection that was used before is broken, its outcome unknown.

--- a/transporter/answer.go
+++ b/transporter/answer.go
@@ -19,6 +19,9 @@
 	transporter   *Transporter
 	stopAfterFunc func() bool
 	complete      bool
+	// attributable is set if a copy of the answer, written again later, could be told from
+	// the answer to a later request.
+	attributable bool
 }
 
 // Length returns the length of the body in bytes, or -1 if it is not stated.
@@ -46,7 +49,7 @@
 func (a *Answer) Close() {
 	undisturbed := a.stopAfterFunc()
 	n := a.connection
-	reusable := undisturbed && a.complete && !a.response.Close && n.requestWritten() && n.reader.Buffered() == 0
+	reusable := undisturbed && a.complete && a.attributable && !a.response.Close && n.requestWritten() && n.reader.Buffered() == 0
 	if !reusable {
 		n.close()
 		return
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -14,6 +14,12 @@
 // one that the server closed or wrote to is never reused. An answer that echoes the
 // identifier of another request is an extra answer to an earlier request: it is
 // discarded, and the exchange waits for its own answer.
+//
+// A faulty server may write an earlier answer once more when the next request arrives. So
+// that it is never taken for the answer to that request, a connection is reused only
+// after a success that echoed the identifier: a request that failed or was refused may be
+// sent again under the same one. On such a connection, an answer without an identifier
+// belongs to no request.
 package transporter
 
 import (
@@ -194,8 +200,15 @@
 			return nil, err
 		}
 		echo := response.Header.Get(c.options.IDHeader)
-		if r.ID == "" || echo == "" || echo == r.ID {
-			return &Answer{Status: response.StatusCode, Header: response.Header, response: response, connection: n, transporter: c}, nil
+		named := r.ID == "" || echo == r.ID
+		if named || (echo == "" && !n.reused) {
+			return &Answer{
+				Status: response.StatusCode, Header: response.Header, response: response, connection: n, transporter: c,
+				attributable: named && response.StatusCode/100 == 2,
+			}, nil
+		}
+		if echo == "" {
+			return nil, errUnnamed
 		}
 		if response.ContentLength < 0 || response.ContentLength > maxStrayBytes {
 			return nil, errStray
@@ -207,7 +220,10 @@
 	return nil, errStray
 }
 
-var errStray = errors.New("answers to other requests")
+var (
+	errStray   = errors.New("answers to other requests")
+	errUnnamed = errors.New("answer without an identifier on a connection that was used before")
+)
 
 // connect returns an idle connection to r's server, or opens a new one.
 func (c *Transporter) connect(ctx context.Context, r *Request) (*connection, error) {
