--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -157,7 +157,8 @@
 	if failed != nil {
 		return failed, false
 	}
-	return Complete{Status: status, Usage: usage}, !r.ConnectionClose() && !e.connection.unusable
+	reusable := status < fasthttp.StatusBadRequest && !r.ConnectionClose() && !e.connection.unusable
+	return Complete{Status: status, Usage: usage}, reusable
 }
 
 // checkResumed returns an error if the server restarted a stream that was to be
