What does not continue a broken stream is not passed on

Report of other operators: a stream broke off, the next server answered with an error, and clients found its text in the middle of their stream, or the stream ended as if it were complete. Cause: only other statuses than 200 were refused once a head was sent. A 200 that is no stream got a second head and its body was written into the stream; a stream whose events have no number was not checked for its place. Fix: the rest of a stream must be a stream, and all its events have numbers, but for comments and reconnection times.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -26,6 +26,8 @@
 	errUnsigned   = errors.New("2xx answer without the server signature")
 	errEncoded    = errors.New("answer with a content encoding that was not requested")
 	errSequence   = errors.New("stream does not continue after the last event")
+	errNoStream   = errors.New("answer that is no stream in place of the rest of one")
+	errUnnumbered = errors.New("event without a number in the rest of a stream")
 	errCallerGone = errors.New("caller disconnected")
 )
 
@@ -39,7 +41,7 @@
 		return u.handleFailure(ctx, r, &transporter.BrokenError{Server: r.Server.ID, Err: err})
 	}
 	var err error
-	if a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+	if isStream(a) {
 		err = u.relayStream(r, a)
 	} else {
 		err = u.relayBody(a)
@@ -110,12 +112,19 @@
 		return errEncoded
 	case u.headSent && a.Status != http.StatusOK:
 		return errors.New("stream was not resumed: " + http.StatusText(a.Status))
+	case u.headSent && !isStream(a):
+		return errNoStream
 	case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests || a.Status == http.StatusRequestTimeout:
 		return errors.New("refusal without a guarantee that the call was not run")
 	}
 	return nil
 }
 
+// isStream reports whether a is a stream of events.
+func isStream(a *transporter.Answer) bool {
+	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // relayBody passes an answer on once it is complete.
 func (u *run) relayBody(a *transporter.Answer) error {
 	held, err := u.relayer.bodyBuffer.Read(a)
@@ -138,6 +147,7 @@
 
 // relayStream passes events on as they arrive, each one complete.
 func (u *run) relayStream(r *picker.Reservation, a *transporter.Answer) error {
+	u.resuming = u.headSent
 	if !u.headSent {
 		h := a.Header.Clone()
 		RemoveHopHeaders(h)
@@ -153,8 +163,12 @@
 }
 
 // relayEvent passes one event on. A resumable stream must continue right after the
-// last event that was passed on.
+// last event that was passed on. All events of its rest have numbers; anything else
+// there is the text of an error.
 func (u *run) relayEvent(r *picker.Reservation, e splitter.Event) error {
+	if u.resuming && !e.HasID && !e.Filler {
+		return errUnnumbered
+	}
 	if u.resumable && e.HasID {
 		if u.lastEvent > 0 && e.ID != u.lastEvent+1 {
 			u.relayer.options.Logger.Warn("event out of order", zap.String("request", u.call.ID), zap.Int64("after", u.lastEvent), zap.Int64("event", e.ID))
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -113,6 +113,8 @@
 
 // sink records what the caller receives.
 type sink struct {
+	// heads counts the calls of Head.
+	heads        int
 	status       int
 	header       http.Header
 	body         strings.Builder
@@ -122,6 +124,7 @@
 var errDisconnected = errors.New("disconnected")
 
 func (s *sink) Head(status int, h http.Header, _ int64) error {
+	s.heads++
 	s.status, s.header = status, h
 	return nil
 }
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -60,6 +60,8 @@
 	// is the identifier of the last event since, or 0.
 	headSent  bool
 	lastEvent int64
+	// resuming is set if the current attempt continues a stream of another one.
+	resuming  bool
 	resumable bool
 	// heldSince is when the limits of servers first left no room, or 0.
 	heldSince timer.Millis
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -26,6 +26,8 @@
 	// event has none.
 	Data    []byte
 	HasData bool
+	// Filler is set if the event consists of comments and reconnection times only.
+	Filler bool
 }
 
 // Splitter buffers the bytes of an event that is not complete yet. The zero value is
@@ -134,10 +136,13 @@
 
 // parse returns the event with these raw bytes. Lines of other fields are ignored.
 func parse(raw []byte) Event {
-	e := Event{Raw: raw}
+	e := Event{Raw: raw, Filler: true}
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		name, value, ok := bytes.Cut(line, []byte(":"))
+		if len(name) > 0 && string(name) != "retry" {
+			e.Filler = false
+		}
 		if !ok {
 			continue
 		}
