What does not continue an item's output is no output

Cause: any 200 with a signature was read as events, lines that are no events were ignored, and the end of such a body was the end of the output. Fix: a body of another type, text that is no event, events without a number after numbered ones and a run without any event count as interrupted.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
@@ -254,7 +255,7 @@
 		return abandoned{reason: "server reported that the item can never succeed"}
 	case answer.Status == http.StatusInternalServerError:
 		return failed{status: answer.Status}
-	case answer.Status != http.StatusOK || answer.Header.Get(x.options.Names.Signature) == "":
+	case answer.Status != http.StatusOK || answer.Header.Get(x.options.Names.Signature) == "" || !mayBeStream(answer):
 		x.options.Ejector.CallBroken(v.ID)
 		return retry{reason: "unusable response: status " + strconv.Itoa(answer.Status), interrupted: true}
 	}
@@ -271,11 +272,20 @@
 	if err := splitter.Read(answer, func() { x.options.Ejector.BytesReceived(v.ID) }, take); err != nil {
 		return x.interrupted(ctx, runCtx, flight, attempt, err)
 	}
+	if t.eventCount() == 0 {
+		return retry{reason: "empty response", interrupted: true}
+	}
 	x.options.Ejector.Succeeded(v.ID)
 	x.options.Tracker.Completed(t.suspect)
 	return completed{}
 }
 
+// mayBeStream reports whether an answer can be a stream of events. It may lack a type.
+func mayBeStream(a *transporter.Answer) bool {
+	contentType := a.Header.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+}
+
 // interrupted handles a run that ended without a whole response. ctx ends if the item is
 // evicted, runCtx also if the run stalled or was revoked. Unless the item was evicted or
 // revoked, interrupted reports the failure of the server to the Ejector. The failure is
@@ -301,14 +311,19 @@
 var (
 	errEventGap      = errors.New("event number does not follow the last one received")
 	errOutputTooLong = errors.New("output exceeds the size limit of an item")
+	errNoEvent       = errors.New("text that is no event of the item")
 )
 
 // addEvent appends the data of one event to the output. It returns errEventGap if
-// the event's number does not follow the last one, and errOutputTooLong if the output
-// would exceed maxOutput.
+// the event's number does not follow the last one, errNoEvent if it has none although
+// earlier ones had, or if it is no event, and errOutputTooLong if the output would
+// exceed maxOutput.
 func (t *task) addEvent(e splitter.Event) error {
 	t.outputMu.Lock()
 	defer t.outputMu.Unlock()
+	if !e.HasID && !e.Filler && (t.lastID > 0 || !e.HasData) {
+		return errNoEvent
+	}
 	if e.HasID {
 		if t.lastID > 0 && e.ID != t.lastID+1 {
 			return errEventGap
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -75,6 +75,8 @@
 	statuses []int
 	hold     chan struct{}
 	runs     []string
+	// answers are the whole responses of the next runs, from their status lines on.
+	answers []string
 	// ranAt holds the addresses of the servers that ran something.
 	ranAt map[string]bool
 	// counts are the runs by server.
@@ -123,6 +125,10 @@
 		e.onCrash(c.LocalAddr().String())
 		return
 	}
+	if a := e.nextAnswer(); a != "" {
+		_, _ = io.WriteString(c, a)
+		return
+	}
 	status, breakAt, hold := e.next(q, c.LocalAddr().String(), string(body))
 	if status != http.StatusOK {
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", status)
@@ -154,6 +160,19 @@
 	_, _ = io.WriteString(c, "0\r\n\r\n")
 }
 
+// nextAnswer returns the whole response of this run if it is given, unless the next run is
+// to break off.
+func (e *engine) nextAnswer() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.answers) == 0 || len(e.breakAt) > 0 {
+		return ""
+	}
+	a := e.answers[0]
+	e.answers = e.answers[1:]
+	return a
+}
+
 // takeStall reports whether this run must stall, and counts it.
 func (e *engine) takeStall() bool {
 	e.mu.Lock()
