--- a/exchanger/parse.go
+++ b/exchanger/parse.go
@@ -192,6 +192,9 @@
 	var tokens int64
 	for line := range bytes.Lines(event) {
 		value, ok := bytes.CutPrefix(line, dataPrefix)
+		if !ok && !isEventLine(line) {
+			return 0, eris.New("a line of the stream is not part of an event")
+		}
 		if !ok {
 			continue
 		}
@@ -210,6 +213,17 @@
 	return tokens, nil
 }
 
+// isEventLine reports whether a line without data may be part of an event: a blank line, a
+// comment, or another field of events.
+func isEventLine(line []byte) bool {
+	name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+	switch string(name) {
+	case "", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
 // parseData parses the value of one data line and returns its number of tokens.
 func (p *eventParser) parseData(value []byte) (int64, error) {
 	if p.done {
