--- a/dispatcher/deliver.go
+++ b/dispatcher/deliver.go
@@ -24,8 +24,9 @@
 	status   int
 	headers  []requester.Header
 	buffered []byte
-	// headSent reports whether the caller has received the head.
-	headSent bool
+	// headSent reports whether the caller has received the head, streamBegun whether it
+	// was that of a successful stream.
+	headSent, streamBegun bool
 	// deliveredTokens is the number of tokens passed to the caller.
 	deliveredTokens int64
 	// sinkErr is the error of the Sink.
@@ -75,7 +76,7 @@
 // flush passes on what is buffered.
 func (v *delivery) flush() error {
 	if !v.headSent {
-		v.headSent = true
+		v.headSent, v.streamBegun = true, v.streaming()
 		if err := v.recordSinkErr(v.sink.Head(v.status, v.headers)); err != nil {
 			return err
 		}
@@ -96,8 +97,5 @@
 }
 
 // canRetry reports whether the call may be attempted again: nothing of an answer was
-// passed on, or a successful stream was begun and the last attempt received its own
-// head. After the stream has begun, it is false if the last attempt ended before its
-// head or with a withheld server error, although another server might resume the
-// stream.
-func (v *delivery) canRetry() bool { return v.sinkErr == nil && (!v.headSent || v.streaming()) }
+// passed on, or a successful stream was begun, which another server may resume.
+func (v *delivery) canRetry() bool { return v.sinkErr == nil && (!v.headSent || v.streamBegun) }
