Odd entries of the store name nothing and take nothing away

Report of other operators: an odd entry among those of the servers ended the machines that read the list, or stopped them. A host's entry or a quarantine that turned unreadable dropped the host and released the call, and a server's was kept after an outage. Now such entries are refused; an unreadable one of a server takes it out of use, of everything else what was known is kept.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -27,7 +27,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -300,9 +299,16 @@
 		return s, err
 	}
 	var servers []cataloger.Server
+	// unreadable holds the backend servers whose entries cannot be decoded.
+	unreadable := make(map[string]bool)
 	fresh := cataloger.Snapshot{Config: s.Config, ConfirmedAt: s.ConfirmedAt}
 	for _, i := range items {
 		switch t := f.decode(i).(type) {
+		case nil:
+			if t, ok := f.options.Decoder.Kind(i.Key).(ServerFact); ok {
+				unreadable[t.Server.ID] = true
+			}
+			fresh = f.withUnreadable(fresh, s, i.Key)
 		case ServerFact:
 			delete(f.missing, entryID{name: t.Server.ID})
 			servers = append(servers, t.Server)
@@ -312,7 +318,7 @@
 	}
 	fresh = fresh.WithServers(servers)
 	for id, v := range s.Servers {
-		if _, ok := fresh.Servers[id]; !ok && !v.Draining && f.mayBeOutage(s) {
+		if _, ok := fresh.Servers[id]; !ok && !v.Draining && !unreadable[id] && f.mayBeOutage(s) {
 			fresh = fresh.WithServer(v)
 			f.keepMissing(entryID{name: id})
 		}
@@ -335,11 +341,43 @@
 	}
 	fact := f.decode(c.Item)
 	if fact == nil {
-		return f.applyRemoval(s, c.Key)
+		return f.applyUnreadable(s, c.Key)
 	}
 	return f.applyFact(s, fact)
 }
 
+// applyUnreadable returns s after the value of a key changed to one that cannot be decoded.
+// A backend server with such an entry is not used any more. Of everything else, what was
+// known is kept: hosts live on whatever their entries say, and a quarantined call is not
+// released.
+func (f *Follower) applyUnreadable(s cataloger.Snapshot, key string) cataloger.Snapshot {
+	if t, ok := f.options.Decoder.Kind(key).(ServerFact); ok {
+		delete(f.missing, entryID{name: t.Server.ID})
+		return s.WithoutServer(t.Server.ID)
+	}
+	return s
+}
+
+// withUnreadable returns fresh with what known has of a key whose value cannot be decoded,
+// as applyUnreadable keeps it.
+func (f *Follower) withUnreadable(fresh, known cataloger.Snapshot, key string) cataloger.Snapshot {
+	switch t := f.options.Decoder.Kind(key).(type) {
+	case MemberFact:
+		if m, ok := known.Members[t.Member.Name]; ok {
+			return fresh.WithMember(m)
+		}
+	case GroupFact:
+		if g, ok := known.Groups[t.Number]; ok {
+			return fresh.WithGroup(t.Number, g)
+		}
+	case QuarantineFact:
+		if q, ok := known.Quarantined[t.Fingerprint]; ok {
+			return fresh.WithQuarantine(t.Fingerprint, q)
+		}
+	}
+	return fresh
+}
+
 // decode returns the Fact of an item, or nil when it cannot be decoded.
 func (f *Follower) decode(i storer.Item) Fact {
 	var fact Fact
@@ -376,16 +414,15 @@
 	return s
 }
 
-// applyRemoval returns s after the key was deleted or its value no longer decodes.
+// applyRemoval returns s after the key was deleted.
 func (f *Follower) applyRemoval(s cataloger.Snapshot, key string) cataloger.Snapshot {
-	name := key[strings.LastIndexByte(key, '/')+1:]
 	switch t := f.options.Decoder.Kind(key).(type) {
 	case ServerFact:
-		return f.removeServer(s, name)
+		return f.removeServer(s, t.Server.ID)
 	case MemberFact:
-		return f.removeMember(s, name)
+		return f.removeMember(s, t.Member.Name)
 	case RetireFact:
-		return s.WithRetiring(name, false)
+		return s.WithRetiring(t.Host, false)
 	case QuarantineFact:
 		return s.WithoutQuarantine(t.Fingerprint)
 	case ConfigFact, GroupFact, OtherFact:
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -28,9 +28,11 @@
 	case key == "config":
 		return follower.ConfigFact{}
 	case strings.HasPrefix(key, "servers/"):
-		return follower.ServerFact{}
+		return follower.ServerFact{Server: cataloger.Server{ID: strings.TrimPrefix(key, "servers/")}}
 	case strings.HasPrefix(key, "hosts/"):
-		return follower.MemberFact{}
+		return follower.MemberFact{Member: cataloger.Member{Name: strings.TrimPrefix(key, "hosts/")}}
+	case strings.HasPrefix(key, "quarantine/"):
+		return follower.QuarantineFact{Fingerprint: 7}
 	}
 	return follower.OtherFact{}
 }
@@ -48,6 +50,8 @@
 		return follower.ServerFact{Server: cataloger.Server{ID: name, Draining: string(i.Value) == "draining"}}, nil
 	case follower.MemberFact:
 		return follower.MemberFact{Member: cataloger.Member{Name: name}}, nil
+	case follower.QuarantineFact:
+		return follower.QuarantineFact{Fingerprint: 7, Quarantine: cataloger.Quarantine{Revision: uint64(i.Revision)}}, nil
 	}
 	return follower.OtherFact{}, nil
 }
@@ -131,6 +135,56 @@
 	})
 }
 
+// The entry of a host and the record of a quarantined call turn unreadable. Hosts dropped
+// the host and released the call.
+func TestUndecodableEntriesOfHostsAndCallsKeepWhatWasKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		keys := []string{"hosts/h", "quarantine/7", "servers/a"}
+		for _, k := range keys {
+			x.set(k, "ready", 0)
+		}
+		pass(1000)
+		for _, reload := range []bool{false, true} {
+			for _, k := range keys {
+				x.set(k, "?", 0)
+			}
+			if reload {
+				x.ledger.Compact()
+			}
+			pass(1500)
+			s := x.f.Snapshot()
+			require.Contains(t, s.Members, "h")
+			require.Contains(t, s.Quarantined, uint64(7))
+			require.NotContains(t, s.Servers, "a")
+		}
+		_, err := x.ledger.Commit(t.Context(), storer.Transaction{Delete: keys})
+		require.NoError(t, err)
+		pass(1500)
+		s := x.f.Snapshot()
+		require.Empty(t, s.Members)
+		require.Empty(t, s.Quarantined)
+	})
+}
+
+// The entry of a server turns unreadable while the store was away, when missing entries are
+// kept.
+func TestUndecodableEntryRemovesItsServerAfterAnOutageToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		x.set("servers/a", "ready", 0)
+		x.set("servers/b", "ready", 0)
+		pass(1000)
+		x.ledger.SetUnavailable(true)
+		pass(5000)
+		x.ledger.SetUnavailable(false)
+		x.set("servers/a", "?", 0)
+		pass(1200)
+		require.NotContains(t, x.f.Snapshot().Servers, "a")
+		require.Contains(t, x.f.Snapshot().Servers, "b")
+	})
+}
+
 // expireLeases makes the store unavailable for six seconds, in which leases expire.
 func (x *fixture) expireLeases() {
 	x.ledger.SetUnavailable(true)
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -53,8 +53,11 @@
 
 // run injects faults until ctx ends, and then waits until all of them have healed.
 func (f *faultInjector) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for n := 1; ctx.Err() == nil; n++ {
 		f.inject(f.rng.IntN(12), f.rng.Uint64())
+		if n%faultsPerOddEntry == 0 {
+			f.injectOddEntries(n)
+		}
 		wait := time.Duration(f.rng.ExpFloat64() * float64(meanFaultInterval))
 		select {
 		case <-ctx.Done():
