A server that refuses a request until a given time is left alone by all hosts

Looked for with the limits: what else a server says in its answers that each host kept to itself. A server's own 429 with Retry-After: the call went on to another server, and the next call came back at once (test, failed before: it got a second call at once). Now all hosts keep away until then, 30 s at most; the host that was told tells the others, and nobody repeats it, so the time does not grow on the way. Also looked at: Server-Leaving is told by all hosts already (departer); 503 of a full server says nothing of the time and the counts of calls in flight say the same; Connection: close and Keep-Alive concern the one connection.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawgate/jackdawgate/recoverer"
 	"github.com/jackdawgate/jackdawgate/splitter"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"go.uber.org/zap"
@@ -250,6 +251,9 @@
 		x.options.Departer.Record(v.Incarnation(), departer.Gone)
 		return retry{reason: "address now belongs to another server"}
 	case answer.Header.Get(x.options.Names.NotRun) != "":
+		if answer.Status == http.StatusTooManyRequests {
+			reservation.Paused(throttler.ParseRetryAfter(answer.Header.Get("Retry-After")))
+		}
 		return retry{reason: "server refused the item without running it", backOff: true}
 	case answer.Status == http.StatusUnprocessableEntity:
 		return abandoned{reason: "server reported that the item can never succeed"}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -88,6 +88,11 @@
 	r.picker.options.Throttler.Heard(r.Server.Incarnation(), r.mark, limit, whole)
 }
 
+// Paused records that the server refused the call and takes others only after a time.
+func (r *Reservation) Paused(d timer.Millis) {
+	r.picker.options.Throttler.Pause(r.Server.Incarnation(), d)
+}
+
 // Release stops counting the call. Only the first Release has an effect.
 func (r *Reservation) Release() {
 	r.once.Do(func() {
--- a/relayer/limit_test.go
+++ b/relayer/limit_test.go
@@ -66,3 +66,14 @@
 	}
 	require.LessOrEqual(t, f.countTo("s0"), 4)
 }
+
+// A server refused a call and said when to come back. It got the next call at once.
+func TestServerThatSaysWhenToComeBackIsLeftAlone(t *testing.T) {
+	refusal := text("429 X", signed+"Not-Run: 1\r\nRetry-After: 20\r\n"+closing, "")
+	f := newFixture(t, 2, append([]script{refusal}, repeated(8, answer(closing))...)...)
+	for range 8 {
+		o, _ := f.run(route(cataloger.Idempotent, false, 2))
+		require.IsType(t, relayer.Delivered{}, o)
+	}
+	require.Equal(t, 1, f.countTo(f.targets()[0]))
+}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"go.uber.org/zap"
@@ -367,6 +368,9 @@
 		u.relayer.options.Departer.Record(r.Server.Incarnation(), departer.Gone)
 		return u.giveUp("servers that were asked are gone", retryOverloaded), u.misdirected <= maxMisdirected
 	}
+	if a.Status == http.StatusTooManyRequests {
+		r.Paused(throttler.ParseRetryAfter(a.Header.Get("Retry-After")))
+	}
 	u.refusals++
 	retry := u.refusals <= maxRefusals && u.call.Route.MaxAttempts > u.refusals+u.attempts
 	return u.giveUp("servers refused it", retryOverloaded), retry
--- a/throttler/admit.go
+++ b/throttler/admit.go
@@ -65,13 +65,21 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.limited(v)
+	e, ok := t.entries[v]
 	if !ok {
 		return Room{}
 	}
+	now := t.clock.Now()
+	age := now - max(e.heardAt, e.changedAt)
+	if left := e.paused(now); left > 0 {
+		return Room{Limited: true, RetryAfter: left, Age: age, Restraint: 1}
+	}
+	if e.word.ended() {
+		return Room{}
+	}
 	d := t.counts.Peek(e.claim(c))
 	return Room{
-		Limited: true, Open: d.Admitted, RetryAfter: d.RetryAfter, Rate: e.word.rate, Age: t.clock.Now() - max(e.heardAt, e.changedAt),
+		Limited: true, Open: d.Admitted, RetryAfter: d.RetryAfter, Rate: e.word.rate, Age: age,
 		Restraint: restraint(d), Probe: d.Admitted && (e.confirm || d.Idle >= idleProbe),
 	}
 }
@@ -93,8 +101,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, limited := t.limited(v)
-	if !limited {
+	e, known := t.entries[v]
+	switch {
+	case !known:
+		return false, true
+	case e.paused(t.clock.Now()) > 0:
+		return false, false
+	case e.word.ended():
 		return false, true
 	}
 	if !t.counts.Take(e.claim(c)).Admitted {
@@ -112,17 +125,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.limited(v); ok {
+	if e, ok := t.entries[v]; ok {
 		t.counts.Refund(e.key)
 	}
 }
 
-// limited returns the entry of a server whose limit is in force. t.mu must be held.
-func (t *Throttler) limited(v cataloger.Incarnation) (*entry, bool) {
-	e, ok := t.entries[v]
-	return e, ok && !e.word.ended()
-}
-
 // claim returns the claim for a request of a class.
 func (e *entry) claim(c Class) rationer.Claim {
 	out := rationer.Claim{Key: e.key, Limit: e.limit(), Advance: e.confirm}
--- a/throttler/heard.go
+++ b/throttler/heard.go
@@ -12,6 +12,9 @@
 // unreadableLogInterval is the minimum time between two log lines on unreadable limits.
 const unreadableLogInterval = timer.Second
 
+// maxPause bounds the time for which requests are kept from a server that refused one.
+const maxPause = 30 * timer.Second
+
 // lastLogged is when a line was last logged, and how many were left out since.
 type lastLogged struct {
 	at   timer.Millis
@@ -48,6 +51,44 @@
 	}
 }
 
+// Pause records that a server refused a request and takes others only after a time, at most
+// maxPause.
+func (t *Throttler) Pause(v cataloger.Incarnation, d timer.Millis) {
+	if d <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entry(v); e != nil {
+		t.pause(e, d, true)
+	}
+}
+
+// pause keeps requests from a server for a time, unless that is done for longer already.
+// t.mu must be held.
+func (t *Throttler) pause(e *entry, d timer.Millis, heardHere bool) {
+	now := t.clock.Now()
+	until := now + min(d, maxPause)
+	if until <= e.pausedUntil {
+		return
+	}
+	e.pausedUntil, e.pausedHere, e.changedAt = until, heardHere, now
+	t.reported[e] = struct{}{}
+	t.logger.Info("server takes no requests for a while", zap.String("server", e.server.ID), zap.Int64("born", e.server.StartedAt),
+		zap.Int64("for-ms", int64(until-now)), zap.Bool("heard-here", heardHere))
+}
+
+// ParseRetryAfter returns the time after which a server takes requests again, from the
+// value of a Retry-After header in seconds, which may have a fraction. It returns 0 for
+// everything else.
+func ParseRetryAfter(value string) timer.Millis {
+	seconds, ok := parseDecimal(strings.TrimSpace(value))
+	if !ok {
+		return 0
+	}
+	return timer.Millis(seconds * float64(timer.Second))
+}
+
 // apply applies the rate that an answer named, or unlimited. t.mu must be held.
 func (t *Throttler) apply(e *entry, m Mark, rate float64) {
 	w := e.word
--- a/throttler/report.go
+++ b/throttler/report.go
@@ -35,6 +35,9 @@
 	Recent uint32
 	Turn   uint64
 	Level  float32
+	// Paused is the time in milliseconds for which the server takes no requests, if it
+	// said so to the reporting host.
+	Paused uint32
 }
 
 // rotation determines which words are reported that have not changed.
@@ -59,14 +62,14 @@
 	for e := range t.reported {
 		n, used := t.notice(e)
 		switch {
-		case !used && now-e.changedAt >= changeReported:
+		case !used && now-e.changedAt >= changeReported && !(e.pausedHere && e.paused(now) > 0):
 			delete(t.reported, e)
 		case len(out) < maxNotices:
 			out = append(out, n)
 		}
 	}
 	for _, e := range t.rotate(now) {
-		if _, ok := t.reported[e]; ok || e.word.ended() {
+		if _, ok := t.reported[e]; ok || e.word.ended() || e.word.version == 0 {
 			continue
 		}
 		n, _ := t.notice(e)
@@ -107,10 +110,14 @@
 // t.mu must be held.
 func (t *Throttler) notice(e *entry) (Notice, bool) {
 	u, used := t.counts.Usage(e.key)
-	return Notice{
+	n := Notice{
 		ID: e.server.ID, Born: e.server.StartedAt, Rate: e.word.rate, Raised: e.word.raised, Version: e.word.version,
 		Taken: u.Taken, Recent: u.Recent, Turn: u.Turn, Level: float32(u.Level),
-	}, used
+	}
+	if e.pausedHere {
+		n.Paused = uint32(e.paused(t.clock.Now()))
+	}
+	return n, used
 }
 
 // Merge applies the notices of an incarnation of another host.
@@ -135,13 +142,16 @@
 	}
 	e, ok := t.entries[v]
 	if !ok {
-		if w.ended() {
+		if w.ended() && n.Paused == 0 {
 			return
 		}
 		if e = t.entry(v); e == nil {
 			return
 		}
 	}
+	if n.Paused > 0 {
+		t.pause(e, timer.Millis(n.Paused), false)
+	}
 	if w.replaces(e.word) {
 		t.change(e, w, false)
 	}
@@ -153,7 +163,7 @@
 // valid reports whether a reported word is one that a host can have.
 func (w word) valid() bool {
 	rate := func(r float64) bool { return r == unlimited || (r >= 0 && r <= maxRate) }
-	return rate(w.rate) && rate(w.raised) && w.version > 0
+	return rate(w.rate) && rate(w.raised) && (w.version > 0 || w.ended())
 }
 
 // replaces reports whether the word is newer than another one or, if that is unknown,
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -14,8 +14,11 @@
 // lacks the word, or names a high one, frees no server that asked for less. After the first
 // of the two, one request is sent at once to get the second.
 //
-// The state is bounded by the number of servers that name a limit, and a host without such
-// servers reports nothing.
+// A server may also refuse a request and say when to come back. Hosts keep away from it until
+// then, all of them, since the host that heard it tells the others (Pause).
+//
+// The state is bounded by the number of servers that say such things, and a host without
+// such servers reports nothing.
 package throttler
 
 import (
@@ -81,6 +84,10 @@
 	changedAt, heardAt timer.Millis
 	// confirm is set if this host sends one request at once, to confirm a raised limit.
 	confirm bool
+	// pausedUntil is when the server takes requests again after it refused one, pausedHere
+	// whether it said so to this host.
+	pausedUntil timer.Millis
+	pausedHere  bool
 }
 
 // word is what a server said of its limit.
@@ -93,6 +100,9 @@
 	version uint32
 }
 
+// paused returns how much longer the server takes no requests.
+func (e *entry) paused(now timer.Millis) timer.Millis { return max(0, e.pausedUntil-now) }
+
 // unlimited is the rate of a server without a limit.
 const unlimited = -1
 
@@ -186,7 +196,7 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	for v, e := range t.entries {
-		if !known(v) || (e.word.ended() && now-e.changedAt > endedRetention) {
+		if !known(v) || (e.word.ended() && now-e.changedAt > endedRetention && now >= e.pausedUntil) {
 			t.drop(e)
 		}
 	}
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -258,3 +258,51 @@
 		}
 	})
 }
+
+// A server refuses a request and says when to come back. No host sends it another one before.
+func TestRefusedHostsKeepAwayUntilTheServerTakesRequests(t *testing.T) {
+	a, c := newThrottler()
+	b := throttler.New(c, zap.NewNop())
+	far := throttler.New(c, zap.NewNop())
+	a.Pause(server, 2*timer.Second)
+	b.Merge("a", "1", a.Notices())
+	far.Merge("b", "1", b.Notices())
+	for _, h := range []*throttler.Throttler{a, b} {
+		room := h.Room(server, throttler.Online{})
+		require.False(t, room.Open)
+		require.EqualValues(t, 2000, room.RetryAfter)
+		_, ok := h.Take(server, throttler.Batch{})
+		require.False(t, ok)
+	}
+	require.False(t, far.Room(server, throttler.Online{}).Limited, "only the host that was told reports it, so the time does not grow on the way")
+	c.now += 1500
+	b.Merge("a", "1", a.Notices())
+	a.Pause(server, 100)
+	require.EqualValues(t, 500, a.Room(server, throttler.Online{}).RetryAfter, "a shorter time does not end a longer one")
+	c.now += 500
+	for _, h := range []*throttler.Throttler{a, b} {
+		require.False(t, h.Room(server, throttler.Online{}).Limited)
+		counted, ok := h.Take(server, throttler.Online{})
+		require.True(t, ok)
+		require.False(t, counted)
+	}
+	c.now += 6 * timer.Second
+	a.Retain(func(cataloger.Incarnation) bool { return true })
+	require.Empty(t, a.Notices())
+}
+
+func TestPauseIsBoundedAndDoesNotFreeALimitedServer(t *testing.T) {
+	h, c := newThrottler()
+	hear(h, "1")
+	h.Pause(server, 24*3600*timer.Second)
+	require.EqualValues(t, 30*timer.Second, h.Room(server, throttler.Online{}).RetryAfter)
+	hear(h)
+	require.False(t, h.Room(server, throttler.Online{}).Open)
+	c.now += 30 * timer.Second
+	room := h.Room(server, throttler.Online{})
+	require.True(t, room.Limited)
+	require.InDelta(t, 1, room.Rate, 0)
+	for text, want := range map[string]timer.Millis{"2": 2000, "0.25": 250, "": 0, "-1": 0, "Wed, 21 Oct 2026 07:28:00 GMT": 0, "x": 0} {
+		require.Equal(t, want, throttler.ParseRetryAfter(text), "%q", text)
+	}
+}
