Older core: a server's limit, and the time it asks for, are kept by its owner

A backend server that names its limit (Jackdawgate-Limit), or refuses with 429 and Retry-After, as engines do, is kept to it by the host that owns it, through which all calls but fallback calls pass; for fallback calls each host keeps to what it was told itself.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,6 +46,8 @@
 	"context"
 	"sync"
 
+	"github.com/jackdawgate/jackdawgate/throttler"
+
 	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/suspector"
 
@@ -190,6 +192,7 @@
 	cacheLogs  *cacheLogs
 	hintPicker hintPicker
 	fallback   *fallbackCalls
+	throttler  *throttler.Throttler
 	metrics    metrics
 
 	cancel     context.CancelFunc
@@ -214,6 +217,7 @@
 		inFlight:  newInFlightCalls(),
 		cacheLogs: newCacheLogs(),
 		fallback:  newFallbackCalls(),
+		throttler: throttler.New(o.Clock, o.Logger),
 		metrics:   m,
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
--- a/dispatcher/do.go
+++ b/dispatcher/do.go
@@ -214,7 +214,17 @@
 		return c.delayAfterUnsent(&c.handOverDeadline, c.dispatcher.options.KeeperWait, minRetryAfter)
 	case CodeSuspectWaiting:
 		return c.delayAfterUnsent(&c.suspectDeadline, c.dispatcher.options.SuspectWait, suspectPoll(c.request.Class))
+	case CodeServerLimited:
+		// Nothing was sent, so the attempt takes nothing from the retry budget.
+		if !c.untriedLeft {
+			return 0, false
+		}
+		return c.ifBeforeDeadline(c.backoff(1))
 	case CodeServerFull, CodeServerLeaving, CodeServerRefused, CodeUnreachable:
+		if o.Code == CodeServerRefused && !c.untriedLeft && o.RetryAfter > minRetryAfter {
+			// The only server said when it takes calls again.
+			return 0, false
+		}
 		if c.attempts >= maxAttempts || !c.dispatcher.budget.take() {
 			return 0, false
 		}
--- a/dispatcher/keep.go
+++ b/dispatcher/keep.go
@@ -50,9 +50,13 @@
 		stopWatch := watchEviction(slot, cancel)
 		defer stopWatch()
 	}
+	l, o := d.takeLimit(r)
+	if o != nil {
+		return o
+	}
 	a, r := d.prepareAnswer(r, s)
 	f := d.inFlight.begin(b.Name, suspectCall(&r.Request))
-	result := d.exchange(ctx, r, b, &slotSink{sink: a, slot: slot, call: f}, func() bool { return d.owns(b.Name) })
+	result := d.exchange(ctx, r, b, l, &slotSink{sink: a, slot: slot, call: f}, func() bool { return d.owns(b.Name) })
 	d.inFlight.end(f, result)
 	d.recordAnswered(&r.Request, result)
 	if w, whole := result.(exchanger.Complete); whole && !r.Request.Stream {
@@ -171,10 +175,12 @@
 	return s.sink.Body(piece, tokens)
 }
 
-// exchange makes the exchange. It calls permit immediately before the first byte.
+// exchange makes the exchange of a call that l counted. It calls permit immediately before
+// the first byte.
 func (d *Dispatcher) exchange(
-	ctx context.Context, r *runRequest, b *registrar.BackendServer, s exchanger.Sink, permit func() bool,
-) exchanger.Result {
+	ctx context.Context, r *runRequest, b *registrar.BackendServer, l *limitedCall, s exchanger.Sink, permit func() bool,
+) (result exchanger.Result) {
+	defer func() { l.end(result) }()
 	c := &exchanger.Call{
 		ID:            r.Request.ID,
 		Address:       b.Address,
@@ -187,6 +193,7 @@
 		ResumeFrom:    r.ResumeFrom,
 		NewConnection: !r.Request.Repeatable,
 		Permit:        permit,
+		Answered:      l.answered,
 	}
 	if r.ResumeFrom > 0 {
 		body, err := withResumeFrom(c.Body, r.ResumeFrom)
@@ -195,7 +202,7 @@
 		}
 		c.Body = body
 	}
-	result := d.options.Exchanger.Exchange(ctx, c, s)
+	result = d.options.Exchanger.Exchange(ctx, c, s)
 	if isStaleConnection(result, r.Request.Repeatable) {
 		c.NewConnection = true
 		return d.options.Exchanger.Exchange(ctx, c, s)
@@ -251,6 +258,9 @@
 	case exchanger.Broken:
 		d.logFailedExchange(r, b, x.Err)
 		crashed := x.ConnectionLost && d.confirmCrash(b, f)
+		if crashed {
+			d.forgetLimit(b.Name)
+		}
 		return requester.MaybeRun{Code: x.Code, Reason: "the backend server gave no whole answer", ServerCrashed: crashed}
 	}
 	return requester.MaybeRun{Code: CodeInternal}
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/cataloger"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/messenger"
@@ -61,6 +63,10 @@
 	// The probes report to loads and return no error.
 	_ = g.Wait()
 	d.cacheLogs.retain(owned)
+	d.throttler.Retain(func(v cataloger.Incarnation) bool {
+		_, ok := s.Record.Servers[v.ID]
+		return ok
+	})
 }
 
 func (d *Dispatcher) probeServer(b registrar.BackendServer) {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -63,6 +63,7 @@
 	CodeServerFull      = "backend-servers-full"
 	CodeServerLeaving   = "backend-server-leaving"
 	CodeServerRefused   = "backend-server-refused"
+	CodeServerLimited   = "backend-server-limited"
 	CodeServerError     = "backend-server-error"
 	CodeUnreachable     = "backend-server-unreachable"
 	CodeHostUnreachable = "host-unreachable"
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -34,6 +34,9 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderNotRun on a 503 indicates that the server ran no part of the request.
 	HeaderNotRun = "Jackdawgate-Not-Run"
+	// HeaderLimit names the requests a second that the server takes from all callers
+	// together, as a decimal number, while it asks for a limit.
+	HeaderLimit = "Jackdawgate-Limit"
 	// HeaderResumedFrom on a stream is the number of tokens that the server
 	// skipped because the request had resume_from.
 	HeaderResumedFrom = "Resumed-From"
@@ -111,6 +114,8 @@
 	NewConnection bool
 	// forGet selects the pool of Get's connections.
 	forGet bool
+	// Answered is called with the head of an answer to the call. It may be nil.
+	Answered func(h Head)
 	// Permit is called directly before the first byte is sent. If it returns
 	// false, nothing is sent. It may be nil.
 	Permit func() bool
@@ -118,6 +123,16 @@
 
 func (c *Call) poolKey() poolKey { return poolKey{address: c.Address, forGet: c.forGet} }
 
+// Head is the part of the head of an answer that concerns the server.
+type Head struct {
+	Status int
+	// Limit has the values of HeaderLimit.
+	Limit []string
+	// RetryAfter is the delay that a server which refused the call requested, in
+	// milliseconds, or 0.
+	RetryAfter timer.Millis
+}
+
 // Sink receives an answer as it arrives, from the goroutine that called
 // Exchange. If a method returns an error, the connection is closed and the
 // exchange ends as Stopped.
--- a/throttler/admit.go
+++ b/throttler/admit.go
@@ -40,8 +40,9 @@
 
 // Room is what a limit leaves for a request.
 type Room struct {
-	// Limited is set if the server has a limit. The other fields apply only then.
-	Limited bool
+	// Limited is set if the server has a limit or takes no requests for a while, Paused in
+	// the latter case. The other fields apply only if it is.
+	Limited, Paused bool
 	// Open reports whether the request may be sent now.
 	Open bool
 	// RetryAfter is the time after which it may be, if it may not now.
@@ -72,7 +73,7 @@
 	now := t.clock.Now()
 	age := now - max(e.heardAt, e.changedAt)
 	if left := e.paused(now); left > 0 {
-		return Room{Limited: true, RetryAfter: left, Age: age, Restraint: 1}
+		return Room{Limited: true, Paused: true, RetryAfter: left, Age: age, Restraint: 1}
 	}
 	if e.word.ended() {
 		return Room{}
