Refused callers return later in a peak

Where more is asked than the servers run for seconds, as with servers that name limits, callers that return early meet the same peak and take the places of new callers, so more of them have to be refused.

--- a/relayer/run.go
+++ b/relayer/run.go
@@ -187,11 +187,12 @@
 }
 
 // overloadRetryAfter returns the retry-after of a call that the servers could not
-// answer in time. Callers accept a wait of up to a third of their remaining time;
-// the values are spread over most of it, so that callers do not retry at the same
-// moment.
+// answer in time. Callers accept a wait of up to a third of their remaining time. The
+// later they return, the fewer of them have to be refused at a time: those that returned
+// take the places of new ones. The values are spread, so that callers do not retry at
+// the same moment.
 func (u *run) overloadRetryAfter(left timer.Millis) timer.Millis {
-	const earliest, latest = 0.4, 1.0
+	const earliest, latest = 0.85, 1.0
 	return timer.Millis(float64(left) / 3 * (earliest + (latest-earliest)*rand.Float64()))
 }
 
