--- a/rationer/turns.go
+++ b/rationer/turns.go
@@ -1,6 +1,7 @@
 package rationer
 
 import (
+	"maps"
 	"math"
 	"strconv"
 
@@ -23,6 +24,9 @@
 	// maxReturned is by how much a count may fall because tokens were returned. One that
 	// falls further has begun anew.
 	maxReturned = 2
+	// maxCounts is the number of hosts whose counts are kept for longer than reportWindow.
+	// A host that took nothing within that time counts as unknown without harm.
+	maxCounts = 64
 	// levelPeriod is the time in which the level of a bucket approaches those of the other
 	// hosts, levelTolerance the difference that remains. maxLevel bounds what hosts report.
 	levelPeriod    timer.Millis = 1000
@@ -233,6 +237,9 @@
 	r.refill(b, now)
 	b.turn = max(b.turn, u.Turn)
 	previous, known := b.lastCounts[host]
+	if !known && len(b.lastCounts) >= maxCounts {
+		maps.DeleteFunc(b.lastCounts, func(_ string, c lastCount) bool { return now-c.at > reportWindow })
+	}
 	b.lastCounts[host] = lastCount{incarnation: incarnation, count: u.Taken, at: now}
 	delta := float64(u.Taken)
 	switch {
--- a/throttler/bench_test.go
+++ b/throttler/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -68,3 +69,42 @@
 		})
 	}
 }
+
+// The state of a limit is bounded, whatever hosts report.
+func TestStateOfALimitIsSmall(t *testing.T) {
+	const limits = 10000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	h, _, list := limited(limits, 100)
+	for _, v := range list {
+		for i := range 4 {
+			h.Merge(fmt.Sprint("host-", i), "1", []throttler.Notice{{ID: v.ID, Born: v.StartedAt, Rate: 2.5, Version: 1, Taken: 3, Recent: 1, Turn: 9}})
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	perLimit := int(after.HeapAlloc-before.HeapAlloc) / limits
+	t.Logf("%d bytes for each limit", perLimit)
+	require.LessOrEqual(t, perLimit, 2048)
+	require.Equal(t, limits, h.InForce())
+}
+
+// Thousands of hosts send requests to one server over time. The counts of those that send
+// nothing any more are dropped.
+func TestCountsOfAServerAreBounded(t *testing.T) {
+	h, c, list := limited(1, 3600)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range 360000 {
+		if i%10 == 0 {
+			c.now += 100
+		}
+		h.Merge(fmt.Sprint("host-", i), "1", []throttler.Notice{{ID: list[0].ID, Born: list[0].StartedAt, Rate: 2.5, Version: 1, Taken: 1, Recent: 1, Turn: uint64(i)}})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(1<<20))
+	require.True(t, h.Room(list[0], throttler.Online{}).Limited)
+}
