explain shows the limits of servers for a call that they held back

A call that limits hold back is sent to no server, so its timeline had no line about them (test, failed before: no context). The limits of all servers that its host knew to change are its context now; the line of the decision has their number, sum, age, and the places.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -177,13 +177,21 @@
 // alignedMillis returns the time of l with its host's clock shift applied.
 func (t *Timeline) alignedMillis(l Line) float64 { return l.Millis + t.ClockShifts[l.Host] }
 
+// heldBack is the message of lines about calls that the limits of servers held back, and
+// limitChanged that of lines about such limits. A call that was held back was sent to no
+// server, so the limits of all servers are its context.
+const (
+	heldBack     = "held back by servers' limits"
+	limitChanged = "server's limit changed"
+)
+
 // contextMessages are the messages of lines that report a change in the state of a
 // backend server or host.
 var contextMessages = map[string]bool{
 	"server known": true, "server gone": true, "server failed": true, "server refused": true,
 	"starting": true, "leaving": true, "stopped": true, "store did not answer": true, "store answers again": true,
 	"group given up": true, "group served": true, "manifest written": true, "log lines dropped": true,
-	"server's limit changed": true, "host known": true, "host gone": true, "configuration in force": true,
+	limitChanged: true, "server takes no requests for a while": true, "host known": true, "host gone": true, "configuration in force": true,
 }
 
 // addContext fills t.Context from lines.
@@ -192,8 +200,10 @@
 		return
 	}
 	hosts, servers := make(map[string]bool), make(map[string]bool)
+	allLimits := false
 	for _, l := range t.Lines {
 		hosts[l.Host] = true
+		allLimits = allLimits || l.Message == heldBack
 		servers[l.Text("server")] = true
 	}
 	delete(servers, "")
@@ -202,7 +212,7 @@
 		if !contextMessages[l.Message] || t.alignedMillis(l) < from || t.alignedMillis(l) > to || !hosts[l.Host] || l.mentions(t.ID) {
 			continue
 		}
-		if v := l.Text("server"); v == "" || servers[v] {
+		if v := l.Text("server"); v == "" || servers[v] || (allLimits && l.Message == limitChanged) {
 			t.Context = append(t.Context, l)
 		}
 	}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -49,6 +49,26 @@
 	require.Equal(t, []string{"host e1 dropped log lines during this time: map[sent:3]"}, timeline.Missing)
 }
 
+// A call was refused because of the limits of servers. Its timeline tells of them, with the
+// figures and their age.
+func TestTimelineOfACallThatLimitsHeldBackShowsTheLimits(t *testing.T) {
+	const logs = `{"level":"info","ts":1000,"msg":"server's limit changed","host":"e1","server":"s1","limit":2.5,"before":-1,"heard-here":false}
+{"level":"info","ts":1000,"msg":"server's limit changed","host":"e2","server":"s1","limit":2.5,"before":-1,"heard-here":true}
+{"level":"info","ts":2000,"msg":"held back by servers' limits","host":"e1","request":"r1","service":"x","limited":1,"limits":2.5,"age-ms":120,"room-in-ms":300,"retry-after-ms":700}
+{"level":"info","ts":2001,"msg":"refused","host":"e1","request":"r1","status":503,"reason":"the limits of the servers leave no room","retry-after-ms":700}
+`
+	lines, err := explainer.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	timeline := explainer.Explain("r1", lines)
+	require.Equal(t, []string{"held back by servers' limits", "refused"}, messages(timeline.Lines))
+	require.Equal(t, []string{"server's limit changed"}, messages(timeline.Context))
+	var b strings.Builder
+	require.NoError(t, timeline.Write(&b))
+	for _, want := range []string{"age-ms=120", "limits=2.5", "retry-after-ms=700", "server=s1", "limit=2.5"} {
+		require.Contains(t, b.String(), want)
+	}
+}
+
 func TestTimelineReportsMissingEnd(t *testing.T) {
 	timeline, text := explain(t, "r1")
 	require.Len(t, timeline.Missing, 2)
