--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -24,6 +24,14 @@
 	return fmt.Sprintf("usage not recorded: %d entries wait for holders", e.Buffered)
 }
 
+// LostError reports that entries were given up: they could not be encoded, or the timeout
+// of Close ended while they were being written.
+type LostError struct{ Entries int }
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("usage lost: %d entries were not written", e.Entries)
+}
+
 // ErrClosed is returned by the methods of a closed Recorder.
 var ErrClosed = eris.New("recorder is closed")
 
@@ -33,7 +41,7 @@
 	options Options
 	metrics metrics
 	entries chan Entry
-	flushes chan chan struct{}
+	flushes chan chan error
 	closing chan struct{}
 	done    chan struct{}
 	ctx     context.Context
@@ -50,6 +58,8 @@
 	writer   *replicator.Writer
 	written  int64
 	attested map[string]bool
+	// lost counts the entries that were given up and not yet reported by Flush.
+	lost int
 	// announcedAt is the time of the last announcement to the holders and
 	// announcedBatches the number of the segment's records announced then, each of which
 	// is one encoded SignedBatch; see announce.
@@ -74,7 +84,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Recorder{
-		options: o, entries: make(chan Entry, o.MaxBuffered), flushes: make(chan chan struct{}),
+		options: o, entries: make(chan Entry, o.MaxBuffered), flushes: make(chan chan error),
 		closing: make(chan struct{}), done: make(chan struct{}), ctx: ctx, cancel: cancel,
 		header: header, chain: c, attested: make(map[string]bool),
 	}
@@ -136,11 +146,10 @@
 
 // Flush waits until the entries recorded before the call have been written, ctx ends,
 // or the Recorder has stopped, which gives ErrClosed. If it returns nil, the entries
-// are on their holders, with two exceptions: entries that could not be encoded, which
-// are only logged, and entries that were given up because the timeout of Close ended
-// while they were being written.
+// recorded since the last call are on their holders. If any was given up, it returns a
+// *LostError, once.
 func (r *Recorder) Flush(ctx context.Context) error {
-	done := make(chan struct{})
+	done := make(chan error, 1)
 	select {
 	case r.flushes <- done:
 	case <-r.done:
@@ -149,9 +158,14 @@
 		return eris.Wrap(ctx.Err(), "flush usage")
 	}
 	select {
-	case <-done:
-		return nil
+	case err := <-done:
+		return err
 	case <-r.done:
+		select {
+		case err := <-done:
+			return err
+		default:
+		}
 		return ErrClosed
 	case <-ctx.Done():
 		return eris.Wrap(ctx.Err(), "flush usage")
@@ -194,7 +208,7 @@
 			batch = r.writeBatch(batch)
 		case done := <-r.flushes:
 			batch = r.drain(batch)
-			close(done)
+			done <- r.takeLossError()
 		case <-r.closing:
 			r.activeCalls.Wait()
 			r.drain(batch)
@@ -207,6 +221,16 @@
 	}
 }
 
+// takeLossError returns a *LostError if entries were given up since its last call.
+func (r *Recorder) takeLossError() error {
+	if r.lost == 0 {
+		return nil
+	}
+	err := &LostError{Entries: r.lost}
+	r.lost = 0
+	return err
+}
+
 // announceInterval is the time after which an unchanged number of records of the
 // segment is announced to the holders again.
 const announceInterval = 10 * timer.Second
@@ -247,33 +271,37 @@
 	}
 	b, err := r.chain.Batch(entries, attestations)
 	if err != nil {
-		r.options.Log.Error("usage not encoded", zap.Error(err))
+		r.options.Log.Error("usage not encoded", zap.Int("entries", len(entries)), zap.Error(err))
+		r.lost += len(entries)
 		return nil
 	}
-	r.storeBatch(b)
+	if !r.storeBatch(b) {
+		r.lost += len(entries)
+	}
 	return nil
 }
 
 // storeBatch appends the batch to the open segment, or to a new one if the open
 // segment is full or an append to it failed. It retries until it succeeds or the
-// Recorder's context ends, in which case the batch is lost. A retry may store the batch
-// in a second segment; readers count it once.
-func (r *Recorder) storeBatch(b SignedBatch) {
+// Recorder's context ends, in which case the batch is lost and it returns false. A retry
+// may store the batch in a second segment; readers count it once.
+func (r *Recorder) storeBatch(b SignedBatch) bool {
 	data, err := encoding.Marshal(b)
 	if err != nil {
 		r.options.Log.Error("usage not encoded", zap.Error(err))
-		return
+		return false
 	}
 	for wait := storeBackoff; r.ctx.Err() == nil; wait = min(2*wait, maxStoreBackoff) {
 		if err := r.tryStoreBatch(b.Records[0].Number, data); err == nil {
 			addCount(r.metrics.entries, int64(len(b.Records)))
-			return
+			return true
 		} else if r.ctx.Err() == nil {
 			r.options.Log.Warn("usage batch not stored; retrying", zap.Uint64("record", b.Records[0].Number), zap.Error(err))
 		}
 		addCount(r.metrics.retries, 1)
 		r.sleep(wait)
 	}
+	return false
 }
 
 // Delays between attempts to store a batch: the first one, which doubles with each
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -319,6 +319,29 @@
 	})
 }
 
+// The timeout of Close ended while a flush was being written to holders that cannot be
+// reached. Flush reported success, and billing went on without the entries.
+func TestFlushReportsEntriesThatCloseGaveUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 5)
+		defer f.close("h4")
+		h := f.hosts["h4"]
+		for _, o := range f.hosts {
+			f.net.Cut("h4", o.self.Name, true)
+		}
+		for i := range 3 {
+			require.NoError(t, h.recorder.Record(t.Context(), entry(fmt.Sprint(i))))
+		}
+		flushed := make(chan error, 1)
+		go func() { flushed <- h.recorder.Flush(t.Context()) }()
+		synctest.Wait()
+		require.Error(t, h.stop(2*timer.Second))
+		var lost *recorder.LostError
+		require.ErrorAs(t, <-flushed, &lost)
+		require.Equal(t, 3, lost.Entries)
+	})
+}
+
 func TestCloseStoresBufferedEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 5)
