--- a/exchanger/watch.go
+++ b/exchanger/watch.go
@@ -16,9 +16,8 @@
 	ConnectionNone ConnectionState = iota
 	// ConnectionOpen means that at least one idle connection is still open.
 	ConnectionOpen
-	// ConnectionClosed means that none of the idle connections can be reused. They
-	// have been closed by the server or the network, or have received data although no
-	// request was in progress.
+	// ConnectionClosed means that all idle connections have been closed by the server
+	// or the network.
 	ConnectionClosed
 )
 
@@ -30,30 +29,36 @@
 // the connection of a call was lost, their state distinguishes a crash of the server,
 // even if another process already listens at its address, from the loss of a
 // single connection. It checks connections until it finds an open one. Those that
-// can't be reused are closed and removed.
+// can't be reused are closed and removed: closed ones, and open ones that have received
+// data although no request was in progress.
 func (x *Exchanger) CheckConnections(address string) ConnectionState {
 	p := poolKey{address: address, forGet: true}
 	state := ConnectionNone
 	for c := x.takeIdle(p); c != nil; c = x.takeIdle(p) {
-		if c.isReusable() {
+		open, reusable := c.check()
+		if reusable {
 			x.putIdle(p, c)
 			return ConnectionOpen
 		}
 		c.close()
+		if open {
+			return ConnectionOpen
+		}
 		state = ConnectionClosed
 	}
 	return state
 }
 
-// isReusable reports whether an idle connection is still open at both ends and has
-// received no data since its last exchange.
-func (c *connection) isReusable() bool {
+// check reports whether an idle connection is still open at both ends, and whether it
+// may be reused: it has received no data since its last exchange. A connection that has
+// received data counts as open, though it may have been closed after them: data show no
+// crash.
+func (c *connection) check() (open, reusable bool) {
 	if err := c.SetReadDeadline(time.Now().Add(probeTimeout.Duration())); err != nil {
-		return false
+		return false, false
 	}
 	var b [1]byte
 	n, err := c.Conn.Read(b[:])
 	_, timedOut := asTimeout(err)
-	// A connection with unsolicited data must not be reused.
-	return n == 0 && timedOut
+	return n > 0 || timedOut, n == 0 && timedOut
 }
