--- a/archiver/read.go
+++ b/archiver/read.go
@@ -98,17 +98,27 @@
 	return st.Index, err
 }
 
-// Verify reads a final segment at the given rate. It returns false if it found that the
-// records do not match the segment's checksum, and then marks the segment as damaged, or
-// if it returns an error. A result of true does not imply that the segment is intact: it
-// is also returned, without reading anything, if the store is closed or does not have the
-// segment, or if the segment is not final or is already marked as damaged or deleted; and
-// if the segment was changed while it was read. A bytesPerSecond of zero or less means no
+// Verdict is the result of verifying a segment.
+type Verdict uint8
+
+const (
+	// NotVerified means that nothing is known of the segment: the store is closed or does
+	// not have it, it is not final or was deleted, it changed while it was read, or it
+	// could not be read.
+	NotVerified Verdict = iota
+	// Intact means that all records match the checksum.
+	Intact
+	// Damaged means that they do not, now or when the segment was verified earlier.
+	Damaged
+)
+
+// Verify reads a final segment at the given rate. If its records do not match its
+// checksum, it marks the segment as damaged. A bytesPerSecond of zero or less means no
 // limit. When ctx ends, Verify continues without a limit.
-func (s *Store) Verify(ctx context.Context, name string, bytesPerSecond int64) (bool, error) {
+func (s *Store) Verify(ctx context.Context, name string, bytesPerSecond int64) (Verdict, error) {
 	g, err := s.find(name)
 	if err != nil {
-		return true, nil
+		return NotVerified, err
 	}
 	pace := pacer{bytesPerSecond}
 	return g.verify(func(bytes int64) { _ = pace.wait(ctx, bytes) })
@@ -116,13 +126,29 @@
 
 // verify implements Store.Verify. It calls pace with the size of each record, in
 // bytes. It requires that mu is not held.
-func (g *segment) verify(pace func(bytes int64)) (bool, error) {
+func (g *segment) verify(pace func(bytes int64)) (Verdict, error) {
 	g.mu.Lock()
 	info := g.info
 	g.mu.Unlock()
-	if !info.Final || info.Deleted || info.Damaged {
-		return true, nil
+	switch {
+	case info.Damaged:
+		return Damaged, nil
+	case !info.Final || info.Deleted:
+		return NotVerified, nil
+	}
+	matches, err := g.matchesChecksum(info, pace)
+	if err != nil {
+		return NotVerified, err
 	}
+	if matches {
+		return Intact, nil
+	}
+	return g.markDamaged(info)
+}
+
+// matchesChecksum reads the records of a final segment and reports whether they match its
+// checksum.
+func (g *segment) matchesChecksum(info segmenter.Info, pace func(bytes int64)) (bool, error) {
 	f, err := os.Open(g.store.folder.DataPath(info.Name))
 	if err != nil {
 		return false, eris.Wrapf(err, "open segment %q", info.Name)
@@ -140,19 +166,21 @@
 		framer.AddToChecksum(digest, content)
 		pace(size)
 	}
-	if sc.Sequence == info.Records && digest.Sum64() == info.Checksum {
-		return true, nil
-	}
+	return sc.Sequence == info.Records && digest.Sum64() == info.Checksum, nil
+}
+
+// markDamaged marks the segment as damaged, unless it was changed since info was read.
+func (g *segment) markDamaged(info segmenter.Info) (Verdict, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.info.Checksum != info.Checksum || g.info.Deleted {
-		return true, nil
+		return NotVerified, nil
 	}
 	index, err := g.currentIndex()
 	if err != nil {
-		return false, err
+		return Damaged, err
 	}
 	g.info.Damaged = true
 	add(g.store.metrics.damage, 1)
-	return false, g.store.folder.WriteState(persister.State{Info: g.info, Index: index})
+	return Damaged, g.store.folder.WriteState(persister.State{Info: g.info, Index: index})
 }
--- a/archiver/store_test.go
+++ b/archiver/store_test.go
@@ -217,6 +217,34 @@
 	})
 }
 
+// Verify told of segments that were damaged, unknown, open or in a closed store that they
+// were intact.
+func TestVerifyTellsWhatIsKnownOfASegment(t *testing.T) {
+	folder := t.TempDir()
+	s := openStore(t, folder)
+	verify := func(name string) archiver.Verdict {
+		v, _ := s.Verify(t.Context(), name, 0)
+		return v
+	}
+	require.Equal(t, archiver.NotVerified, verify("a/unknown"))
+	require.NoError(t, appendTo(s, 1, 0, records(0, 5)))
+	require.Equal(t, archiver.NotVerified, verify("a/b"), "not final")
+	_, err := s.Seal(segmenter.SealRequest{Name: "a/b", Epoch: 1, Final: true, Records: 5})
+	require.NoError(t, err)
+	require.Equal(t, archiver.Intact, verify("a/b"))
+	require.NoError(t, s.Close())
+	require.Equal(t, archiver.NotVerified, verify("a/b"), "closed")
+	path := dataFile(t, folder)
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	data[len(data)-1] ^= 1
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+	s = openStore(t, folder)
+	require.Equal(t, archiver.Damaged, verify("a/b"))
+	require.Equal(t, archiver.Damaged, verify("a/b"), "still, when asked again")
+	require.NoError(t, s.Close())
+}
+
 func TestOpenFailsIfFolderIsAlreadyOpen(t *testing.T) {
 	folder := t.TempDir()
 	s := openStore(t, folder)
--- a/copier/verify.go
+++ b/copier/verify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/jackdawgate/jackdawgate/archiver"
 	"github.com/jackdawgate/jackdawgate/segmenter"
 	"go.uber.org/zap"
 )
@@ -19,9 +20,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		ok, err := c.options.Store.Verify(ctx, i.Name, c.options.VerifyBytesPerSecond)
-		if err != nil || !ok {
+		verdict, err := c.options.Store.Verify(ctx, i.Name, c.options.VerifyBytesPerSecond)
+		switch {
+		case verdict == archiver.Damaged:
 			c.options.Log.Error("segment fails its checksum", zap.String("segment", i.Name), zap.Error(err))
+		case err != nil:
+			c.options.Log.Error("segment was not verified", zap.String("segment", i.Name), zap.Error(err))
 		}
 	}
 }
