--- a/opener/end.go
+++ b/opener/end.go
@@ -151,8 +151,8 @@
 }
 
 // DeleteOrphanedItems deletes the item segments of a job that has no manifest, once
-// they are older than minOrphanAge. Failures are not returned; the caller may repeat the
-// call. A deletion that failed is logged like one that succeeded, with its error.
+// they are older than minOrphanAge. Failures are logged and not returned; the caller may
+// repeat the call.
 func (o *Opener) DeleteOrphanedItems(ctx context.Context, jobID string) {
 	l, err := o.options.Archive.List(ctx, bookkeeper.ItemsPrefix+jobID+"/")
 	if err != nil {
@@ -165,8 +165,11 @@
 		if _, _, err := o.options.Manifests.Get(ctx, jobID); !errors.Is(err, bookkeeper.ErrNoManifest) {
 			return
 		}
-		err := o.options.Archive.Delete(ctx, i.Name)
-		o.options.Log.Info("items without a manifest deleted", zap.String("segment", i.Name), zap.Error(err))
+		if err := o.options.Archive.Delete(ctx, i.Name); err != nil {
+			o.options.Log.Warn("items without a manifest not deleted", zap.String("segment", i.Name), zap.Error(err))
+			continue
+		}
+		o.options.Log.Info("items without a manifest deleted", zap.String("segment", i.Name))
 	}
 }
 
