controller: a change that does not fit into the store is refused at once

If several changes were written together, each is written alone next, so that only those that do not fit are refused.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,6 +176,35 @@
 	})
 }
 
+// A change made the record larger than a value of the store may be. It was tried again
+// until its deadline.
+func TestChangeThatDoesNotFitIntoTheStoreIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		f.await(10*time.Second, members(3))
+		time.Sleep(3 * time.Second)
+		begin := time.Now()
+		errs := make(map[string]error)
+		var mu sync.Mutex
+		var changes sync.WaitGroup
+		for id, name := range map[string]string{"large": strings.Repeat("x", storer.MaxValueBytes), "small": "w1", "other": "w2"} {
+			changes.Go(func() {
+				_, err := f.hosts["a"].Change(t.Context(), id, workspace(name))
+				mu.Lock()
+				defer mu.Unlock()
+				errs[id] = err
+			})
+		}
+		changes.Wait()
+		var refused *registrar.RefusedError
+		require.ErrorAs(t, errs["large"], &refused)
+		require.Equal(t, coordinator.CodeRecordTooLarge, refused.Code)
+		require.NoError(t, errs["small"])
+		require.NoError(t, errs["other"])
+		require.Less(t, time.Since(begin), 5*time.Second)
+	})
+}
+
 func TestPartitionedHostStopsActing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "b", "c")
--- a/controller/effects.go
+++ b/controller/effects.go
@@ -146,7 +146,7 @@
 	switch {
 	case errors.As(err, &large):
 		c.log.Error("record is too large for the store", zap.Error(err))
-		return coordinator.WriteConflict
+		return coordinator.WriteTooLarge
 	case err != nil:
 		c.log.Warn("write record to store: outcome unknown", zap.Uint64("version", uint64(e.Record.Version)), zap.Error(err))
 		return coordinator.WriteUnknown
--- a/coordinator/change.go
+++ b/coordinator/change.go
@@ -20,6 +20,7 @@
 // finishChanges answers the changes that are accepted or past their deadline.
 func (t *step) finishChanges() {
 	if len(t.changes) == 0 {
+		t.store.writeSingly = false
 		return
 	}
 	var left []pendingChange
@@ -201,7 +202,8 @@
 	var ids []string
 	var left []pendingChange
 	for _, c := range t.changes {
-		if c.version > 0 || c.afterRead >= t.store.answeredRead || !t.mayApply(c, next) {
+		full := t.store.writeSingly && len(ids) > 0
+		if full || c.version > 0 || c.afterRead >= t.store.answeredRead || !t.mayApply(c, next) {
 			left = append(left, c)
 			continue
 		}
@@ -267,9 +269,33 @@
 		t.nextRoundAt = t.now
 	case WriteUnknown:
 		t.markMaybeWritten(w.ids)
+	case WriteTooLarge:
+		t.handleTooLarge(w.ids)
 	}
 }
 
+// CodeRecordTooLarge is the code of the refusal of a change with which the record exceeds
+// the store's limit on values.
+const CodeRecordTooLarge = "record-too-large"
+
+// handleTooLarge refuses the change with which the record was too large. If there were
+// several, each is written alone next.
+func (t *step) handleTooLarge(ids []string) {
+	if len(ids) > 1 {
+		t.store.writeSingly = true
+		return
+	}
+	var left []pendingChange
+	for _, c := range t.changes {
+		if slices.Contains(ids, c.id) && !c.maybeWritten {
+			t.emit(FinishChange{Token: c.token, Err: &registrar.RefusedError{Code: CodeRecordTooLarge, Name: c.id}})
+			continue
+		}
+		left = append(left, c)
+	}
+	t.changes = left
+}
+
 // markMaybeWritten records that the outcome of a write of these changes is unknown.
 func (t *step) markMaybeWritten(ids []string) {
 	t.changes = slices.Clone(t.changes)
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -83,6 +83,9 @@
 	// WriteUnknown means that the store did not respond: the write may have been
 	// carried out, or may still be.
 	WriteUnknown
+	// WriteTooLarge means that the record was not written, and never will be, because it
+	// exceeds the store's limit on values.
+	WriteTooLarge
 )
 
 // StoreWritten is the outcome of a WriteStore.
--- a/coordinator/state.go
+++ b/coordinator/state.go
@@ -106,6 +106,10 @@
 	// has finished, or is nil.
 	lastWrite     uint64
 	writeInFlight *pendingWrite
+	// writeSingly is set once a record with several changes was too large, until no change
+	// waits to be written: each is then written alone, so that only those that do not fit
+	// are refused.
+	writeSingly bool
 	// retryAt is the end of the back-off after failures consecutive failed reads.
 	retryAt  timer.Millis
 	failures int
