key give can be repeated

With -key-file the key is written before it is given and used again (test: could not be asked for before); without it an unknown outcome says that the key is lost.

--- a/operator/key.go
+++ b/operator/key.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
+	"io/fs"
+	"os"
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/authenticator"
 	"github.com/jackdawgate/jackdawgate/commander"
 	"github.com/jackdawgate/jackdawgate/registrar"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
 )
 
 // KeyGive generates a key for a workspace and prints it. The fleet stores only a hash,
@@ -17,6 +22,7 @@
 type KeyGive struct {
 	apiClient
 	name string
+	file string
 }
 
 // Name implements commander.Command.
@@ -36,6 +42,7 @@
 	k.apiClient.Flags(f)
 	k.addChangeFlags(f)
 	f.StringVar(&k.name, "name", "", "`name` of the key; default one generated from the workspace")
+	f.StringVar(&k.file, "key-file", "", "`file` that keeps the key, so that the command can be repeated with -id; created if there is none")
 }
 
 // maxIDInName is how many bytes of the change's identifier are part of a generated name.
@@ -51,17 +58,63 @@
 		change := k.changeID()
 		id = args[0] + "-" + change[:min(len(change), maxIDInName)]
 	}
-	text, key, err := authenticator.NewKey(id, args[0])
+	n, err := k.newKey(id, args[0])
 	if err != nil {
 		return err
 	}
-	if err := k.change(ctx, e, registrar.GiveKey{Key: key}, "key "+id+" given to "+args[0]); err != nil {
+	err = k.change(ctx, e, registrar.GiveKey{Key: n.Key}, "key "+id+" given to "+args[0])
+	if k.file == "" && outcomeUnknown(err) {
+		return eris.Wrapf(err, "the key is lost; if it was given, withdraw %s; with -key-file the command can be repeated", id)
+	}
+	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintln(e.Stdout, text)
+	_, err = fmt.Fprintln(e.Stdout, n.Text)
 	return err
 }
 
+// newKey is a key before it is given: the text that callers send and the entry for the
+// record.
+type newKey struct {
+	Text string        `json:"text"`
+	Key  registrar.Key `json:"key"`
+}
+
+// newKey returns the key in the file, if one is named and exists, or a new one, which it
+// writes to the file before it is given.
+func (k *KeyGive) newKey(id, workspace string) (newKey, error) {
+	var n newKey
+	if k.file != "" {
+		data, err := os.ReadFile(k.file)
+		switch {
+		case err == nil:
+			return n, k.decodeKey(data, id, workspace, &n)
+		case !errors.Is(err, fs.ErrNotExist):
+			return n, eris.Wrap(err, "read key file")
+		}
+	}
+	var err error
+	if n.Text, n.Key, err = authenticator.NewKey(id, workspace); err != nil || k.file == "" {
+		return n, err
+	}
+	data, err := json.Marshal(n)
+	if err != nil {
+		return n, eris.Wrap(err, "encode key file")
+	}
+	return n, eris.Wrap(os.WriteFile(k.file, data, 0o600), "write key file")
+}
+
+// decodeKey decodes the key file. It returns an error if the file has another key.
+func (k *KeyGive) decodeKey(data []byte, id, workspace string, n *newKey) error {
+	if err := json.Unmarshal(data, n); err != nil {
+		return eris.Wrapf(err, "decode key file %s", k.file)
+	}
+	if n.Key.ID != id || n.Key.Workspace != workspace {
+		return eris.Errorf("key file %s has key %q of workspace %q", k.file, n.Key.ID, n.Key.Workspace)
+	}
+	return nil
+}
+
 // KeyWithdraw withdraws a key permanently.
 type KeyWithdraw struct{ apiClient }
 
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -118,6 +118,26 @@
 	require.Contains(t, s.succeed("key list -json"), `"id": "kitchen-x"`)
 }
 
+// The answer to the command was lost. Repeated with the same identifier it made another key
+// and could not succeed, though the first may have.
+func TestRepeatedKeyGiveGivesTheSameKey(t *testing.T) {
+	t.Parallel()
+	s := startCommandLine(t)
+	s.succeed("workspace create kitchen")
+	file := filepath.Join(t.TempDir(), "key.json")
+	line := "key give kitchen -name till -id once -key-file " + file
+	hosts := s.hosts
+	s.hosts = "127.0.0.1:1"
+	s.fail(line, commander.ExitFailed, "repeat with -id once")
+	s.fail("key give kitchen -name lost", commander.ExitFailed, "withdraw lost")
+	s.hosts = hosts
+	first := strings.Fields(s.succeed(line))
+	again := s.succeed(line)
+	require.Contains(t, again, "(already done)")
+	require.Contains(t, again, first[len(first)-1])
+	s.fail("key give kitchen -name other -id twice -key-file "+file, commander.ExitFailed, "has key")
+}
+
 func TestJobCommands(t *testing.T) {
 	t.Parallel()
 	s := startCommandLine(t)
