--- a/certifier/certifier.go
+++ b/certifier/certifier.go
@@ -29,26 +29,30 @@
 type Certifier struct {
 	files Files
 
-	mu       sync.Mutex
-	checked  time.Time
-	modified time.Time
-	pair     *tls.Certificate
-	pool     *x509.CertPool
-	err      error
+	mu      sync.Mutex
+	checked time.Time
+	stamp   stamp
+	pair    *tls.Certificate
+	pool    *x509.CertPool
+	err     error
 }
 
+// stamp tells the states of the files apart: the modification time, in nanoseconds, and the
+// size of each. A file may be replaced by one that was modified earlier.
+type stamp [3]struct{ modified, size int64 }
+
 // New returns a Certifier for the files. It returns an error if they are not valid
 // now.
 func New(f Files) (*Certifier, error) {
 	c := &Certifier{files: f}
-	modified, err := f.lastModified()
+	s, err := f.stamp()
 	if err != nil {
 		return nil, err
 	}
 	if c.pair, c.pool, err = f.read(); err != nil {
 		return nil, err
 	}
-	c.modified, c.checked = modified, time.Now()
+	c.stamp, c.checked = s, time.Now()
 	return c, nil
 }
 
@@ -124,34 +128,32 @@
 
 // refresh reads the files if any of them has changed. The caller holds c.mu.
 func (c *Certifier) refresh() {
-	modified, err := c.files.lastModified()
-	if err != nil || modified.Equal(c.modified) {
+	changed, err := c.files.stamp()
+	if err != nil || changed == c.stamp {
 		c.err = err
 		return
 	}
 	pair, pool, err := c.files.read()
 	c.err = err
 	if err == nil {
-		c.pair, c.pool, c.modified = pair, pool, modified
+		c.pair, c.pool, c.stamp = pair, pool, changed
 	}
 }
 
-// lastModified returns the latest modification time of the files.
-func (f Files) lastModified() (time.Time, error) {
-	var modified time.Time
-	for _, name := range []string{f.Certificate, f.Key, f.Authority} {
+// stamp returns the current state of the files.
+func (f Files) stamp() (stamp, error) {
+	var s stamp
+	for i, name := range []string{f.Certificate, f.Key, f.Authority} {
 		if name == "" {
 			continue
 		}
 		info, err := os.Stat(name)
 		if err != nil {
-			return modified, eris.Wrap(err, "stat certificate file")
-		}
-		if info.ModTime().After(modified) {
-			modified = info.ModTime()
+			return s, eris.Wrap(err, "stat certificate file")
 		}
+		s[i].modified, s[i].size = info.ModTime().UnixNano(), info.Size()
 	}
-	return modified, nil
+	return s, nil
 }
 
 // read loads the key pair, and the pool of the authority if there is one.
--- a/certifier/certifier_test.go
+++ b/certifier/certifier_test.go
@@ -107,6 +107,26 @@
 	require.Equal(t, "new", name)
 }
 
+// Files that were made earlier than those in use replace them, as when a backup is restored.
+// They were not noticed.
+func TestFilesWithEarlierModificationTimesAreReloaded(t *testing.T) {
+	a := newAuthority(t)
+	f, earlier := issue(t, a, "in-use"), issue(t, a, "earlier")
+	c, err := certifier.New(f)
+	require.NoError(t, err)
+	client, err := certifier.New(issue(t, a, "client"))
+	require.NoError(t, err)
+	past := time.Now().Add(-time.Hour)
+	for from, to := range map[string]string{earlier.Key: f.Key, earlier.Certificate: f.Certificate} {
+		require.NoError(t, os.Chtimes(from, past, past))
+		require.NoError(t, os.Rename(from, to))
+	}
+	require.Eventually(t, func() bool {
+		name, err := handshake(t, c.MutualServerConfig(), client.MutualClientConfig())
+		return err == nil && name == "earlier"
+	}, 5*time.Second, 50*time.Millisecond)
+}
+
 func TestSavedAuthorityCanBeLoadedAndIsNotOverwritten(t *testing.T) {
 	folder := t.TempDir()
 	a := newAuthority(t)
