--- a/runner/runner.go
+++ b/runner/runner.go
@@ -106,6 +106,7 @@
 		h.makeDispatcher, h.makeArchive, h.makeRecorder, h.makeBatcher, h.makeServer,
 	} {
 		if err := step(); err != nil {
+			h.closeUnstarted()
 			return nil, errors.Join(err, h.closeComponents())
 		}
 	}
@@ -264,6 +265,21 @@
 	}
 }
 
+// closeUnstarted closes the components of a host that could not be started which
+// closeComponents leaves to Close. The host has served no calls, so there is no usage to
+// write.
+func (h *Host) closeUnstarted() {
+	if h.batcher != nil {
+		h.batcher.Close()
+	}
+	if h.recorder != nil {
+		_ = h.recorder.Close(1)
+	}
+	if h.limiter != nil {
+		h.limiter.Close()
+	}
+}
+
 // closeComponents closes the listeners and the components other than the server,
 // the batcher, the recorder and the limiter. It doesn't leave the fleet. Components
 // that haven't been created are skipped.
