--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -39,6 +39,8 @@
 	e := &exchange{call: c, connection: conn, sink: s, options: &x.options}
 	result, reusable := e.run()
 	if !stopClosing() {
+		// The context ended; its function may not have closed the connection yet.
+		conn.close()
 		return stoppedResult(ctx, result, conn)
 	}
 	if reusable {
