--- a/dispatcher/direct.go
+++ b/dispatcher/direct.go
@@ -113,6 +113,11 @@
 func fallbackLimit(slots, members int) int { return max(1, slots/max(1, members-1)) }
 
 func (d *Dispatcher) exchangeWithoutKeeper(ctx context.Context, r *runRequest, b *registrar.BackendServer, s exchanger.Sink) requester.Outcome {
+	release, o := d.isolateSuspect(r)
+	if o != nil {
+		return o
+	}
+	defer release()
 	l, o := d.takeLimit(r)
 	if o != nil {
 		return o
@@ -120,6 +125,7 @@
 	f := d.inFlight.begin(b.Name, suspectCall(&r.Request))
 	result := d.exchange(ctx, r, b, l, s, d.fallbackPermit(b.Name))
 	d.inFlight.end(f, result)
+	d.recordAnswered(&r.Request, result)
 	return d.finishExchange(r, b, f, result)
 }
 
--- a/dispatcher/separate.go
+++ b/dispatcher/separate.go
@@ -23,8 +23,8 @@
 
 // Isolator keeps suspects from running together: of the calls that were in flight
 // when a server crashed, a server runs one at a time, so that a second crash
-// identifies the call that caused it. Fallback calls are not isolated, and their
-// answers are not recorded. The value of Options.Suspects may implement it.
+// identifies the call that caused it. Fallback calls are isolated from the others of
+// their host. The value of Options.Suspects may implement it.
 type Isolator interface {
 	// TryStart reports whether a call may run on server now. A suspect may run only if
 	// no other suspect runs there. After true, End must be called.
--- a/dispatcher/separate_test.go
+++ b/dispatcher/separate_test.go
@@ -19,10 +19,18 @@
 	"github.com/jackdawgate/jackdawgate/suspector"
 )
 
-// TestSuspectsDoNotRunTogether checks that two calls that were in flight when a
-// server crashed do not run on one server at the same time, and that both are cleared
-// when they are answered.
+// Two calls that were in flight when a server crashed must not run on one server at the same
+// time, and both are cleared when they are answered. Fallback calls, for a server without a
+// keeper host, ran together.
 func TestSuspectsDoNotRunTogether(t *testing.T) {
+	t.Run("at the keeper host", func(t *testing.T) { testSuspects(t, func(*fleet, *coordinator.Snapshot) {}) })
+	t.Run("without one", func(t *testing.T) {
+		testSuspects(t, func(f *fleet, s *coordinator.Snapshot) { s.OwnsFrom = f.clock.Now() + 60000 })
+	})
+}
+
+// testSuspects runs two suspects at a host whose snapshot is changed.
+func testSuspects(t *testing.T, change func(f *fleet, s *coordinator.Snapshot)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, "m1")
 		var running, most atomic.Int32
@@ -33,6 +41,7 @@
 			serveAnswer(c, "{}")
 		})
 		h := f.hosts["h0"]
+		h.viewer.set(func(s *coordinator.Snapshot) { change(f, s) })
 		peer := f.network.Host("separate", messenger.Peer{Name: "h0", Incarnation: "1"})
 		s := suspector.New(coordinator.Hosts{Viewer: h.viewer}, peer, peer, f.clock, zap.NewNop(), noop.Meter{})
 		defer s.Close()
