--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -64,6 +64,14 @@
 	return float64(c.Competing) / float64(max(c.Server.Slots, 1))
 }
 
+// candidate returns a server with its load, for a call of this class.
+func (d *Dispatcher) candidate(s *coordinator.Snapshot, b *registrar.BackendServer, class requester.Class) Candidate {
+	if s.Owns(coordinator.ServerObject(b.Name), d.options.Clock.Now()) {
+		return d.ownCandidate(b, class)
+	}
+	return d.loads.candidate(b, class)
+}
+
 // candidates returns the servers that were found, without those in tried and those
 // known to be unhealthy. If none remain, it returns the ones left out.
 func (d *Dispatcher) candidates(r *requester.Request, s *coordinator.Snapshot, tried []string) []Candidate {
@@ -71,7 +79,7 @@
 	untried := make([]Candidate, 0, len(servers))
 	var leftOut []Candidate
 	for i := range servers {
-		c := d.loads.candidate(&servers[i], r.Class)
+		c := d.candidate(s, &servers[i], r.Class)
 		if slices.Contains(tried, c.Server.Name) || (c.Known && !c.Load.Healthy) {
 			leftOut = append(leftOut, c)
 			continue
--- a/dispatcher/do_test.go
+++ b/dispatcher/do_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/jackdawgate/jackdawgate/requester"
 	"github.com/stretchr/testify/require"
@@ -87,3 +89,34 @@
 		require.Equal(t, 1, strings.Count(string(a.body), token), token)
 	}
 }
+
+// Other hosts' calls run on a server, and its own keeper host chose it as if it were idle.
+func TestKeeperHostCountsOtherHostsCallsOnItsServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, "m1", "m2")
+		hold := make(chan struct{})
+		f.engine("m1", func(_ int, c net.Conn) {
+			defer func() { _ = c.Close() }()
+			if readRequest(c) != nil {
+				<-hold
+			}
+		})
+		f.engine("m2", func(_ int, c net.Conn) { serveAnswer(c, "{}") })
+		owner, other := f.owner("m1")
+		ctx, cancel := context.WithCancel(context.Background())
+		for i := range 12 {
+			go other.Do(ctx, chatRequest(fmt.Sprint("other", i), false), &recordedAnswer{})
+			synctest.Wait()
+		}
+		require.Positive(t, owner.slots.Load("m1").RunningOnline)
+		for i := range 10 {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			o := owner.Do(ctx, chatRequest(fmt.Sprint("own", i), false), &recordedAnswer{})
+			require.IsType(t, requester.Answered{}, o, "%+v", o)
+			cancel()
+		}
+		cancel()
+		close(hold)
+		synctest.Wait()
+	})
+}
--- a/dispatcher/loads.go
+++ b/dispatcher/loads.go
@@ -124,8 +124,7 @@
 }
 
 // candidate returns b with its recorded load, for a call of this class. The load is
-// never below the number of calls that this host itself has in flight there. For a
-// server that this host owns it does not include the ledger's counts, see loads.
+// never below the number of calls that this host itself has in flight there.
 func (l *loads) candidate(b *registrar.BackendServer, class requester.Class) Candidate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -135,9 +134,26 @@
 	}
 	c := Candidate{Server: *b, Load: e.load, Known: e.known}
 	c.Load.InFlight = max(c.Load.InFlight, e.unreported-c.Load.Waiting)
+	if class == requester.Online {
+		c.Competing = max(e.load.competingOnline(), e.unreportedOnline)
+	} else {
+		c.Competing = c.Load.InFlight + c.Load.Waiting
+	}
+	return c
+}
+
+// competingOnline returns the number of calls with which a new online call shares slots or
+// for which it waits.
+func (l Load) competingOnline() int { return l.InFlight + l.Waiting - l.Preemptible }
+
+// ownCandidate returns b, a server that this host owns, with the exact counts of its
+// ledger.
+func (d *Dispatcher) ownCandidate(b *registrar.BackendServer, class requester.Class) Candidate {
+	c := d.loads.candidate(b, class)
+	c.Load = d.ownLoad(b.Name)
 	c.Competing = c.Load.InFlight + c.Load.Waiting
 	if class == requester.Online {
-		c.Competing = max(e.load.InFlight+e.load.Waiting-e.load.Preemptible, e.unreportedOnline)
+		c.Competing = c.Load.competingOnline()
 	}
 	return c
 }
