--- /dev/null
+++ b/follower/apply.go
@@ -0,0 +1,148 @@
+package follower
+
+import (
+	"context"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/recoverer"
+	"github.com/jackdawgate/jackdawgate/storer"
+	"go.uber.org/zap"
+)
+
+// load reads all keys from the store, in one request if they fit into one answer.
+func (f *Follower) load(ctx context.Context, s cataloger.Snapshot) (cataloger.Snapshot, error) {
+	items, from, err := f.options.Ledger.Range(ctx, "")
+	if err != nil {
+		return s, err
+	}
+	var servers []cataloger.Server
+	// unreadable holds the backend servers whose entries cannot be decoded.
+	unreadable := make(map[string]bool)
+	fresh := cataloger.Snapshot{Config: s.Config, ConfirmedAt: s.ConfirmedAt}
+	for _, i := range items {
+		switch t := f.decode(i).(type) {
+		case nil:
+			if t, ok := f.options.Decoder.Kind(i.Key).(ServerFact); ok {
+				unreadable[t.Server.ID] = true
+			}
+			fresh = f.withUnreadable(fresh, s, i.Key)
+		case ServerFact:
+			delete(f.missing, entryID{name: t.Server.ID})
+			servers = append(servers, t.Server)
+		default:
+			fresh = f.applyFact(fresh, t)
+		}
+	}
+	fresh = fresh.WithServers(servers)
+	for id, v := range s.Servers {
+		if _, ok := fresh.Servers[id]; !ok && !v.Draining && !unreadable[id] && f.mayBeOutage(s) {
+			fresh = fresh.WithServer(v)
+			f.keepMissing(entryID{name: id})
+		}
+	}
+	for name, m := range s.Members {
+		if _, ok := fresh.Members[name]; !ok && !m.Leaving && f.mayBeOutage(s) {
+			fresh = fresh.WithMember(m)
+			f.keepMissing(entryID{host: true, name: name})
+		}
+	}
+	f.cursor, f.loaded = from, true
+	f.changeLog.restart(from)
+	return fresh, nil
+}
+
+// apply returns s with one change applied.
+func (f *Follower) apply(s cataloger.Snapshot, c storer.Change) cataloger.Snapshot {
+	if c.Deleted {
+		return f.applyRemoval(s, c.Key)
+	}
+	fact := f.decode(c.Item)
+	if fact == nil {
+		return f.applyUnreadable(s, c.Key)
+	}
+	return f.applyFact(s, fact)
+}
+
+// applyUnreadable returns s after the value of a key changed to one that cannot be decoded.
+// A backend server with such an entry is not used any more. Of everything else, what was
+// known is kept: hosts live on whatever their entries say, and a quarantined call is not
+// released.
+func (f *Follower) applyUnreadable(s cataloger.Snapshot, key string) cataloger.Snapshot {
+	if t, ok := f.options.Decoder.Kind(key).(ServerFact); ok {
+		delete(f.missing, entryID{name: t.Server.ID})
+		return s.WithoutServer(t.Server.ID)
+	}
+	return s
+}
+
+// withUnreadable returns fresh with what known has of a key whose value cannot be decoded,
+// as applyUnreadable keeps it.
+func (f *Follower) withUnreadable(fresh, known cataloger.Snapshot, key string) cataloger.Snapshot {
+	switch t := f.options.Decoder.Kind(key).(type) {
+	case MemberFact:
+		if m, ok := known.Members[t.Member.Name]; ok {
+			return fresh.WithMember(m)
+		}
+	case GroupFact:
+		if g, ok := known.Groups[t.Number]; ok {
+			return fresh.WithGroup(t.Number, g)
+		}
+	case QuarantineFact:
+		if q, ok := known.Quarantined[t.Fingerprint]; ok {
+			return fresh.WithQuarantine(t.Fingerprint, q)
+		}
+	}
+	return fresh
+}
+
+// decode returns the Fact of an item, or nil when it cannot be decoded.
+func (f *Follower) decode(i storer.Item) Fact {
+	var fact Fact
+	err := recoverer.Run(f.options.Logger, "decoding an entry of the store", func() (err error) {
+		fact, err = f.options.Decoder.Decode(i)
+		return err
+	})
+	if err != nil {
+		f.options.Logger.Warn("decode entry of the store", zap.String("key", i.Key), zap.Error(err))
+		return nil
+	}
+	return fact
+}
+
+// applyFact returns s with one Fact applied; a nil Fact changes nothing.
+func (f *Follower) applyFact(s cataloger.Snapshot, fact Fact) cataloger.Snapshot {
+	switch t := fact.(type) {
+	case ConfigFact:
+		return s.WithConfig(t.Config)
+	case ServerFact:
+		delete(f.missing, entryID{name: t.Server.ID})
+		return s.WithServer(t.Server)
+	case MemberFact:
+		delete(f.missing, entryID{host: true, name: t.Member.Name})
+		return s.WithMember(t.Member)
+	case GroupFact:
+		return s.WithGroup(t.Number, t.Group)
+	case RetireFact:
+		return s.WithRetiring(t.Host, true)
+	case QuarantineFact:
+		return s.WithQuarantine(t.Fingerprint, t.Quarantine)
+	case OtherFact:
+	}
+	return s
+}
+
+// applyRemoval returns s after the key was deleted.
+func (f *Follower) applyRemoval(s cataloger.Snapshot, key string) cataloger.Snapshot {
+	switch t := f.options.Decoder.Kind(key).(type) {
+	case ServerFact:
+		return f.removeServer(s, t.Server.ID)
+	case MemberFact:
+		return f.removeMember(s, t.Member.Name)
+	case RetireFact:
+		return s.WithRetiring(t.Host, false)
+	case QuarantineFact:
+		return s.WithoutQuarantine(t.Fingerprint)
+	case ConfigFact, GroupFact, OtherFact:
+	}
+	return s
+}
--- /dev/null
+++ b/follower/facts.go
@@ -0,0 +1,53 @@
+package follower
+
+import (
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/storer"
+)
+
+// Decoder decodes the keys and values of the store. It is pure.
+type Decoder interface {
+	// Kind returns a Fact of the type that the key holds, with only those fields
+	// set that follow from the key itself.
+	Kind(key string) Fact
+	// Decode returns the Fact that a key and its value state.
+	Decode(i storer.Item) (Fact, error)
+}
+
+// Fact is the decoded content of one key of the store.
+type Fact interface{ fact() }
+
+// ConfigFact is the operators' configuration.
+type ConfigFact struct{ Config *cataloger.Config }
+
+// ServerFact is a backend server's entry.
+type ServerFact struct{ Server cataloger.Server }
+
+// MemberFact is a host's entry.
+type MemberFact struct{ Member cataloger.Member }
+
+// GroupFact is the manifest of a group of batch jobs.
+type GroupFact struct {
+	Number int
+	Group  cataloger.Group
+}
+
+// RetireFact requests that all batch groups be moved off a host.
+type RetireFact struct{ Host string }
+
+// QuarantineFact is the record of a call that crashes backend servers.
+type QuarantineFact struct {
+	Fingerprint uint64
+	Quarantine  cataloger.Quarantine
+}
+
+// OtherFact is a key that the Follower ignores.
+type OtherFact struct{}
+
+func (ConfigFact) fact()     {}
+func (ServerFact) fact()     {}
+func (MemberFact) fact()     {}
+func (GroupFact) fact()      {}
+func (RetireFact) fact()     {}
+func (QuarantineFact) fact() {}
+func (OtherFact) fact()      {}
