--- a/departer/departer.go
+++ b/departer/departer.go
@@ -119,7 +119,7 @@
 	if own {
 		d.reported = append(d.reported, v)
 	}
-	d.logger.Info("server departs by its own word", zap.String("server", v.ID), zap.Int64("born", v.StartedAt), zap.Bool("gone", s == Gone), zap.Bool("heard-here", own))
+	d.logger.Info("server departs by its own word", zap.String("server", v.ID), zap.Int64("started-at", v.StartedAt), zap.Bool("gone", s == Gone), zap.Bool("heard-here", own))
 }
 
 // evict makes room for an entry if there are maxEntries. It removes those that are
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -109,9 +109,9 @@
 	}
 	defer reservation.Release()
 	if f := u.forecastInput(reservation); u.attempts == 0 && !o.Forecaster.InTime(f) {
-		o.Logger.Info("too crowded", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID), zap.Int("ahead", f.Ahead), zap.Int("slots", f.Slots),
-			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("objective-ms", int64(f.Objective)), zap.Int64("patience-ms", int64(f.Timeout)))
-		return NotRun{Reason: "servers are too crowded to answer in time", RetryAfter: u.overloadRetryAfter(left)}, false
+		o.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID), zap.Int("ahead", f.Ahead), zap.Int("slots", f.Slots),
+			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("objective-ms", int64(f.Objective)), zap.Int64("timeout-ms", int64(f.Timeout)))
+		return NotRun{Reason: "servers are overloaded and cannot answer in time", RetryAfter: u.overloadRetryAfter(left)}, false
 	}
 	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
 		return u.refuseSuspect(retryAfter), false
@@ -172,7 +172,7 @@
 // other calls that share a part of its prompt.
 func (u *run) refuseSuspect(retryAfter timer.Millis) Outcome {
 	s := u.call.Suspect
-	u.relayer.options.Logger.Info("call kept apart", zap.String("request", u.call.ID), zap.Uint64("fingerprint", s.Fingerprint),
+	u.relayer.options.Logger.Info("call refused as suspect", zap.String("request", u.call.ID), zap.Uint64("fingerprint", s.Fingerprint),
 		s.PartsField(), zap.Int64("for-ms", int64(retryAfter)))
 	return u.giveUp("servers failed lately under this call or a part of its prompt", retryAfter)
 }
--- a/suspector/beginning.go
+++ b/suspector/beginning.go
@@ -35,7 +35,7 @@
 			change, added := s.prompts.Add(p.crash(c.ID, now-max(c.Age, 0)), now)
 			changed = changed || added
 			if len(change.Refused)+len(change.Released) > 0 {
-				s.logger.Warn("parts of prompts refused or released", zap.Uint64s("refused", change.Refused), zap.Uint64s("released", change.Released), zap.String("death", c.ID))
+				s.logger.Warn("parts of prompts refused or released", zap.Uint64s("refused", change.Refused), zap.Uint64s("released", change.Released), zap.String("crash", c.ID))
 			}
 		}
 	}
--- a/suspector/runtime.go
+++ b/suspector/runtime.go
@@ -74,7 +74,7 @@
 ) *Suspector {
 	s := &Suspector{sharedTable: newSharedTable(Table{}, clock), fleet: fleet, caller: caller, logger: logger, activeSuspects: make(map[string]uint64), prompts: attributor.New()}
 	var err error
-	if s.crashes, err = meter.Int64Counter("jackdawgate.suspector.deaths"); err != nil {
+	if s.crashes, err = meter.Int64Counter("jackdawgate.suspector.crashes"); err != nil {
 		logger.Error("create counter of crashes failed", zap.Error(err))
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -116,7 +116,7 @@
 	if s.crashes != nil {
 		s.crashes.Add(s.ctx, 1)
 	}
-	s.logger.Warn("server crashed; its calls in flight are suspected", zap.String("server", server), zap.String("death", id), zap.Int("calls", len(calls)))
+	s.logger.Warn("server crashed; its calls in flight are suspected", zap.String("server", server), zap.String("crash", id), zap.Int("calls", len(calls)))
 	c := Crash{ID: id, Server: server}
 	for _, x := range calls {
 		c.Fingerprints = append(c.Fingerprints, x.Fingerprint)
--- a/suspector/tracker.go
+++ b/suspector/tracker.go
@@ -184,8 +184,8 @@
 		t.dropExcessCrash()
 	}
 	_, crashes, refused := t.evidence.crashState(a.Fingerprint, now)
-	t.logger.Info("failure held against a call", zap.String("server", a.Server.ID), zap.Int64("born", a.Server.StartedAt), zap.Uint64("fingerprint", a.Fingerprint),
-		zap.String("reason", reason), zap.Bool("counted-before", !crash.call), zap.Int("deaths", crashes), zap.Bool("refused", refused),
+	t.logger.Info("crash attributed to a call", zap.String("server", a.Server.ID), zap.Int64("started-at", a.Server.StartedAt), zap.Uint64("fingerprint", a.Fingerprint),
+		zap.String("reason", reason), zap.Bool("counted-before", !crash.call), zap.Int("crashes", crashes), zap.Bool("refused", refused),
 		zap.Int64("age-ms", int64(now-a.Sent)), zap.Int("events", a.Events), a.PartsField())
 	if crash.call && refused && t.quarantine != nil {
 		t.quarantine.Put(a.Fingerprint, a.workspaceHash())
--- a/throttler/heard.go
+++ b/throttler/heard.go
@@ -74,7 +74,7 @@
 	}
 	e.pausedUntil, e.pausedHere, e.changedAt = until, heardHere, now
 	t.reported[e] = struct{}{}
-	t.logger.Info("server takes no requests for a while", zap.String("server", e.server.ID), zap.Int64("born", e.server.StartedAt),
+	t.logger.Info("server takes no requests for a while", zap.String("server", e.server.ID), zap.Int64("started-at", e.server.StartedAt),
 		zap.Int64("for-ms", int64(until-now)), zap.Bool("heard-here", heardHere))
 }
 
@@ -144,7 +144,7 @@
 	}
 	const maxLogged = 64
 	text := strings.Join(values, ", ")
-	t.logger.Warn("server's limit cannot be read", zap.String("server", v.ID), zap.Int64("born", v.StartedAt),
+	t.logger.Warn("server's limit cannot be read", zap.String("server", v.ID), zap.Int64("started-at", v.StartedAt),
 		zap.String("limit", text[:min(len(text), maxLogged)]), zap.Int("more", t.unreadable.more))
 	t.unreadable = lastLogged{at: now}
 }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -170,7 +170,7 @@
 func (t *Throttler) change(e *entry, w word, heardHere bool) {
 	now := t.clock.Now()
 	if w.rate != e.word.rate {
-		t.logger.Info("server's limit changed", zap.String("server", e.server.ID), zap.Int64("born", e.server.StartedAt),
+		t.logger.Info("server's limit changed", zap.String("server", e.server.ID), zap.Int64("started-at", e.server.StartedAt),
 			zap.Float64("limit", w.rate), zap.Float64("before", e.word.rate), zap.Uint32("version", w.version), zap.Bool("heard-here", heardHere))
 	}
 	e.word, e.changedAt, e.confirm = w, now, heardHere && w.raised != 0
