manager: a usage report that can't be computed is answered with the reason

Cause: the report was streamed, and a report whose first step fails ended the stream before its first byte. Ruled out: a slow start; the error is in the host's log at each request. Now the report, which is in memory in any case, is computed before the answer begins, and a failure is a 500 with the code no-usage-report and the text. The test got EOF before.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -42,6 +42,9 @@
 // was applied. Sending the change again with the same identifier resolves this.
 const CodeChangeUnknown = "change-unknown"
 
+// CodeNoReport is the code of an error that says why usage can't be reported.
+const CodeNoReport = "no-usage-report"
+
 // ChangeRequest requests one change of the record.
 type ChangeRequest struct {
 	// ID identifies the change in repeated requests.
--- a/manager/handle.go
+++ b/manager/handle.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"crypto/subtle"
 	"errors"
@@ -9,6 +10,7 @@
 	"github.com/jackdawgate/jackdawgate/administrator"
 	"github.com/jackdawgate/jackdawgate/answerer"
 	"github.com/jackdawgate/jackdawgate/coordinator"
+	"github.com/jackdawgate/jackdawgate/guardian"
 	"github.com/jackdawgate/jackdawgate/receiver"
 	"github.com/jackdawgate/jackdawgate/registrar"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -179,12 +181,27 @@
 	if !ok {
 		return
 	}
-	write := m.options.Usage.WriteReport
-	ctx.SetContentType("application/json")
+	o := m.options.Guardian.BeginOperator(ctx.Conn(), m.options.UsageTimeout)
 	if string(ctx.Path()) == administrator.UsageRecordsPath {
-		write = m.options.Usage.WriteRecords
 		ctx.SetContentType("application/x-ndjson")
+		m.options.Guardian.Stream(ctx, o, func(w io.Writer) error { return m.options.Usage.WriteRecords(o.Context, w, from, until) })
+		return
 	}
-	o := m.options.Guardian.BeginOperator(ctx.Conn(), m.options.UsageTimeout)
-	m.options.Guardian.Stream(ctx, o, func(w io.Writer) error { return write(o.Context, w, from, until) })
+	defer m.options.Guardian.End(o)
+	m.report(ctx, o, from, until)
+}
+
+// report answers with a whole report of usage, or with the reason why there is none. A
+// report is in memory in any case, so it isn't streamed.
+func (m *Manager) report(ctx *fasthttp.RequestCtx, o *guardian.Call, from, until timer.Millis) {
+	var report bytes.Buffer
+	if err := m.options.Usage.WriteReport(o.Context, &report, from, until); err != nil {
+		m.options.Logger.Warn("no usage report", zap.Error(err))
+		e := answerer.Internal()
+		e.Code, e.Message = administrator.CodeNoReport, err.Error()
+		answerer.Fail(ctx, e)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(report.Bytes())
 }
--- a/server/life_test.go
+++ b/server/life_test.go
@@ -14,9 +14,11 @@
 
 	"github.com/jackdawgate/jackdawgate/administrator"
 	"github.com/jackdawgate/jackdawgate/coordinator"
+	"github.com/jackdawgate/jackdawgate/recorder"
 	"github.com/jackdawgate/jackdawgate/registrar"
 	"github.com/jackdawgate/jackdawgate/requester"
 	"github.com/jackdawgate/jackdawgate/server"
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
 
@@ -242,6 +244,30 @@
 	require.Len(t, st.Servers, 2)
 }
 
+// failingUsage is a source of usage reports that can't compute any.
+type failingUsage struct{}
+
+func (failingUsage) WriteReport(context.Context, io.Writer, timer.Millis, timer.Millis) error {
+	return &recorder.FaultError{Kind: recorder.FaultUnknownKey, Host: "h2", Incarnation: "i7"}
+}
+
+func (failingUsage) WriteRecords(context.Context, io.Writer, timer.Millis, timer.Millis) error {
+	return nil
+}
+
+// TestUsageReportThatFailsIsAnswered guards against an operator who asks for a bill that
+// can't be computed and gets a closed connection without any answer.
+func TestUsageReportThatFailsIsAnswered(t *testing.T) {
+	h := newHarness(t, answerWith("{}"), func(o *server.Options) { o.Usage = failingUsage{} })
+	r := h.request("GET", administrator.UsagePath, "")
+	r.Header.Set("Authorization", "Bearer operators-token")
+	a := h.do(r)
+	require.Equal(t, 500, a.status)
+	require.Equal(t, administrator.CodeNoReport, a.code)
+	require.Contains(t, a.body, "h2")
+	require.Contains(t, a.body, "unknown-key")
+}
+
 // TestCloseEndsConnectionsWithIncompleteRequests checks that a request which
 // never arrives completely does not keep Close from returning.
 func TestCloseEndsConnectionsWithIncompleteRequests(t *testing.T) {
