scheduler: a job fails at its maximum age; batcher: a submission may not outlast its items

Now a job that has not ended at MaxAge fails, with its results readable and billed; a submission that took more than half of opener.OrphanAge is not accepted. Both tests failed before (job still running after the hour, submission accepted after 25 h).

Seen on the way: the expected end of a job that makes no progress was a negative number, as the quotient overflowed; it is left out now, checked by the same test (- before).

--- a/batcher/batcher.go
+++ b/batcher/batcher.go
@@ -50,7 +50,7 @@
 		Archive: o.Archive, Manifests: manifests, Opener: op, Viewer: o.Viewer, Clock: o.Clock, Doer: o.Doer,
 		Log: o.Log, Meter: o.Meter, MaxAnswer: o.MaxAnswer, MaxRunning: o.MaxRunning, MaxWindow: o.MaxWindow,
 		ItemTimeout: o.ItemTimeout, ItemLimits: retrier.Limits{MaxAttempts: o.MaxAttempts, MaxSuspects: o.MaxSuspects},
-		RotateBytes: o.RotateBytes, LossAfter: o.LossAfter, PollInterval: o.PollInterval,
+		RotateBytes: o.RotateBytes, LossAfter: o.LossAfter, MaxAge: o.MaxAge, PollInterval: o.PollInterval,
 	})
 	if err != nil {
 		return nil, err
--- a/batcher/job_test.go
+++ b/batcher/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -69,6 +70,64 @@
 	})
 }
 
+// TestJobEndsAtItsMaximumAge guards against a job that never ends, whose segments expire
+// and are deleted while it still runs.
+func TestJobEndsAtItsMaximumAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, func(o *batcher.Options) { o.MaxAge = 3600 * timer.Second })
+		defer c.close()
+		c.do = func(ctx context.Context, r requester.Request, s requester.Sink) requester.Outcome {
+			if customID(r) == "never" {
+				<-ctx.Done()
+				return requester.Evicted{}
+			}
+			return answerAfter(time.Second)(ctx, r, s)
+		}
+		submitted, err := c.hosts[0].batcher.Submit(t.Context(), request("k", []string{"a", "never", "b"}))
+		require.NoError(t, err)
+		time.Sleep(55 * time.Minute)
+		j, err := c.hosts[1].batcher.Status(t.Context(), workspace, submitted.ID)
+		require.NoError(t, err)
+		require.False(t, j.State.Ended())
+		require.GreaterOrEqual(t, j.ExpectedEnd, timer.Millis(0), "a rate close to zero gives no estimate")
+		j = c.waitEnded(submitted.ID, 10*time.Minute)
+		require.Equal(t, submitter.StateFailed, j.State)
+		require.Contains(t, j.Reason, "maximum age")
+		require.EqualValues(t, 2, j.Counts.Done)
+		require.EqualValues(t, 2, c.usage.requests())
+	})
+}
+
+// slowReader waits before it returns the first byte.
+type slowReader struct {
+	io.Reader
+	wait time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	time.Sleep(r.wait)
+	r.wait = 0
+	return r.Reader.Read(p)
+}
+
+// TestSubmissionThatTakesTooLongIsNotAccepted guards against a job whose items were taken
+// for orphaned and deleted before it was accepted.
+func TestSubmissionThatTakesTooLongIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		defer c.close()
+		r := request("k", nil)
+		r.Items = &slowReader{Reader: strings.NewReader(inputLine("a")), wait: 25 * time.Hour}
+		_, err := c.hosts[0].batcher.Submit(t.Context(), r)
+		var refused *submitter.NotAcceptedError
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, submitter.CodeTooSlow, refused.Code)
+		keys, err := c.store.List(t.Context(), "")
+		require.NoError(t, err)
+		require.Empty(t, keys)
+	})
+}
+
 // Several hosts accept submissions with the same idempotency key concurrently,
 // while answers of the store are lost after the write. All must return the same
 // job.
--- a/batcher/options.go
+++ b/batcher/options.go
@@ -35,9 +35,9 @@
 	Retention timer.Millis
 	// FileRetention is how long an uploaded file is kept.
 	FileRetention timer.Millis
-	// MaxAge is the assumed maximum lifetime of a job; it is not enforced. MaxAge plus
+	// MaxAge is how long after its creation a job fails that has not ended. MaxAge plus
 	// Retention is how long after their creation a job's segments are kept if the job
-	// does not end. When it ends, its items are deleted, and the expiry of its
+	// does not end, for example because its owner never reaches the store. When it ends, its items are deleted, and the expiry of its
 	// results is set anew, to Retention and a margin from then.
 	MaxAge timer.Millis
 	// MaxItems is the maximum number of items in an input, and MaxLine the maximum
--- a/batcher/submit.go
+++ b/batcher/submit.go
@@ -12,10 +12,12 @@
 	"github.com/jackdawgate/jackdawgate/bookkeeper"
 	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/filer"
+	"github.com/jackdawgate/jackdawgate/opener"
 	"github.com/jackdawgate/jackdawgate/parser"
 	"github.com/jackdawgate/jackdawgate/replicator"
 	"github.com/jackdawgate/jackdawgate/submitter"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
 
@@ -23,6 +25,11 @@
 // determine whether the manifest was written, if a response of the store is lost.
 const acceptTimeout = 15 * timer.Second
 
+// maxSubmission is how long the items of a job may take to arrive. It leaves half of
+// opener.OrphanAge for differences between hosts' clocks, since the items are deleted
+// if they have that age and no manifest.
+const maxSubmission = opener.OrphanAge / 2
+
 // Submit implements submitter.API.
 func (b *Batcher) Submit(ctx context.Context, r submitter.SubmitRequest) (submitter.Job, error) {
 	if !b.options.Viewer.View().Permitted(b.options.Clock.Now()) {
@@ -44,10 +51,15 @@
 	case !errors.Is(err, bookkeeper.ErrNoManifest):
 		return submitter.Job{}, &submitter.NotAcceptedError{Code: submitter.CodeStoreUnavailable, Err: err}
 	}
+	began := timer.Wall()
 	items, digest, err := b.storeItems(ctx, id, r)
 	if err != nil {
 		return submitter.Job{}, err
 	}
+	if took := timer.Wall() - began; took > maxSubmission {
+		b.files.Discard(items.Name)
+		return submitter.Job{}, &submitter.NotAcceptedError{Code: submitter.CodeTooSlow, Err: eris.Errorf("its items took %d s to arrive", took/timer.Second)}
+	}
 	m := b.newManifest(id, r, fileID, items, digest)
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout.Duration())
 	defer cancel()
--- a/opener/end.go
+++ b/opener/end.go
@@ -151,7 +151,7 @@
 }
 
 // DeleteOrphanedItems deletes the item segments of a job that has no manifest, once
-// they are older than minOrphanAge. Failures are logged and not returned; the caller may
+// they are older than OrphanAge. Failures are logged and not returned; the caller may
 // repeat the call.
 func (o *Opener) DeleteOrphanedItems(ctx context.Context, jobID string) {
 	l, err := o.options.Archive.List(ctx, bookkeeper.ItemsPrefix+jobID+"/")
@@ -159,7 +159,7 @@
 		return
 	}
 	for _, i := range l.Infos {
-		if timer.Wall()-i.Created < minOrphanAge {
+		if timer.Wall()-i.Created < OrphanAge {
 			continue
 		}
 		if _, _, err := o.options.Manifests.Get(ctx, jobID); !errors.Is(err, bookkeeper.ErrNoManifest) {
@@ -173,7 +173,6 @@
 	}
 }
 
-// minOrphanAge is the minimum age of items without a manifest for their deletion. It is
-// assumed that no submission takes longer from the creation of its items to the
-// writing of its manifest; this is not enforced.
-const minOrphanAge = 24 * 3600 * timer.Second
+// OrphanAge is the minimum age of items without a manifest for their deletion. A
+// submission must not write its manifest so long after the creation of its items.
+const OrphanAge = 24 * 3600 * timer.Second
--- a/opener/opener.go
+++ b/opener/opener.go
@@ -58,7 +58,7 @@
 	// Biller records the usage; if nil, usage is not recorded.
 	Biller Biller
 	Log    *zap.Logger
-	// MaxAge is the assumed maximum age of a job; it is not enforced. MaxAge plus
+	// MaxAge is the maximum age of a job; package scheduler enforces it. MaxAge plus
 	// Retention is how long the segments of a job are kept if it does not end. Retention
 	// is how long results are readable after the job has ended.
 	MaxAge    timer.Millis
--- a/scheduler/control.go
+++ b/scheduler/control.go
@@ -166,12 +166,26 @@
 		if j.tally != nil {
 			j.meter = j.meter.Observe(now, j.tally.Counts.Done+j.tally.Counts.Failed)
 		}
+		c.failExpired(j)
 		c.poll(j, now)
 		c.advance(j)
 	}
 	c.shares.Retain(workspaces)
 }
 
+// failExpired ends a job that has reached its maximum age, since its segments are kept
+// only for a limited time beyond it. Results that were recorded remain.
+func (c *jobLoop) failExpired(j *job) {
+	age := timer.Wall() - j.manifest.Job.Created
+	if j.phase != jobRunning || j.startsNoItems() || age < c.scheduler.options.MaxAge {
+		return
+	}
+	c.scheduler.options.Log.Warn("job reached its maximum age; job fails", zap.String("job", j.id), zap.Int64("age-ms", int64(age)), zap.Int("running", j.running))
+	j.failure = "it did not end within its maximum age"
+	j.stopRuns()
+	j.queue, j.waiting = nil, nil
+}
+
 // poll reads the job's manifest if the last read is at least PollInterval ago.
 func (c *jobLoop) poll(j *job, now timer.Millis) {
 	if now-j.lastPoll < c.scheduler.options.PollInterval || j.phase == jobEnding {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -215,12 +215,18 @@
 	}
 	m.OutputBytes, m.ErrorBytes = j.tally.OutputBytes, j.tally.ErrorBytes
 	m.Job.ItemsPerSecond = j.meter.PerSecond
-	if left := j.tally.Counts.Total - j.tally.Counts.Done - j.tally.Counts.Failed; j.meter.PerSecond > 0 && left > 0 {
-		m.Job.ExpectedEnd = wall + timer.Millis(float64(left)*1000/j.meter.PerSecond)
+	if left := j.tally.Counts.Total - j.tally.Counts.Done - j.tally.Counts.Failed; left > 0 {
+		// Without any progress the rate approaches 0, and the quotient infinity.
+		if wait := float64(left) * 1000 / j.meter.PerSecond; wait < float64(maxEstimate) {
+			m.Job.ExpectedEnd = wall + timer.Millis(wait)
+		}
 	}
 	return m
 }
 
+// maxEstimate is the time to the expected end of a job from which it is not stated.
+const maxEstimate = 365 * 24 * 3600 * timer.Second
+
 // bytesPerToken is the number of bytes in a request that are estimated as one
 // token.
 const bytesPerToken = 4
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -62,6 +62,8 @@
 	// RotateBytes is the size of a result segment, in bytes, from which it is
 	// closed and another one opened.
 	RotateBytes int64
+	// MaxAge is how long after its creation a job fails that has not ended.
+	MaxAge timer.Millis
 	// LossAfter is how long reading a job's items must have failed before they are
 	// considered lost and the job fails. Failed attempts to open the job in the
 	// same period count too, whatever their cause.
--- a/submitter/errors.go
+++ b/submitter/errors.go
@@ -12,6 +12,7 @@
 	CodeNotPermitted       = "not-permitted"
 	CodeHoldersUnavailable = "holders-unavailable"
 	CodeOwnerUnavailable   = "owner-unavailable"
+	CodeTooSlow            = "submission-too-slow"
 )
 
 // ErrNotPermitted is the error that a NotAcceptedError with CodeNotPermitted
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -143,7 +143,7 @@
 	CountsKnown bool `cbor:"18,keyasint" json:"counts-known"`
 	// ItemsPerSecond is the recent rate at which items end.
 	ItemsPerSecond float64 `cbor:"19,keyasint" json:"items-per-second"`
-	// ExpectedEnd is an estimate computed from ItemsPerSecond.
+	// ExpectedEnd is an estimate computed from ItemsPerSecond; 0 if there is none.
 	ExpectedEnd timer.Millis `cbor:"20,keyasint" json:"expected-end"`
 	// LostSegments is the number of result segments that were lost because all
 	// their holders were; their items run again.
