recorder: usage outlives a stop of all hosts

Callers saw: after all hosts had stopped in order and started again, no bill could be computed any more, with unknown-key for the hosts that left together. Cause: a key is trusted if a member has it or a trusted chain attests it, and those that join after a full stop never saw the keys of those before. Ruled out: lost records; they were on all their holders. Now the record keeps the keys of members removed in the last 64 epochs, which members that join later attest, and which bills trust.

--- a/operator/usage.go
+++ b/operator/usage.go
@@ -89,6 +89,9 @@
 	if len(bill.Unreached) > 0 {
 		_, _ = fmt.Fprintf(e.Stderr, "the report may be incomplete: no answer from %s\n", strings.Join(bill.Unreached, ", "))
 	}
+	if len(bill.Unsealed) > 0 {
+		_, _ = fmt.Fprintf(e.Stderr, "the report may lack the last records of earlier runs of %s; they are read about a minute after the host went\n", strings.Join(bill.Unsealed, ", "))
+	}
 	if u.jsonOutput {
 		return printJSON(e.Stdout, bill)
 	}
@@ -158,11 +161,7 @@
 	if err != nil {
 		return err
 	}
-	keys := make(recorder.Keys)
-	for _, m := range r.Members {
-		keys[m.Incarnation] = m.UsageKey
-	}
-	if err := recorder.Verify(bill, chains, keys); err != nil {
+	if err := recorder.Verify(bill, chains, recorder.KeysOf(r)); err != nil {
 		return err
 	}
 	_, err = fmt.Fprintf(e.Stdout, "the bill of %d lines follows from %d chains of records\n", len(bill.Lines), len(chains))
--- a/recorder/bill.go
+++ b/recorder/bill.go
@@ -53,6 +53,10 @@
 	// Unreached names the holders that did not answer, sorted. Usage of any part of the
 	// query's period may be missing if their records are on no other holder.
 	Unreached []string `json:"unreached,omitempty"`
+	// Unsealed names the hosts whose earlier incarnations have a segment that the Sealer
+	// has not finalized yet, sorted. The last records of those may be missing until then,
+	// for about SealerOptions.Grace after the host was removed.
+	Unsealed []string `json:"unsealed,omitempty"`
 }
 
 // Chain contains all records of one incarnation, in order. Batches can be iterated
@@ -60,6 +64,9 @@
 type Chain struct {
 	Header  ChainHeader
 	Batches iter.Seq2[SignedBatch, error]
+	// Open means that a segment of the chain is not final; readers then may not see its
+	// last batches.
+	Open bool
 }
 
 // ChainFromBatches returns a chain of batches that are in memory.
@@ -87,8 +94,7 @@
 	return fmt.Sprintf("usage record %d of host %s, incarnation %s: %s", e.Number, e.Host, e.Incarnation, e.Kind)
 }
 
-// Keys contains trusted public keys by incarnation. Callers pass those of the
-// current members.
+// Keys contains trusted public keys by incarnation. Callers pass those of KeysOf.
 type Keys map[string]ed25519.PublicKey
 
 // aggregator adds up the usage of entries.
--- a/recorder/collect.go
+++ b/recorder/collect.go
@@ -34,7 +34,8 @@
 	var out []Chain
 	for _, k := range slices.Sorted(maps.Keys(byIncarnation)) {
 		segments := byIncarnation[k]
-		out = append(out, Chain{Header: segments[0].header.Chain, Batches: mergedBatches(ctx, a, segments)})
+		open := slices.ContainsFunc(segments, func(s usageSegment) bool { return !s.info.Final })
+		out = append(out, Chain{Header: segments[0].header.Chain, Batches: mergedBatches(ctx, a, segments), Open: open})
 	}
 	return out, l.Unreached, nil
 }
@@ -81,7 +82,8 @@
 var errStopped = errors.New("iteration stopped")
 
 // Report computes the bill from the records that the holders have. The bill names the
-// holders that do not answer; it may then be incomplete.
+// holders that do not answer, and the hosts whose last records may not be readable yet; in
+// both cases it may be incomplete.
 func Report(ctx context.Context, a *replicator.Client, q Query, keys Keys) (Bill, error) {
 	chains, unreached, err := Collect(ctx, a)
 	if err != nil {
@@ -89,5 +91,13 @@
 	}
 	b, err := Compute(q, chains, keys)
 	b.Unreached = slices.Sorted(slices.Values(unreached))
+	members := a.Record()
+	for _, c := range chains {
+		if c.Open && !members.HasMember(c.Header.Host, c.Header.Incarnation) {
+			b.Unsealed = append(b.Unsealed, c.Header.Host)
+		}
+	}
+	slices.Sort(b.Unsealed)
+	b.Unsealed = slices.Compact(b.Unsealed)
 	return b, err
 }
--- a/recorder/doc.go
+++ b/recorder/doc.go
@@ -37,6 +37,8 @@
 //
 // The public key of a member is in the record of package registrar. Three other
 // hosts attest each member's key in their own chains, so that chains of
-// incarnations that are no longer members can still be verified. A key is trusted
-// if it belongs to a current member or if a trusted chain attests it.
+// incarnations that are no longer members can still be verified. The record keeps the
+// keys of members that were removed lately, which those that join later attest too, so
+// that this also holds when all hosts stop. A key is trusted if the record has it or if a
+// trusted chain attests it.
 package recorder
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -239,6 +239,36 @@
 	})
 }
 
+// TestUsageOutlivesAStopOfAllHosts guards against a bill that can't be computed any more
+// once all hosts have stopped in order and started again, since nobody attests the keys of
+// those that left together; and against one that lacks their last records without saying so.
+func TestUsageOutlivesAStopOfAllHosts(t *testing.T) {
+	for _, order := range [][]string{{"h0", "h1", "h2", "h3"}, {"h3", "h2", "h1", "h0"}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 4)
+			require.NoError(t, f.hosts["h3"].recorder.Record(t.Context(), entry("a")))
+			time.Sleep(5 * time.Second)
+			for _, name := range order {
+				require.NoError(t, f.hosts[name].stop(timer.Second))
+				f.hosts[name].leave()
+			}
+			for _, name := range order {
+				f.hosts[name].start("2")
+			}
+			defer f.close()
+			time.Sleep(5 * time.Second)
+			bill, err := recorder.Report(t.Context(), f.hosts["h0"].client, recorder.Query{}, f.keys())
+			require.NoError(t, err)
+			require.True(t, f.requests(bill) == 1 || slices.Contains(bill.Unsealed, "h3"), "%+v", bill)
+			time.Sleep(90 * time.Second)
+			bill, err = recorder.Report(t.Context(), f.hosts["h0"].client, recorder.Query{}, f.keys())
+			require.NoError(t, err)
+			require.EqualValues(t, 1, f.requests(bill))
+			require.Empty(t, bill.Unsealed)
+		})
+	}
+}
+
 func TestUnattestedKeyIsNotTrusted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 4)
--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -26,6 +26,7 @@
 	Servers    mapDelta[BackendServer] `cbor:"11,keyasint"`
 	Routes     mapDelta[Route]         `cbor:"12,keyasint"`
 	Presets    mapDelta[Preset]        `cbor:"13,keyasint"`
+	Former     mapDelta[FormerMember]  `cbor:"14,keyasint"`
 }
 
 // mapDelta is the difference between two versions of one map.
@@ -54,6 +55,11 @@
 	return same && reflect.DeepEqual(k, o)
 }
 
+// Equal reports whether f and o are equal. A nil and an empty UsageKey are equal.
+func (f FormerMember) Equal(o FormerMember) bool {
+	return f.Name == o.Name && f.Epoch == o.Epoch && bytes.Equal(f.UsageKey, o.UsageKey)
+}
+
 // Equal reports whether m and o are equal. A nil and an empty UsageKey are equal.
 func (m Member) Equal(o Member) bool {
 	same := bytes.Equal(m.UsageKey, o.UsageKey)
@@ -79,6 +85,7 @@
 		Servers:    diffMaps(old.Servers, r.Servers),
 		Routes:     diffMaps(old.Routes, r.Routes),
 		Presets:    diffMaps(old.Presets, r.Presets),
+		Former:     diffMaps(old.Former, r.Former),
 	}
 	if r.Epoch != old.Epoch {
 		d.Transitions = r.Transitions
@@ -109,6 +116,7 @@
 	r.Servers = d.Servers.apply(r.Servers)
 	r.Routes = d.Routes.apply(r.Routes)
 	r.Presets = d.Presets.apply(r.Presets)
+	r.Former = d.Former.apply(r.Former)
 	for _, a := range d.Recent {
 		r = r.withRecent(a)
 	}
--- a/registrar/delta_test.go
+++ b/registrar/delta_test.go
@@ -83,6 +83,7 @@
 		Members: []registrar.Member{{Name: "m"}}, Workspaces: map[string]registrar.Workspace{"w": {}},
 		Keys: map[string]registrar.Key{"k": {}}, Servers: map[string]registrar.BackendServer{"s": {}},
 		Routes: map[string]registrar.Route{"r": {}}, Presets: map[string]registrar.Preset{"p": {}},
+		Former: map[string]registrar.FormerMember{"f": {}},
 	}
 	each(t, old, func(v registrar.Member) registrar.Record {
 		return registrar.Record{Epoch: 1, Members: []registrar.Member{v}}
@@ -102,6 +103,9 @@
 	each(t, old, func(v registrar.Preset) registrar.Record {
 		return registrar.Record{Presets: map[string]registrar.Preset{"p": v}}
 	})
+	each(t, old, func(v registrar.FormerMember) registrar.Record {
+		return registrar.Record{Former: map[string]registrar.FormerMember{"f": v}}
+	})
 }
 
 func each[V any](t *testing.T, old registrar.Record, with func(V) registrar.Record) {
@@ -116,6 +120,8 @@
 			f.SetBool(true)
 		case reflect.Int, reflect.Int64:
 			f.SetInt(1)
+		case reflect.Uint64:
+			f.SetUint(1)
 		case reflect.Float64:
 			f.SetFloat(1)
 		case reflect.Slice:
@@ -124,7 +130,7 @@
 			require.Fail(t, "field of unsupported kind", f.Kind())
 		}
 		d := with(changed).DeltaFrom(old)
-		puts := len(d.Members.Put) + len(d.Workspaces.Put) + len(d.Keys.Put) + len(d.Servers.Put) + len(d.Routes.Put) + len(d.Presets.Put)
+		puts := len(d.Members.Put) + len(d.Workspaces.Put) + len(d.Keys.Put) + len(d.Servers.Put) + len(d.Routes.Put) + len(d.Presets.Put) + len(d.Former.Put)
 		require.Equal(t, 1, puts, "%T.%s", zero, reflect.TypeOf(zero).Field(i).Name)
 	}
 }
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -30,6 +30,21 @@
 	Removed []RemovedMember `cbor:"4,keyasint" json:"left"`
 }
 
+// FormerMember is a member that was removed or replaced. Its key is kept so that members
+// that join later can attest it: those that knew it may all have stopped at the same time.
+type FormerMember struct {
+	Name string `cbor:"1,keyasint" json:"name"`
+	// Epoch is the first epoch without the member.
+	Epoch Epoch `cbor:"2,keyasint" json:"epoch"`
+	// UsageKey is its public key; see Member.
+	UsageKey []byte `cbor:"3,keyasint" json:"usage-key"`
+}
+
+// formerEpochs is the number of epochs after which a former member leaves the record. Its
+// key has been attested long before: an epoch takes at least a write to the store that
+// most members accept, and keys are attested within about a second.
+const formerEpochs = 64
+
 // MemberChange is one batch of members that join and members that are removed.
 type MemberChange struct {
 	Join   []Member
@@ -50,12 +65,14 @@
 func (r Record) WithMembers(c MemberChange) Record {
 	t := Transition{Epoch: r.Epoch + 1, Version: r.Version + 1}
 	members := make(map[string]Member, len(r.Members)+len(c.Join))
+	former := make(map[string]FormerMember)
 	for _, m := range r.Members {
 		members[m.Name] = m
 	}
 	for _, d := range c.Remove {
 		if m, ok := members[d.Name]; ok && m.Incarnation == d.Incarnation {
 			delete(members, d.Name)
+			former[m.Incarnation] = FormerMember{Name: m.Name, Epoch: t.Epoch, UsageKey: m.UsageKey}
 			d.PeerAddress = m.PeerAddress
 			t.Removed = append(t.Removed, d)
 		}
@@ -66,6 +83,7 @@
 			continue
 		}
 		if ok {
+			former[old.Incarnation] = FormerMember{Name: old.Name, Epoch: t.Epoch, UsageKey: old.UsageKey}
 			stopped := old.PeerAddress == m.PeerAddress
 			t.Removed = append(t.Removed, RemovedMember{
 				Name: old.Name, Incarnation: old.Incarnation, Stopped: stopped, PeerAddress: old.PeerAddress,
@@ -79,6 +97,12 @@
 	}
 	slices.Sort(t.Joined)
 	r.Members = sortedMembers(members)
+	for k, f := range r.Former {
+		if f.Epoch+formerEpochs > t.Epoch {
+			former[k] = f
+		}
+	}
+	r.Former = former
 	r.Version, r.Epoch, r.EpochVersion = t.Version, t.Epoch, t.Version
 	if c.Forced {
 		r.Transitions = append(slices.Clone(r.Transitions), t)
--- a/registrar/record.go
+++ b/registrar/record.go
@@ -148,6 +148,9 @@
 	// under this record, oldest first: the newest one, and those before it that a
 	// forced change did not wait for.
 	Transitions []Transition `cbor:"12,keyasint" json:"transitions"`
+	// Former has, by incarnation, the members that were removed or replaced in the last
+	// formerEpochs epochs.
+	Former map[string]FormerMember `cbor:"13,keyasint" json:"former"`
 }
 
 // Applied records the version at which a change took effect.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/registrar"
@@ -91,3 +92,16 @@
 	}
 	require.Nil(t, registrar.Envelope{}.Change())
 }
+
+func TestFormerMembersAreKeptForSomeEpochs(t *testing.T) {
+	r := registrar.Record{}.WithMember(registrar.Member{Name: "a", Incarnation: "a-1", UsageKey: []byte{1}})
+	r = r.WithMember(registrar.Member{Name: "a", Incarnation: "a-2", UsageKey: []byte{2}}).WithoutMember("a", "a-2")
+	require.Equal(t, registrar.FormerMember{Name: "a", Epoch: 2, UsageKey: []byte{1}}, r.Former["a-1"])
+	require.Equal(t, registrar.FormerMember{Name: "a", Epoch: 3, UsageKey: []byte{2}}, r.Former["a-2"])
+	for i := range 100 {
+		r = r.WithMember(registrar.Member{Name: "b", Incarnation: fmt.Sprint("b-", i)})
+		require.LessOrEqual(t, len(r.Former), 66)
+	}
+	require.NotContains(t, r.Former, "a-1")
+	require.Contains(t, r.Former, "b-98")
+}
--- a/runner/usage.go
+++ b/runner/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/ed25519"
 	"encoding/json"
 	"io"
 
@@ -81,24 +80,13 @@
 	return recorder.Entry{Workspace: workspace, Owner: w.Owner}
 }
 
-// publicKeys returns the public usage keys of the current members by incarnation.
-func (u usage) publicKeys() recorder.Keys {
-	keys := make(recorder.Keys)
-	for _, m := range u.viewer.View().Record.Members {
-		if len(m.UsageKey) == ed25519.PublicKeySize {
-			keys[m.Incarnation] = m.UsageKey
-		}
-	}
-	return keys
-}
-
 // WriteReport implements manager.Usage. The report includes the usage of this host
 // up to now.
 func (u usage) WriteReport(ctx context.Context, w io.Writer, from, until timer.Millis) error {
 	if err := u.recorder.Flush(ctx); err != nil {
 		return err
 	}
-	b, err := recorder.Report(ctx, u.archive, recorder.Query{From: from, To: until}, u.publicKeys())
+	b, err := recorder.Report(ctx, u.archive, recorder.Query{From: from, To: until}, recorder.KeysOf(u.viewer.View().Record))
 	if err != nil {
 		return err
 	}
