--- a/tester/fleet_test.go
+++ b/tester/fleet_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"regexp"
 	"os"
 	"path/filepath"
 	"strings"
@@ -171,6 +172,37 @@
 	requireOneResultPerItem(t, c, "kitchen", job, 600)
 }
 
+// TestUsageIsReportedAfterAllHostsRestart guards against a bill that can't be computed any
+// more once all hosts were stopped, or killed, and started again.
+func TestUsageIsReportedAfterAllHostsRestart(t *testing.T) {
+	t.Parallel()
+	c := tester.Start(t, 3, 1)
+	key := c.CreateWorkspace("kitchen", 1000, 1000)
+	client := tester.NewClient()
+	for i := range 3 {
+		requireServedWithRetries(t, c, client, i, key)
+	}
+	reported := func() bool {
+		out, code := c.TryRunCLI("usage", "report")
+		return code == 0 && regexp.MustCompile(`kitchen +online +3 `).MatchString(out)
+	}
+	require.Eventually(t, reported, takeoverTimeout, pollInterval)
+	for _, end := range []func(int){func(i int) { c.Stop(i) }, c.Kill} {
+		var ended sync.WaitGroup
+		for i := range 3 {
+			ended.Go(func() { end(i) })
+		}
+		ended.Wait()
+		for i := range 3 {
+			c.Launch(i)
+		}
+		require.Eventually(t, reported, takeoverTimeout+sealTimeout, pollInterval)
+	}
+}
+
+// sealTimeout is how long after a host was removed its last usage records may be unreadable.
+const sealTimeout = 90 * time.Second
+
 func TestHostsServeDuringStoreOutage(t *testing.T) {
 	t.Parallel()
 	c := tester.Start(t, 3, 1)
