--- a/rationer/turns.go
+++ b/rationer/turns.go
@@ -30,8 +30,8 @@
 	// levelPeriod is the time in which the level of a bucket approaches those of the other
 	// hosts, levelTolerance the difference that remains. maxLevel bounds what hosts report.
 	levelPeriod    timer.Millis = 1000
-	levelTolerance              = 0.25
-	maxLevel                    = 1e6
+	levelTolerance float64      = 0.25
+	maxLevel       float64      = 1e6
 )
 
 // Order is the place of this host among the hosts that take turns, counted from 0, and the
