soaker: hosts that are cut off from one another

Cause: a host's peers reached it directly, so the soak could cut hosts off from the store and from servers, but not from one another.

Now a proxy for connections and datagrams stands before each host. The stand-in store shows the proxies' addresses to the other hosts (standin.Store.OnWrite). The soak with limits cuts all hosts off from one another while the limits are lowered from 3 to 1 a second; the random faults cut one host off, or delay or reset what it gets.

Ruled out: a setting for an address that differs from the one a host listens at, which only this test would use.

--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -80,7 +80,9 @@
 	if err != nil {
 		return nil, "", err
 	}
-	e.storeServer = &http.Server{Handler: standin.NewStore(e.ledger), ReadHeaderTimeout: time.Minute}
+	store := standin.NewStore(e.ledger)
+	store.OnWrite(e.showProxies)
+	e.storeServer = &http.Server{Handler: store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.storeServer.Serve(l) }()
 	return e, l.Addr().String(), nil
 }
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -54,7 +54,7 @@
 // run injects faults until ctx ends, and then waits until all of them have healed.
 func (f *faultInjector) run(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
-		f.inject(f.rng.IntN(12), f.rng.Uint64())
+		f.inject(f.rng.IntN(14), f.rng.Uint64())
 		if n%faultsPerOddEntry == 0 {
 			f.injectOddEntries(n)
 		}
@@ -92,6 +92,8 @@
 		f.injectAtServer(r, span)
 	case 11:
 		f.wg.Go(func() { f.changeConfiguration(r) })
+	case 12, 13:
+		f.injectAtHost(h, "peers-cut", func() { f.disturb(h.peersProxy.proxy, r, span) })
 	}
 }
 
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -21,12 +21,15 @@
 // It is small so that they compact every few jobs.
 const compactAfter = 2000
 
-// host is one host of the fleet: a process, a disk, and a proxy to the store.
+// host is one host of the fleet: a process, a disk, and the proxies to the store and from
+// the other hosts.
 type host struct {
 	name, role, folder                    string
 	callersAddr, readyAddr, directoryAddr string
-	peersAddr                             string
-	storeProxy                            *proxy
+	// The other hosts use peersProxyAddr, which has the same length as peersAddr.
+	peersAddr, peersProxyAddr string
+	storeProxy                *proxy
+	peersProxy                *peerProxy
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -148,10 +151,10 @@
 	}
 }
 
-// undisturbedSince reports whether the host and its connections to the store have
-// been undisturbed since t.
+// undisturbedSince reports whether the host and its connections to the store and from the
+// other hosts have been undisturbed since t.
 func (h *host) undisturbedSince(t time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.paused && h.lastDisturbed.Before(t) && h.storeProxy.undisturbedSince(t)
+	return !h.paused && h.lastDisturbed.Before(t) && h.storeProxy.undisturbedSince(t) && h.peersProxy.undisturbedSince(t)
 }
--- a/soaker/limit.go
+++ b/soaker/limit.go
@@ -53,7 +53,7 @@
 
 // RunLimited runs a soak in which servers name limits: half of them, all of them while the
 // store does not answer and all entry hosts are killed, tighter ones while servers are
-// replaced and a host stands still, and none in the end.
+// replaced and a host stands still and while no host hears another, and none in the end.
 func RunLimited(o Options) (Report, error) {
 	l := &limitSoak{phase: o.FaultPeriod / 4}
 	setUp := func(s *soak) {
@@ -73,6 +73,7 @@
 	l.limitSome()
 	l.limitAll()
 	l.tighten()
+	l.cutHosts()
 	l.endLimits()
 	stop()
 	l.load.wg.Wait()
@@ -189,6 +190,31 @@
 	time.Sleep(limitSettleTime + l.phase)
 }
 
+// cutHosts cuts all hosts off from one another, but neither from the store nor from the
+// servers, whose limits change meanwhile.
+func (l *limitSoak) cutHosts() {
+	for _, v := range l.env.allServers() {
+		l.nameLimit(v, 3)
+	}
+	time.Sleep(limitSettleTime)
+	l.recordFault("cut the hosts off from one another")
+	for _, h := range l.env.hosts {
+		h.peersProxy.set(stall{})
+	}
+	time.Sleep(l.phase / 2)
+	for _, v := range l.env.allServers() {
+		l.nameLimit(v, 1)
+	}
+	l.takeCounts()
+	time.Sleep(limitSettleTime + l.phase)
+	asked, answered := l.takeCounts()
+	l.recordFault("%d of %d requests answered while no host hears another", answered, asked)
+	for _, h := range l.env.hosts {
+		h.peersProxy.set(passThrough{})
+	}
+	time.Sleep(limitSettleTime)
+}
+
 // endLimits ends all limits and checks that the servers are used again.
 func (l *limitSoak) endLimits() {
 	for _, v := range l.env.allServers() {
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -45,8 +45,11 @@
 }
 
 // newProxy starts a proxy to target that listens on a free port.
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+func newProxy(target string) (*proxy, error) { return newProxyAt("127.0.0.1:0", target) }
+
+// newProxyAt starts a proxy to target that listens at an address.
+func newProxyAt(listen, target string) (*proxy, error) {
+	l, err := net.Listen("tcp4", listen)
 	if err != nil {
 		return nil, err
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -3,8 +3,8 @@
 // observe.
 //
 // A soak has its own store, backend servers, operator and callers (package standin).
-// A proxy on the loopback interface stands between each host and the store, and
-// before each backend server. The seed determines which faults occur and how long
+// A proxy on the loopback interface stands between each host and the store, between each
+// host and the other hosts, and before each backend server. The seed determines which faults occur and how long
 // they last. Their timing relative to other events differs from run to run, since
 // processes and network are real. Each check is of a documented guarantee with its
 // documented bound, so a single violation is a defect, however rarely it occurs.
@@ -121,6 +121,7 @@
 	readyPort
 	directoryPort
 	peersPort
+	peersProxyPort
 )
 
 // setUp assigns addresses to the host with the given number and writes its settings.
@@ -128,11 +129,15 @@
 func (h *host) setUp(number int, storeAddr string) error {
 	id := os.Getpid()
 	at := func(port int) string { return fmt.Sprintf("127.%d.%d.%d:%d", 1+(id>>8)%254, id%256, 1+number, port) }
-	h.callersAddr, h.readyAddr, h.directoryAddr, h.peersAddr = at(callersPort), at(readyPort), at(directoryPort), at(peersPort)
+	h.callersAddr, h.readyAddr, h.directoryAddr = at(callersPort), at(readyPort), at(directoryPort)
+	h.peersAddr, h.peersProxyAddr = at(peersPort), at(peersProxyPort)
 	var err error
 	if h.storeProxy, err = newProxy(storeAddr); err != nil {
 		return err
 	}
+	if h.peersProxy, err = newPeerProxy(h.peersProxyAddr, h.peersAddr); err != nil {
+		return err
+	}
 	return h.prepareFiles()
 }
 
@@ -169,6 +174,7 @@
 			h.terminate(dump)
 		}
 		h.storeProxy.close()
+		h.peersProxy.close()
 	}
 }
 
