soaker: the program of each host is replaced under load, by another version too

Cause: docs/PLATFORM.md said that hosts of two versions do not understand one another, and nothing showed whether that still holds.

Now a soak starts all hosts with an earlier program (-soak.previous), replaces it host by host, returns, and upgrades again.

Messages still carry no version.

--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -33,7 +33,9 @@
 	// Program is the path of the jackdawgated binary. Folder is where the hosts'
 	// settings, logs and disks are kept.
 	Program, Folder string
-	Seed            uint64
+	// Previous is the path of the binary with which the hosts start; Program by default.
+	Previous string
+	Seed     uint64
 	// FaultPeriod is how long new faults are started.
 	FaultPeriod time.Duration
 	// EntryHosts, BulkHosts and Servers are the numbers of each at the start.
@@ -142,8 +144,12 @@
 }
 
 func (s *soak) startHosts() error {
+	program := s.options.Program
+	if s.options.Previous != "" {
+		program = s.options.Previous
+	}
 	for _, h := range s.env.hosts {
-		if err := h.start(s.options.Program, s.onUnexpectedExit(h)); err != nil {
+		if err := h.start(program, s.onUnexpectedExit(h)); err != nil {
 			return err
 		}
 	}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -20,6 +20,7 @@
 	seeds       = flag.Int("soak.seeds", 1, "number of seeds to run")
 	first       = flag.Uint64("soak.first", 1, "the first seed")
 	faultPeriod = flag.Duration("soak.trouble", 8*time.Second, "how long new faults are started")
+	previous    = flag.String("soak.previous", "", "path of an earlier jackdawgated, from which hosts are upgraded and to which they return")
 	folder      = flag.String("soak.folder", "", "folder for logs, settings and disks; a temporary folder of the test by default")
 )
 
@@ -128,3 +129,23 @@
 		})
 	}
 }
+
+// Hosts get another program one after the other, under load. To upgrade from an earlier one
+// and to return to it:
+// go test ./soaker -run Upgrade -soak.previous PATH -soak.seeds 5 -timeout 30m.
+func TestNothingIsLostInAnUpgrade(t *testing.T) {
+	path := buildProgram(t)
+	for n := range uint64(*seeds) {
+		t.Run(fmt.Sprint("seed-", *first+n), func(t *testing.T) {
+			r, err := soaker.RunUpgrade(soaker.Options{
+				Program: path, Previous: *previous, Folder: t.TempDir(), Seed: *first + n, EntryHosts: 3, BulkHosts: 3, Servers: 4,
+			})
+			require.NoError(t, err)
+			t.Logf("answered %d, refused %d, failed %d, jobs %d", r.Answered, r.Refused, r.Failed, r.Jobs)
+			for _, f := range r.Faults {
+				t.Log(f)
+			}
+			require.Empty(t, r.Violations)
+		})
+	}
+}
