--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -9,9 +9,9 @@
 // A connection carries one exchange at a time. It is reused only after a success
 // that ended where its framing indicated, or if nothing was sent on it because
 // Call.Permit returned false. It is not reused after a refusal or a failure: a faulty
-// server may write that once more, and servers need not echo the call's identifier. A connection that timed out, was closed by the
-// server, was cancelled, or returned the answer of another request is closed and
-// never reused.
+// server may write that once more, and servers need not echo the call's identifier. A
+// connection that timed out, was closed by the server, was cancelled, or returned the
+// answer of another request is closed and never reused.
 package exchanger
 
 import (
