--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -4,10 +4,11 @@
 //
 // A soak has its own store, backend servers, operator and callers (package standin).
 // A proxy on the loopback interface stands between each host and the store, between each
-// host and the other hosts, and before each backend server. The seed determines which faults occur and how long
-// they last. Their timing relative to other events differs from run to run, since
-// processes and network are real. Each check is of a documented guarantee with its
-// documented bound, so a single violation is a defect, however rarely it occurs.
+// host and the other hosts, and before each backend server. The seed determines which
+// faults occur and how long they last. Their timing relative to other events differs from
+// run to run, since processes and network are real. Each check is of a documented
+// guarantee with its documented bound, so a single violation is a defect, however rarely
+// it occurs.
 //
 // At the end all faults heal. Within the recovery bounds, every host must be ready
 // and answer requests, and the results of every accepted job must be complete.
