soaker: one piece of code for what its soaks share

Cause: each soak had its own copy of the loop over seeds, of a stalled store, of one request to a random host, of a host's graceful restart and of the last checks.

Now soakSeeds, environment.stallStore, loadGenerator.attempt, faultInjector.restart and soak.checkAfterLoad serve all. Every soak keeps its logs, by test and seed. The leaving soak runs all seeds that are asked for, as the others do. Checks, bounds and seeds are unchanged.

Ruled out: the request that crashes servers, whose text must always be the same, through attempt too.

--- a/soaker/crash.go
+++ b/soaker/crash.go
@@ -59,7 +59,7 @@
 	var c crashLog
 	var f *faultInjector
 	setUp := func(s *soak) {
-		f = &faultInjector{env: s.env, program: o.Program, record: s.recordFault, claimed: make(map[string]bool)}
+		f = newFaultInjector(s, o.Program)
 		s.env.onCrash = func(v *server, _ string) bool {
 			n := c.add()
 			s.recordFault("crash %d: server %s", n, v.ID)
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -95,6 +95,19 @@
 	_ = e.storeServer.Close()
 }
 
+// stallStore makes the store answer no host until resumeStore.
+func (e *environment) stallStore() {
+	for _, h := range e.hosts {
+		h.storeProxy.set(stall{})
+	}
+}
+
+func (e *environment) resumeStore() {
+	for _, h := range e.hosts {
+		h.storeProxy.set(passThrough{})
+	}
+}
+
 // addServer starts a backend server and writes its entry to the store. If only the
 // entry could not be written, the server is the last one of allServers.
 func (e *environment) addServer(ctx context.Context) error {
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -34,6 +34,13 @@
 	lastWipe time.Time
 }
 
+// newFaultInjector returns a faultInjector that starts hosts with the given program.
+func newFaultInjector(s *soak, program string) *faultInjector {
+	return &faultInjector{
+		env: s.env, program: program, rng: rand.New(rand.NewPCG(s.options.Seed, 1)), record: s.recordFault, claimed: make(map[string]bool),
+	}
+}
+
 // claim reserves a target for one fault. It returns false if another fault has it.
 func (f *faultInjector) claim(name string) bool {
 	f.mu.Lock()
@@ -154,6 +161,11 @@
 		time.Sleep(reloadDelay)
 		h.signal(syscall.SIGHUP)
 	})
+	f.restart(h)
+}
+
+// restart stops a process gracefully and starts it again.
+func (f *faultInjector) restart(h *host) {
 	if !h.stop() {
 		f.env.checker.report("a process exits within the grace period after SIGTERM", "%s", h.name)
 	}
--- a/soaker/leave.go
+++ b/soaker/leave.go
@@ -27,17 +27,13 @@
 	loadCtx, stopLoad := context.WithCancel(context.Background())
 	s.load.start(loadCtx, s.options.Seed)
 	time.Sleep(s.options.FaultPeriod / 2)
-	for _, h := range s.env.hosts {
-		h.storeProxy.set(stall{})
-	}
+	s.env.stallStore()
 	leaver := s.env.allServers()[0]
 	leaver.AnnounceLeaving()
 	leftAt := time.Now()
 	s.recordFault("server %s announces that it is leaving", leaver.ID)
 	time.Sleep(storeOutage)
-	for _, h := range s.env.hosts {
-		h.storeProxy.set(passThrough{})
-	}
+	s.env.resumeStore()
 	time.Sleep(s.options.FaultPeriod / 2)
 	stopLoad()
 	s.load.wg.Wait()
--- a/soaker/limit.go
+++ b/soaker/limit.go
@@ -58,7 +58,7 @@
 	l := &limitSoak{phase: o.FaultPeriod / 4}
 	setUp := func(s *soak) {
 		l.soak = s
-		l.faults = &faultInjector{env: s.env, program: o.Program, record: s.recordFault, claimed: make(map[string]bool)}
+		l.faults = newFaultInjector(s, o.Program)
 	}
 	return run(o, setUp, func(*soak) { l.scenario() })
 }
@@ -86,18 +86,9 @@
 	c := newCaller()
 	for ctx.Err() == nil {
 		time.Sleep(limitPause)
-		address, _, ok := l.env.pickHost(r)
-		if !ok {
-			continue
-		}
-		key, _ := l.env.pickKey(r, plainWorkspace)
-		a := standin.Attempt{ID: l.load.nextID("l"), Key: key, Address: address, Route: standin.Resumable}
-		a.Path = a.Route.Prefix + a.ID
-		a = c.Do(context.Background(), a, []byte(a.ID), callTimeout)
-		if a.Status == 0 {
-			l.env.avoid(address)
+		if a, _, ok := l.load.attempt(c, r, "l", standin.Resumable); ok {
+			l.count(a)
 		}
-		l.count(a)
 	}
 }
 
@@ -154,16 +145,12 @@
 
 // limitAll limits all servers while the store does not answer, and kills all entry hosts.
 func (l *limitSoak) limitAll() {
-	for _, h := range l.env.hosts {
-		h.storeProxy.set(stall{})
-	}
+	l.env.stallStore()
 	for _, v := range l.env.allServers() {
 		l.nameLimit(v, 2)
 	}
 	time.Sleep(storeOutage)
-	for _, h := range l.env.hosts {
-		h.storeProxy.set(passThrough{})
-	}
+	l.env.resumeStore()
 	time.Sleep(l.phase / 2)
 	l.recordFault("kill all entry hosts")
 	l.faults.restartEntryHosts()
--- a/soaker/load.go
+++ b/soaker/load.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// attempt sends one request to a random host, with a prompt of the given parts and one of
+// its own if there are any. It returns the host and false if there is none. The checker
+// does not hear of it.
+func (g *loadGenerator) attempt(c *standin.Caller, r *rand.Rand, idPrefix string, route standin.Route, parts ...string) (standin.Attempt, *host, bool) {
+	address, h, ok := g.env.pickHost(r)
+	if !ok {
+		return standin.Attempt{}, nil, false
+	}
+	key, _ := g.env.pickKey(r, plainWorkspace)
+	a := standin.Attempt{ID: g.nextID(idPrefix), Key: key, Address: address, Route: route}
+	a.Path = route.Prefix + a.ID
+	if len(parts) > 0 {
+		a.Prompt = append(parts, a.ID)
+	}
+	a = c.Do(context.Background(), a, []byte(a.ID), callTimeout)
+	if a.Status == 0 {
+		g.env.avoid(address)
+	}
+	return a, h, true
+}
+
 // submitJobs submits jobs until ctx ends. It tries each at most 10 times, until a
 // host accepts it.
 func (g *loadGenerator) submitJobs(ctx context.Context, r *rand.Rand) {
--- a/soaker/prompt.go
+++ b/soaker/prompt.go
@@ -47,7 +47,7 @@
 	p := &promptSoak{crashes: make(map[string][]time.Time)}
 	setUp := func(s *soak) {
 		p.soak = s
-		p.faults = &faultInjector{env: s.env, program: o.Program, record: s.recordFault, claimed: make(map[string]bool)}
+		p.faults = newFaultInjector(s, o.Program)
 		s.env.onCrash = p.onCrash
 	}
 	return run(o, setUp, func(*soak) { p.scenario() })
@@ -68,7 +68,7 @@
 	step := p.options.FaultPeriod / (entryRestarts + 2)
 	ctx, stop := context.WithCancel(context.Background())
 	p.storeBack = time.Now().Add(storeOutage)
-	p.stallStore()
+	p.env.stallStore()
 	p.load.start(ctx, p.options.Seed)
 	for i, part := range standin.CrashParts {
 		route := []standin.Route{standin.Resumable, standin.Streaming}[i]
@@ -77,7 +77,7 @@
 	}
 	p.load.wg.Go(func() { p.submitCrashing(ctx, rand.New(rand.NewPCG(p.options.Seed, 600))) })
 	time.Sleep(time.Until(p.storeBack))
-	p.resumeStore()
+	p.env.resumeStore()
 	for range entryRestarts {
 		p.crashOrdinarily()
 		time.Sleep(step)
@@ -91,19 +91,6 @@
 	p.check()
 }
 
-// stallStore makes the store answer no host until resumeStore.
-func (p *promptSoak) stallStore() {
-	for _, h := range p.env.hosts {
-		h.storeProxy.set(stall{})
-	}
-}
-
-func (p *promptSoak) resumeStore() {
-	for _, h := range p.env.hosts {
-		h.storeProxy.set(passThrough{})
-	}
-}
-
 // crashOrdinarily crashes two servers at once, whatever runs on them.
 func (p *promptSoak) crashOrdinarily() {
 	for _, v := range p.env.allServers()[:2] {
@@ -113,30 +100,12 @@
 	}
 }
 
-// attempt sends one request with a prompt to a random host. It returns the host and false
-// if there is none.
-func (p *promptSoak) attempt(c *standin.Caller, r *rand.Rand, route standin.Route, parts ...string) (standin.Attempt, *host, bool) {
-	address, h, ok := p.env.pickHost(r)
-	if !ok {
-		return standin.Attempt{}, nil, false
-	}
-	key, _ := p.env.pickKey(r, plainWorkspace)
-	a := standin.Attempt{ID: p.load.nextID("p"), Key: key, Address: address, Route: route}
-	a.Path = route.Prefix + a.ID
-	a.Prompt = append(parts, a.ID)
-	a = c.Do(context.Background(), a, []byte(a.ID), callTimeout)
-	if a.Status == 0 {
-		p.env.avoid(address)
-	}
-	return a, h, true
-}
-
 // sendCrashing sends requests with a crashing part until ctx ends, no two alike.
 func (p *promptSoak) sendCrashing(ctx context.Context, r *rand.Rand, route standin.Route, part string) {
 	c := newCaller()
 	for ctx.Err() == nil {
 		time.Sleep(crashInterval)
-		p.attempt(c, r, route, firstPart, subjectOf(r), part)
+		p.load.attempt(c, r, "p", route, firstPart, subjectOf(r), part)
 	}
 }
 
@@ -149,7 +118,7 @@
 	c := newCaller()
 	for ctx.Err() == nil {
 		time.Sleep(soundInterval)
-		a, h, ok := p.attempt(c, r, route, firstPart, subjectOf(r))
+		a, h, ok := p.load.attempt(c, r, "p", route, firstPart, subjectOf(r))
 		if !ok || !p.mustBeAnswered(a, h) {
 			continue
 		}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -218,9 +218,7 @@
 	loadCtx, stopLoad := context.WithCancel(context.Background())
 	s.load.start(loadCtx, s.options.Seed)
 	faultCtx, stopFaults := context.WithTimeout(context.Background(), s.options.FaultPeriod)
-	f := &faultInjector{
-		env: s.env, program: s.options.Program, rng: rand.New(rand.NewPCG(s.options.Seed, 1)), record: s.recordFault, claimed: make(map[string]bool),
-	}
+	f := newFaultInjector(s, s.options.Program)
 	f.run(faultCtx)
 	stopFaults()
 	s.recordFault("healed")
@@ -228,6 +226,12 @@
 		s.env.checker.report("the fleet recovers within the bound", "not every host is ready and listed after %v", recoveryBound)
 	}
 	stopLoad()
+	s.checkAfterLoad()
+}
+
+// checkAfterLoad waits until the load, which was stopped, has ended, and checks the
+// guarantees that hold over the whole soak.
+func (s *soak) checkAfterLoad() {
 	s.load.wg.Wait()
 	s.checkEntryHosts()
 	s.checkJobs()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -32,120 +33,64 @@
 	return path
 }
 
-// TestSoak runs soaks with random faults. To run it for longer:
-// go test ./soaker -soak.seeds 50 -timeout 60m.
-func TestSoak(t *testing.T) {
-	path := buildProgram(t)
+// soakSeeds runs a soak with each of the seeds, and requires that no guarantee is violated.
+// The options lack those that all soaks share.
+func soakSeeds(t *testing.T, run func(soaker.Options) (soaker.Report, error), o soaker.Options) {
+	o.Program, o.EntryHosts, o.BulkHosts = buildProgram(t), 3, 3
 	for n := range uint64(*seeds) {
 		t.Run(fmt.Sprint("seed-", *first+n), func(t *testing.T) {
-			dir := t.TempDir()
+			o := o
+			o.Seed, o.Folder = *first+n, t.TempDir()
 			if *folder != "" {
-				dir = filepath.Join(*folder, fmt.Sprint("seed-", *first+n))
-				require.NoError(t, exec.Command("mkdir", "-p", dir).Run())
+				o.Folder = filepath.Join(*folder, t.Name())
+				require.NoError(t, os.MkdirAll(o.Folder, 0o700))
 			}
-			r, err := soaker.Run(soaker.Options{
-				Program: path, Folder: dir, Seed: *first + n, FaultPeriod: *faultPeriod, EntryHosts: 3, BulkHosts: 3, Servers: 4,
-			})
+			r, err := run(o)
 			require.NoError(t, err)
 			t.Logf("answered %d, refused %d, failed %d, jobs %d, %d faults", r.Answered, r.Refused, r.Failed, r.Jobs, len(r.Faults))
-			if len(r.Violations) > 0 {
-				for _, f := range r.Faults {
-					t.Log(f)
-				}
+			for _, f := range r.Faults {
+				t.Log(f)
 			}
 			require.Empty(t, r.Violations)
 		})
 	}
 }
 
+// TestSoak runs soaks with random faults. To run it for longer:
+// go test ./soaker -run TestSoak -soak.seeds 50 -timeout 60m.
+func TestSoak(t *testing.T) {
+	soakSeeds(t, soaker.Run, soaker.Options{FaultPeriod: *faultPeriod, Servers: 4})
+}
+
 // A request that had crashed three servers was sent to further servers.
 // To run the test for longer:
 // go test ./soaker -run Crashes -soak.seeds 10 -soak.trouble 30s.
 func TestCallThatCrashesServersIsRefusedByAllHosts(t *testing.T) {
-	path := buildProgram(t)
-	for n := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed-", *first+n), func(t *testing.T) {
-			r, err := soaker.RunCrashing(soaker.Options{
-				Program: path, Folder: t.TempDir(), Seed: *first + n, FaultPeriod: max(*faultPeriod, 12*time.Second), EntryHosts: 3, BulkHosts: 3, Servers: 6,
-			})
-			require.NoError(t, err)
-			t.Logf("answered %d, refused %d, failed %d, jobs %d", r.Answered, r.Refused, r.Failed, r.Jobs)
-			for _, f := range r.Faults {
-				t.Log(f)
-			}
-			require.Empty(t, r.Violations)
-		})
-	}
+	soakSeeds(t, soaker.RunCrashing, soaker.Options{FaultPeriod: max(*faultPeriod, 12*time.Second), Servers: 6})
 }
 
 // Requests and batch items that share a crashing part of their prompts crashed one server
 // after the other. To run the test for longer:
 // go test ./soaker -run Prompt -soak.seeds 10 -soak.trouble 30s.
 func TestCrashingPartOfPromptsIsRefusedByAllHosts(t *testing.T) {
-	path := buildProgram(t)
-	for n := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed-", *first+n), func(t *testing.T) {
-			r, err := soaker.RunCrashingPrompts(soaker.Options{
-				Program: path, Folder: t.TempDir(), Seed: *first + n, FaultPeriod: max(*faultPeriod, 18*time.Second), EntryHosts: 3, BulkHosts: 3, Servers: 8,
-			})
-			require.NoError(t, err)
-			t.Logf("answered %d, refused %d, failed %d, jobs %d", r.Answered, r.Refused, r.Failed, r.Jobs)
-			for _, f := range r.Faults {
-				t.Log(f)
-			}
-			require.Empty(t, r.Violations)
-		})
-	}
+	soakSeeds(t, soaker.RunCrashingPrompts, soaker.Options{FaultPeriod: max(*faultPeriod, 18*time.Second), Servers: 8})
 }
 
 // A server announces in its responses that it is leaving, while its entry says
 // that it is ready and the store does not answer.
 func TestLeavingServerGetsNoNewRequests(t *testing.T) {
-	r, err := soaker.RunLeaving(soaker.Options{
-		Program: buildProgram(t), Folder: t.TempDir(), Seed: *first, FaultPeriod: 6 * time.Second, EntryHosts: 3, BulkHosts: 3, Servers: 4,
-	})
-	require.NoError(t, err)
-	for _, f := range r.Faults {
-		t.Log(f)
-	}
-	require.Empty(t, r.Violations)
+	soakSeeds(t, soaker.RunLeaving, soaker.Options{FaultPeriod: 6 * time.Second, Servers: 4})
 }
 
 // A server got several times the requests that it had named as its limit. To run the test
 // for longer: go test ./soaker -run Limit -soak.seeds 10 -soak.trouble 40s.
 func TestServersGetNoMoreThanTheLimitsThatTheyName(t *testing.T) {
-	path := buildProgram(t)
-	for n := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed-", *first+n), func(t *testing.T) {
-			r, err := soaker.RunLimited(soaker.Options{
-				Program: path, Folder: t.TempDir(), Seed: *first + n, FaultPeriod: max(*faultPeriod, 20*time.Second), EntryHosts: 3, BulkHosts: 3, Servers: 6,
-			})
-			require.NoError(t, err)
-			t.Logf("answered %d, refused %d, failed %d, jobs %d", r.Answered, r.Refused, r.Failed, r.Jobs)
-			for _, f := range r.Faults {
-				t.Log(f)
-			}
-			require.Empty(t, r.Violations)
-		})
-	}
+	soakSeeds(t, soaker.RunLimited, soaker.Options{FaultPeriod: max(*faultPeriod, 20*time.Second), Servers: 6})
 }
 
 // Hosts get another program one after the other, under load. To upgrade from an earlier one
 // and to return to it:
 // go test ./soaker -run Upgrade -soak.previous PATH -soak.seeds 5 -timeout 30m.
 func TestNothingIsLostInAnUpgrade(t *testing.T) {
-	path := buildProgram(t)
-	for n := range uint64(*seeds) {
-		t.Run(fmt.Sprint("seed-", *first+n), func(t *testing.T) {
-			r, err := soaker.RunUpgrade(soaker.Options{
-				Program: path, Previous: *previous, Folder: t.TempDir(), Seed: *first + n, EntryHosts: 3, BulkHosts: 3, Servers: 4,
-			})
-			require.NoError(t, err)
-			t.Logf("answered %d, refused %d, failed %d, jobs %d", r.Answered, r.Refused, r.Failed, r.Jobs)
-			for _, f := range r.Faults {
-				t.Log(f)
-			}
-			require.Empty(t, r.Violations)
-		})
-	}
+	soakSeeds(t, soaker.RunUpgrade, soaker.Options{Previous: *previous, Servers: 4})
 }
--- a/soaker/upgrade.go
+++ b/soaker/upgrade.go
@@ -30,26 +30,19 @@
 		s.replacePrograms(s.options.Program, "the program again")
 	}
 	stop()
-	s.load.wg.Wait()
-	s.checkEntryHosts()
-	s.checkJobs()
-	s.env.checker.checkQuota(greedyWorkspace, greedyRate, greedyBurst)
-	s.env.checker.checkLostAnswers()
+	s.checkAfterLoad()
 }
 
 // replacePrograms stops each host and starts it with the given program, in random order.
 // The next host follows when all entry hosts are ready.
 func (s *soak) replacePrograms(program, description string) {
-	f := &faultInjector{env: s.env, program: program, record: s.recordFault, claimed: make(map[string]bool)}
+	f := newFaultInjector(s, program)
 	r := rand.New(rand.NewPCG(s.options.Seed, 21))
 	for _, i := range r.Perm(len(s.env.hosts)) {
 		h := s.env.hosts[i]
 		time.Sleep(upgradePause)
 		s.recordFault("%s gets %s", h.name, description)
-		if !h.stop() {
-			s.env.checker.report("a process exits within the grace period after SIGTERM", "%s", h.name)
-		}
-		f.start(h)
+		f.restart(h)
 		if !s.awaitReady(recoveryBound) {
 			s.env.checker.report("the fleet recovers within the bound", "not every host is ready and listed %v after the program of %s was replaced", recoveryBound, h.name)
 		}
