--- a/comparer/comparer_test.go
+++ b/comparer/comparer_test.go
@@ -13,10 +13,6 @@
 
 func TestMain(m *testing.M) { harness.Main(m) }
 
-type clock struct{ now timer.Millis }
-
-func (c *clock) Now() timer.Millis { return c.now }
-
 const service = "s"
 
 func sample(server string, took timer.Millis) comparer.Sample {
@@ -24,7 +20,7 @@
 }
 
 // newWarm returns the Comparer of a host that has observed the service at 150 ms a call.
-func newWarm(c *clock) *comparer.Comparer {
+func newWarm(c *harness.Clock) *comparer.Comparer {
 	h := comparer.New(c, zap.NewNop())
 	for i := range 100 {
 		h.Observe(sample("s"+strconv.Itoa(i%9), 150))
@@ -33,7 +29,7 @@
 }
 
 func TestServerSlowerThanItsServiceIsFound(t *testing.T) {
-	h := newWarm(&clock{now: 1000})
+	h := newWarm(&harness.Clock{Time: 1000})
 	h.Observe(sample("s1", 600))
 	require.InDelta(t, 4, h.Slowdown("s1"), 0.3)
 	require.Equal(t, 1.0, h.Slowdown("s2"))
@@ -41,7 +37,7 @@
 
 // All servers slow down together, so none is slower than its service.
 func TestLoadIncreaseOnAllServersMarksNoneAsSlow(t *testing.T) {
-	h := newWarm(&clock{now: 1000})
+	h := newWarm(&harness.Clock{Time: 1000})
 	for took := timer.Millis(150); took < 600; took += 2 {
 		h.Observe(sample("s"+strconv.Itoa(int(took)%9), took))
 	}
@@ -52,7 +48,7 @@
 
 // A sixth of the calls goes to slow servers for a long time. They do not become the mean.
 func TestServerIsFoundSlowThoughManyCallsAreSlow(t *testing.T) {
-	h := newWarm(&clock{now: 1000})
+	h := newWarm(&harness.Clock{Time: 1000})
 	for i := range 3000 {
 		server := i % 9
 		took := timer.Millis(150)
@@ -66,35 +62,35 @@
 }
 
 func TestServerThatRecoveredIsClearedByItsNextCall(t *testing.T) {
-	h := newWarm(&clock{now: 1000})
+	h := newWarm(&harness.Clock{Time: 1000})
 	h.Observe(sample("s1", 600))
 	h.Observe(sample("s1", 160))
 	require.Equal(t, 1.0, h.Slowdown("s1"))
 }
 
 func TestFindingExpiresSoThatTheServerIsTriedAgain(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := newWarm(c)
 	h.Observe(sample("s1", 600))
-	c.now += 2001
+	c.Time += 2001
 	require.InDelta(t, 2.5, h.Slowdown("s1"), 0.2)
-	c.now += 2001
+	c.Time += 2001
 	require.Equal(t, 1.0, h.Slowdown("s1"))
 }
 
 func TestHostsExchangeFindings(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	a, b := newWarm(c), newWarm(c)
 	a.Observe(sample("s1", 600))
 	b.Merge(a.Report())
 	require.InDelta(t, 4, b.Slowdown("s1"), 0.3)
 	require.Empty(t, b.Report(), "a finding of another host was forwarded")
-	c.now += 1000
+	c.Time += 1000
 	require.Empty(t, a.Report(), "a stale finding was reported")
 }
 
 func TestLocalFindingOverridesReports(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := newWarm(c)
 	h.Observe(sample("s1", 600))
 	h.Merge(comparer.Report{"s1": 80})
@@ -102,11 +98,11 @@
 }
 
 func TestShortCallsAndFirstCallsAreIgnored(t *testing.T) {
-	h := comparer.New(&clock{now: 1000}, zap.NewNop())
+	h := comparer.New(&harness.Clock{Time: 1000}, zap.NewNop())
 	h.Observe(sample("s1", 150))
 	h.Observe(sample("s2", 1500))
 	require.Equal(t, 1.0, h.Slowdown("s2"))
-	h = newWarm(&clock{now: 1000})
+	h = newWarm(&harness.Clock{Time: 1000})
 	h.Observe(comparer.Sample{Service: service, Server: "s1", Events: 2, Took: 5000})
 	require.Equal(t, 1.0, h.Slowdown("s1"))
 }
--- a/departer/departer_test.go
+++ b/departer/departer_test.go
@@ -6,24 +6,21 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/departer"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
 
-type clock struct{ now timer.Millis }
-
-func (c *clock) Now() timer.Millis { return c.now }
-
 func incarnation(id string, born int64) cataloger.Incarnation {
 	return cataloger.Incarnation{ID: id, StartedAt: born}
 }
 
 func TestNoticeAppliesToOneIncarnation(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	d := departer.New(c, zap.NewNop())
 	d.Record(incarnation("a", 1), departer.Leaving)
-	c.now += 100 * timer.Second
+	c.Time += 100 * timer.Second
 	require.True(t, d.IsLeaving(incarnation("a", 1)), "a server that announced leaving and still runs gets no new calls")
 	require.False(t, d.IsLeaving(incarnation("a", 2)), "its next incarnation gets calls")
 	require.False(t, d.IsLeaving(incarnation("b", 1)), "another server gets calls, whatever its address")
@@ -31,7 +28,7 @@
 
 // A late answer of an earlier incarnation must not be attributed to the next one.
 func TestLateNoticeOfAnEarlierIncarnationDoesNotAffectTheNext(t *testing.T) {
-	d := departer.New(&clock{}, zap.NewNop())
+	d := departer.New(&harness.Clock{}, zap.NewNop())
 	sentTo := incarnation("a", 1)
 	now := incarnation("a", 2)
 	d.Record(sentTo, departer.Leaving)
@@ -41,7 +38,7 @@
 }
 
 func TestHostsExchangeNotices(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	a, b, far := departer.New(c, zap.NewNop()), departer.New(c, zap.NewNop()), departer.New(c, zap.NewNop())
 	a.Record(incarnation("s", 1), departer.Leaving)
 	require.Len(t, a.Notices(), 1)
@@ -52,18 +49,18 @@
 	a.Record(incarnation("s", 1), departer.Gone)
 	a.Record(incarnation("s", 1), departer.Leaving)
 	require.Equal(t, departer.Gone, a.Notices()[0].Status)
-	c.now += 2 * timer.Second
+	c.Time += 2 * timer.Second
 	require.Empty(t, a.Notices(), "reports end after a while")
 	b.Merge([]departer.Notice{{ID: "x", Born: 1, Status: 77}})
 	require.False(t, b.IsLeaving(incarnation("x", 1)), "unknown statuses are ignored")
 }
 
 func TestNoticesAreBounded(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	d := departer.New(c, zap.NewNop())
 	const most = 8192
 	for i := range most + 10 {
-		c.now++
+		c.Time++
 		d.Record(incarnation(fmt.Sprint(i), 1), departer.Gone)
 	}
 	require.False(t, d.IsLeaving(incarnation("0", 1)), "the oldest are evicted")
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -4,28 +4,25 @@
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/ejector"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 )
 
-type clock struct{ now timer.Millis }
-
-func (c *clock) Now() timer.Millis { return c.now }
-
-func start() (*clock, *ejector.Ejector) {
-	c := &clock{now: 1000}
+func start() (*harness.Clock, *ejector.Ejector) {
+	c := &harness.Clock{Time: 1000}
 	return c, ejector.New(c, zap.NewNop())
 }
 
 func TestSilentServerIsEjectedAndUsableAgainLater(t *testing.T) {
 	c, e := start()
 	e.Begin("s")
-	c.now += ejector.SilenceTimeout + 1
+	c.Time += ejector.SilenceTimeout + 1
 	require.False(t, e.Usable("s", false))
 	e.End("s")
-	c.now += 5 * timer.Second
+	c.Time += 5 * timer.Second
 	require.True(t, e.Usable("s", false))
 }
 
@@ -34,9 +31,9 @@
 func TestFullServerIsNotTreatedAsSilent(t *testing.T) {
 	c, e := start()
 	e.Begin("s")
-	c.now += ejector.SilenceTimeout + 1
+	c.Time += ejector.SilenceTimeout + 1
 	require.True(t, e.Usable("s", true))
-	c.now += ejector.FullSilenceTimeout
+	c.Time += ejector.FullSilenceTimeout
 	require.False(t, e.Usable("s", true))
 }
 
@@ -57,10 +54,10 @@
 func TestEjectionTimeDoublesAndAnAnswerEndsIt(t *testing.T) {
 	c, e := start()
 	e.Unreachable("s")
-	c.now += 450
+	c.Time += 450
 	require.True(t, e.Usable("s", false))
 	e.Unreachable("s")
-	c.now += 450
+	c.Time += 450
 	require.False(t, e.Usable("s", false))
 	e.Succeeded("s")
 	require.True(t, e.Usable("s", false))
@@ -75,12 +72,12 @@
 
 // fleet is several hosts that exchange reports.
 type fleet struct {
-	c     *clock
+	c     *harness.Clock
 	hosts []*ejector.Ejector
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{c: &clock{now: 1000}}
+	f := &fleet{c: &harness.Clock{Time: 1000}}
 	for range n {
 		f.hosts = append(f.hosts, ejector.New(f.c, zap.NewNop()))
 	}
@@ -98,7 +95,7 @@
 			}
 		}
 	}
-	f.c.now += 30
+	f.c.Time += 30
 }
 
 func (f *fleet) usable(server string) int {
@@ -121,12 +118,12 @@
 		f.exchangeReports()
 	}
 	require.Zero(t, f.usable("s"))
-	f.c.now += 600
+	f.c.Time += 600
 	require.Equal(t, 9, f.usable("s"), "usable again after the ejection")
 	f.hosts[7].CallBroken("s")
 	f.exchangeReports()
 	require.Zero(t, f.usable("s"), "a single further broken call is enough")
-	f.c.now += 1000
+	f.c.Time += 1000
 	f.hosts[2].Succeeded("s")
 	f.exchangeReports()
 	require.Equal(t, 9, f.usable("s"))
@@ -142,7 +139,7 @@
 		f.hosts[i%9].Succeeded("s")
 		f.exchangeReports()
 		require.Equal(t, 9, f.usable("s"))
-		f.c.now += 600
+		f.c.Time += 600
 	}
 }
 
@@ -172,11 +169,11 @@
 
 func TestEjectionAndReturnAreLogged(t *testing.T) {
 	core, lines := observer.New(zap.InfoLevel)
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	e := ejector.New(c, zap.New(core))
 	e.Succeeded("s")
 	e.Unreachable("s")
-	c.now += 500
+	c.Time += 500
 	e.BytesReceived("s")
 	e.BytesReceived("s")
 	var got []string
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -14,15 +14,12 @@
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
 
-type clock struct{ now timer.Millis }
-
-func (c *clock) Now() timer.Millis { return c.now }
-
 // relay is a Relay that records calls and returns outcome for each.
 type relay struct {
 	calls   []relayer.Call
@@ -50,7 +47,7 @@
 }
 
 type fixture struct {
-	clock    *clock
+	clock    *harness.Clock
 	snapshot cataloger.Snapshot
 	relay    *relay
 	jobs     *jobs
@@ -60,9 +57,9 @@
 func newFixture() *fixture { return newLoggedFixture(zap.NewNop()) }
 
 func newLoggedFixture(l *zap.Logger) *fixture {
-	f := &fixture{clock: &clock{now: 100000}, relay: &relay{outcome: relayer.Delivered{Status: 200}}, jobs: &jobs{}}
+	f := &fixture{clock: &harness.Clock{Time: 100000}, relay: &relay{outcome: relayer.Delivered{Status: 200}}, jobs: &jobs{}}
 	r := rationer.New(f.clock)
-	f.clock.now += 10 * timer.Second
+	f.clock.Time += 10 * timer.Second
 	f.gate = gatekeeper.New(gatekeeper.Options{
 		Names:    namer.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", SharedParts: platform.Names().SharedParts, ParseJobCall: jobCall},
 		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs,
@@ -80,7 +77,7 @@
 
 // configure sets a configuration that is confirmed now.
 func (f *fixture) configure() {
-	f.snapshot = f.snapshot.WithConfig(configuration(1, map[string]string{"k": "w"})).WithConfirmed(f.clock.now)
+	f.snapshot = f.snapshot.WithConfig(configuration(1, map[string]string{"k": "w"})).WithConfirmed(f.clock.Time)
 }
 
 func configuration(version int64, keys map[string]string) *cataloger.Config {
@@ -133,7 +130,7 @@
 	require.Empty(t, c.Header.Get("Key"))
 	require.Equal(t, "a,b", c.Prompt)
 	require.Equal(t, suspector.Parts([]string{"a", "b"}), c.Suspect.Parts)
-	require.Equal(t, f.clock.now+900, c.Deadline, "the route's timeout is shorter than the caller's")
+	require.Equal(t, f.clock.Time+900, c.Deadline, "the route's timeout is shorter than the caller's")
 }
 
 func TestUnknownRoutesAndKeysAreReportedOnlyWithFreshConfiguration(t *testing.T) {
@@ -141,7 +138,7 @@
 	f.configure()
 	require.Equal(t, http.StatusNotFound, f.call("/other/", "k").Code)
 	require.Equal(t, http.StatusUnauthorized, f.call("/chat/1", "wrong").Code)
-	f.clock.now += 2 * timer.Second
+	f.clock.Time += 2 * timer.Second
 	require.Equal(t, http.StatusServiceUnavailable, f.call("/other/", "k").Code)
 	require.Equal(t, http.StatusServiceUnavailable, f.call("/chat/1", "wrong").Code)
 	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code, "known routes and keys are still admitted")
@@ -150,9 +147,9 @@
 func TestUnconfirmedHostRefusesKeysAfterTheWithdrawnKeyBound(t *testing.T) {
 	f := newFixture()
 	f.configure()
-	f.clock.now += 3600
+	f.clock.Time += 3600
 	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
-	f.clock.now++
+	f.clock.Time++
 	require.Equal(t, http.StatusServiceUnavailable, f.call("/chat/1", "k").Code)
 	require.False(t, f.gate.Permitted())
 	require.Equal(t, http.StatusOK, f.call("/open/1", "").Code, "public routes need no key")
--- a/gatekeeper/log_test.go
+++ b/gatekeeper/log_test.go
@@ -36,19 +36,19 @@
 	}
 	for _, o := range outcomes {
 		f.relay.outcome = o
-		f.clock.now += 10000
-		f.snapshot = f.snapshot.WithConfirmed(f.clock.now)
+		f.clock.Time += 10000
+		f.snapshot = f.snapshot.WithConfirmed(f.clock.Time)
 		for _, key := range []string{heldKey, strangeKey} {
 			for _, path := range []string{"/chat/1", "/none", "/batch/1", "/jobs/1"} {
 				f.callOrAbort(path, key)
 			}
 		}
 	}
-	f.clock.now += 20000
+	f.clock.Time += 20000
 	f.relay.outcome = outcomes[0]
 	f.call("/chat/1", heldKey)
 	for range 40 {
-		f.snapshot = f.snapshot.WithConfirmed(f.clock.now)
+		f.snapshot = f.snapshot.WithConfirmed(f.clock.Time)
 		f.call("/chat/1", heldKey)
 	}
 	for _, line := range []string{"over quota", "refused", "delivered", "broken off", "caller left", "job submitted", "job called"} {
@@ -65,7 +65,7 @@
 
 // holders sets a configuration with the given keys.
 func (f *fixture) holders(keys map[string]string) {
-	f.snapshot = f.snapshot.WithConfig(configuration(2, keys)).WithConfirmed(f.clock.now)
+	f.snapshot = f.snapshot.WithConfig(configuration(2, keys)).WithConfirmed(f.clock.Time)
 }
 
 // callOrAbort makes a call that may abort its connection.
--- a/picker/limit_test.go
+++ b/picker/limit_test.go
@@ -9,20 +9,17 @@
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
 
-type clock struct{ now timer.Millis }
-
-func (c *clock) Now() timer.Millis { return c.now }
-
 // startLimited returns a Picker of servers with eight slots, the first of which named these
 // limits.
-func startLimited(servers int, limits ...string) (*picker.Picker, *throttler.Throttler, *clock) {
-	c := &clock{now: 1000}
+func startLimited(servers int, limits ...string) (*picker.Picker, *throttler.Throttler, *harness.Clock) {
+	c := &harness.Clock{Time: 1000}
 	var list []cataloger.Server
 	for i := range servers {
 		list = append(list, cataloger.Server{ID: fmt.Sprint("s", i), Service: "x", Slots: 8, StartedAt: 1})
@@ -50,7 +47,7 @@
 // is room.
 func TestCallBeyondAllLimitsIsRefusedWithATime(t *testing.T) {
 	p, _, c := startLimited(2, "1", "0.5")
-	c.now += timer.Second
+	c.Time += timer.Second
 	require.Equal(t, "s0", pick(t, p).Server.ID)
 	_, err := p.Pick("x", selector.Request{})
 	var held *picker.HeldBackError
@@ -59,14 +56,14 @@
 	require.InDelta(t, 1.5, held.Rate, 0)
 	require.EqualValues(t, 1000, held.RetryAfter)
 	require.EqualValues(t, 1000, held.Age)
-	c.now += held.RetryAfter
+	c.Time += held.RetryAfter
 	pick(t, p)
 }
 
 // What a limit leaves is kept for peaks while other servers have free slots.
 func TestServersWithoutALimitAreFilledFirst(t *testing.T) {
 	p, _, c := startLimited(2, "20")
-	c.now += 100
+	c.Time += 100
 	counts := make(map[string]int)
 	for range 9 {
 		counts[pick(t, p).Server.ID]++
@@ -83,17 +80,17 @@
 		r := pick(t, p)
 		r.Release()
 		if r.Server.ID == "s0" {
-			require.GreaterOrEqual(t, c.now, 6*timer.Second)
+			require.GreaterOrEqual(t, c.Time, 6*timer.Second)
 			return
 		}
-		c.now += 200
+		c.Time += 200
 	}
 	require.Fail(t, "the server got no call")
 }
 
 func TestCallThatIsNotSentDoesNotCountTowardsALimit(t *testing.T) {
 	p, _, c := startLimited(1, "1")
-	c.now += timer.Second
+	c.Time += timer.Second
 	for range 5 {
 		r, err := p.Pick("x", selector.Request{})
 		require.NoError(t, err)
@@ -108,12 +105,12 @@
 func TestItemsYieldWhatLimitsLeave(t *testing.T) {
 	p, _, c := startLimited(1, "1")
 	v := p.Candidates("x", throttler.Batch{})[0].Server
-	c.now += timer.Second
+	c.Time += timer.Second
 	_, ok := p.Reserve(v, throttler.Batch{Yield: true})
 	require.False(t, ok)
 	_, ok = p.Reserve(v, throttler.Batch{})
 	require.True(t, ok)
-	c.now += 2 * timer.Second
+	c.Time += 2 * timer.Second
 	_, ok = p.Reserve(v, throttler.Batch{Yield: true})
 	require.True(t, ok, "nobody else used it")
 }
@@ -121,10 +118,10 @@
 // Calls of a less urgent class leave the next request to more urgent ones.
 func TestLessUrgentCallsWaitForMoreRoom(t *testing.T) {
 	p, _, c := startLimited(1, "1")
-	c.now += 1100
+	c.Time += 1100
 	_, err := p.Pick("x", selector.Request{Rank: 1})
 	require.Error(t, err)
-	c.now += 400
+	c.Time += 400
 	_, err = p.Pick("x", selector.Request{Rank: 1})
 	require.NoError(t, err)
 }
--- a/rationer/levels_test.go
+++ b/rationer/levels_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
@@ -37,7 +38,7 @@
 			f.inherit(host, (host+1)%9)
 		}
 		if i%4 == 0 {
-			require.True(t, f.admit(r.IntN(9)), "refused at 25 of 40 a second, at %d ms", f.clock.now)
+			require.True(t, f.admit(r.IntN(9)), "refused at 25 of 40 a second, at %d ms", f.clock.Time)
 		}
 	}
 }
@@ -64,20 +65,20 @@
 }
 
 func TestInheritedLevelIsRefilledFromTheTimeOfInheritance(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
-	c.now += 500
+	c.Time += 500
 	h.Inherit(map[string]float64{workspace: 2})
 	require.True(t, h.Admit(workspace, limit).Admitted)
 	require.True(t, h.Admit(workspace, limit).Admitted)
 	require.False(t, h.Admit(workspace, limit).Admitted)
-	c.now += 25
+	c.Time += 25
 	require.True(t, h.Admit(workspace, limit).Admitted)
 	require.False(t, h.Admit(workspace, limit).Admitted)
 }
 
 func TestInheritedLevelNeverExceedsTheBurst(t *testing.T) {
-	h := rationer.New(&clock{now: 1000})
+	h := rationer.New(&harness.Clock{Time: 1000})
 	h.Inherit(map[string]float64{workspace: 10 * limit.Burst})
 	n := 0
 	for h.Admit(workspace, limit).Admitted {
@@ -87,10 +88,10 @@
 }
 
 func TestLowerLevelThanCurrentIsIgnored(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	h.Observe(map[string]rationer.Limit{workspace: limit})
-	c.now += 10 * timer.Second
+	c.Time += 10 * timer.Second
 	h.Inherit(map[string]float64{workspace: 1})
 	require.InDelta(t, limit.Burst-limit.Rate/5, h.Levels()[workspace], 1e-9)
 }
@@ -121,7 +122,7 @@
 }
 
 func TestAdvanceIsAtMostTheBurst(t *testing.T) {
-	h := rationer.New(&clock{now: 1000})
+	h := rationer.New(&harness.Clock{Time: 1000})
 	small := rationer.Limit{Rate: 4, Burst: 4}
 	h.Observe(map[string]rationer.Limit{workspace: small, "other": limit})
 	h.Advance(tolerance)
@@ -134,23 +135,23 @@
 // first moments, since it counted the other hosts as silent and used only its own share
 // of the levels that it had inherited.
 func TestHostThatHasJustStartedDoesNotTreatOthersAsSilent(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	h.Observe(map[string]rationer.Limit{workspace: limit})
 	h.Inherit(map[string]float64{workspace: 30})
 	h.SetPeers([]rationer.Peer{{Name: "a"}, {Name: "b"}, {Name: "c"}})
-	c.now += 100
+	c.Time += 100
 	for i := range 30 {
 		require.True(t, h.Admit(workspace, limit).Admitted, "request %d", i)
 	}
 }
 
 func TestHostWithoutDigestsIsSoonLimitedToItsShare(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	h.Observe(map[string]rationer.Limit{workspace: limit})
 	h.SetPeers([]rationer.Peer{{Name: "a"}, {Name: "b"}, {Name: "c"}})
-	c.now += 10 * timer.Second
+	c.Time += 10 * timer.Second
 	n := 0
 	for h.Admit(workspace, limit).Admitted {
 		n++
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -6,21 +6,18 @@
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
 
-type clock struct{ now timer.Millis }
-
-func (c *clock) Now() timer.Millis { return c.now }
-
 const workspace = "w"
 
 var limit = rationer.Limit{Rate: 40, Burst: 40}
 
 // fleet simulates hosts that exchange what they admitted, with a delay.
 type fleet struct {
-	clock        *clock
+	clock        *harness.Clock
 	hosts        []*rationer.Rationer
 	incarnations []int
 	inTransit    []message
@@ -37,7 +34,7 @@
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{clock: &clock{now: 1000}, partitioned: make(map[[2]int]bool), receivedAt: make(map[[2]int]timer.Millis)}
+	f := &fleet{clock: &harness.Clock{Time: 1000}, partitioned: make(map[[2]int]bool), receivedAt: make(map[[2]int]timer.Millis)}
 	for range n {
 		f.hosts = append(f.hosts, rationer.New(f.clock))
 		f.incarnations = append(f.incarnations, 0)
@@ -47,19 +44,19 @@
 
 // tick advances the clock by 10 ms. Digests are sent every 50 ms and arrive after 20 ms.
 func (f *fleet) tick() {
-	f.clock.now += 10
+	f.clock.Time += 10
 	kept := f.inTransit[:0]
 	for _, l := range f.inTransit {
-		if l.at > f.clock.now {
+		if l.at > f.clock.Time {
 			kept = append(kept, l)
 			continue
 		}
 		f.hosts[l.to].Merge(fmt.Sprint(l.from), fmt.Sprint(l.incarnation), l.spent)
-		f.receivedAt[[2]int{l.to, l.from}] = f.clock.now
+		f.receivedAt[[2]int{l.to, l.from}] = f.clock.Time
 	}
 	f.inTransit = kept
 	for i, h := range f.hosts {
-		if f.clock.now%50 == 0 {
+		if f.clock.Time%50 == 0 {
 			f.sendDigest(i)
 		}
 		var peers []rationer.Peer
@@ -75,7 +72,7 @@
 func (f *fleet) sendDigest(i int) {
 	for j := range f.hosts {
 		if j != i && !f.partitioned[[2]int{i, j}] {
-			f.inTransit = append(f.inTransit, message{at: f.clock.now + 20, from: i, to: j, incarnation: f.incarnations[i], spent: f.hosts[i].Spent()})
+			f.inTransit = append(f.inTransit, message{at: f.clock.Time + 20, from: i, to: j, incarnation: f.incarnations[i], spent: f.hosts[i].Spent()})
 		}
 	}
 }
@@ -83,7 +80,7 @@
 func (f *fleet) admit(host int) bool {
 	d := f.hosts[host].Admit(workspace, limit)
 	if d.Admitted {
-		f.admitted = append(f.admitted, f.clock.now)
+		f.admitted = append(f.admitted, f.clock.Time)
 	}
 	return d.Admitted
 }
@@ -176,10 +173,10 @@
 // Buckets were refilled only from their first use on, so callers were refused in the
 // first second although nothing had been admitted for ten seconds.
 func TestBucketFillsBeforeItsFirstUse(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	h.Merge("other", "1", map[string]uint64{workspace: 0})
-	c.now += 10 * timer.Second
+	c.Time += 10 * timer.Second
 	h.SetPeers(nil)
 	for i := range int(limit.Burst) {
 		require.True(t, h.Admit(workspace, limit).Admitted, "request %d", i)
@@ -188,19 +185,19 @@
 }
 
 func TestRefusalGivesTheTimeOfTheNextAdmission(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	d := h.Admit(workspace, rationer.Limit{Rate: 2, Burst: 4})
 	require.False(t, d.Admitted)
-	c.now += d.RetryAfter
+	c.Time += d.RetryAfter
 	require.True(t, h.Admit(workspace, rationer.Limit{Rate: 2, Burst: 4}).Admitted)
 }
 
 func TestRefundedRequestCanBeUsedAgain(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	l := rationer.Limit{Rate: 1, Burst: 1}
-	c.now += timer.Second
+	c.Time += timer.Second
 	require.True(t, h.Admit(workspace, l).Admitted)
 	require.False(t, h.Admit(workspace, l).Admitted)
 	h.Refund(workspace)
@@ -208,17 +205,17 @@
 }
 
 func TestWorkspaceWithoutALimitIsNeverRefused(t *testing.T) {
-	h := rationer.New(&clock{now: 1000})
+	h := rationer.New(&harness.Clock{Time: 1000})
 	for range 1000 {
 		require.True(t, h.Admit(workspace, rationer.Limit{}).Admitted)
 	}
 }
 
 func BenchmarkAdmit(b *testing.B) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	for b.Loop() {
-		c.now++
+		c.Time++
 		h.Admit(workspace, limit)
 	}
 }
--- a/rationer/turns_test.go
+++ b/rationer/turns_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -17,7 +18,7 @@
 
 // lane simulates hosts that share the limit of one server.
 type lane struct {
-	clock  *clock
+	clock  *harness.Clock
 	random *rand.Rand
 	limit  rationer.Limit
 	hosts  []*laneHost
@@ -50,7 +51,7 @@
 
 func newLane(seed uint64, hosts int, rate float64, maxDelay timer.Millis) *lane {
 	l := &lane{
-		clock: &clock{now: 100000}, random: rand.New(rand.NewPCG(seed, 7)), limit: serverLimit(rate), maxDelay: maxDelay,
+		clock: &harness.Clock{Time: 100000}, random: rand.New(rand.NewPCG(seed, 7)), limit: serverLimit(rate), maxDelay: maxDelay,
 		side: func(int) int { return 0 }, wire: make(map[timer.Millis][]laneReport),
 	}
 	for i := range hosts {
@@ -59,7 +60,7 @@
 	for i := range l.hosts {
 		l.start(i)
 		for j := range l.hosts {
-			l.hosts[i].heard[j] = l.clock.now
+			l.hosts[i].heard[j] = l.clock.Time
 		}
 		l.setPeers(i)
 	}
@@ -84,7 +85,7 @@
 		}
 		at := l.hosts[i].heard[j]
 		peers = append(peers, rationer.Peer{Name: o.name, LastReceived: at})
-		if at != 0 && l.clock.now-at <= 800 {
+		if at != 0 && l.clock.Time-at <= 800 {
 			order = append(order, o.name)
 		}
 	}
@@ -94,8 +95,8 @@
 
 // tick advances the clock by 10 ms. Each host reports every 50 ms.
 func (l *lane) tick() {
-	l.clock.now += 10
-	now := l.clock.now
+	l.clock.Time += 10
+	now := l.clock.Time
 	for _, r := range l.wire[now] {
 		if !l.hosts[r.to].down {
 			l.hosts[r.to].MergeUsage(l.hosts[r.from].name, strconv.Itoa(r.incarnation), server, r.usage)
@@ -122,11 +123,11 @@
 		if to == from || l.side(to) != l.side(from) || l.hosts[to].down || l.random.Float64() < l.loss {
 			continue
 		}
-		l.hosts[to].heard[from] = l.clock.now
+		l.hosts[to].heard[from] = l.clock.Time
 		if !used {
 			continue
 		}
-		at := l.clock.now + 10*(1+timer.Millis(l.random.IntN(int(l.maxDelay/10))))
+		at := l.clock.Time + 10*(1+timer.Millis(l.random.IntN(int(l.maxDelay/10))))
 		l.wire[at] = append(l.wire[at], laneReport{from: from, to: to, incarnation: h.incarnation, usage: u})
 	}
 }
@@ -137,7 +138,7 @@
 	if l.hosts[host].down || !l.hosts[host].Take(c).Admitted {
 		return false
 	}
-	l.sent = append(l.sent, l.clock.now)
+	l.sent = append(l.sent, l.clock.Time)
 	return true
 }
 
@@ -351,7 +352,7 @@
 }
 
 func TestRefusedClaimTellsWhenItIsGranted(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	h.SetOrder(rationer.Order{Index: 3, Hosts: 12})
 	claim := rationer.Claim{Key: server, Limit: serverLimit(0.5)}
@@ -361,14 +362,14 @@
 			d = h.Take(claim)
 		}
 		require.Positive(t, d.RetryAfter)
-		c.now += d.RetryAfter
+		c.Time += d.RetryAfter
 		require.True(t, h.Take(claim).Admitted)
 	}
 }
 
 // A request that is sent in advance is paid back.
 func TestAdvanceIsPaidBack(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	h := rationer.New(c)
 	claim := rationer.Claim{Key: server, Limit: serverLimit(1)}
 	h.Peek(claim)
@@ -376,8 +377,8 @@
 	advance.Advance = true
 	require.True(t, h.Take(advance).Admitted)
 	require.False(t, h.Take(advance).Admitted, "one request only")
-	c.now += timer.Second
+	c.Time += timer.Second
 	require.False(t, h.Take(claim).Admitted)
-	c.now += timer.Second
+	c.Time += timer.Second
 	require.True(t, h.Take(claim).Admitted)
 }
--- a/suspector/prompt_test.go
+++ b/suspector/prompt_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -32,11 +33,11 @@
 // Servers of one rack lose power at the same moment, with calls in flight that share a
 // part which was never answered.
 func TestServersThatCrashTogetherCountOnceAgainstAPart(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 8 {
 		w.Failed(promptAttempt(fmt.Sprint("s", i), uint64(i), "w", 1))
-		c.now++
+		c.Time++
 	}
 	_, refused := w.Refused(suspector.Call{Fingerprint: 99, Parts: []uint64{1}})
 	require.False(t, refused)
@@ -45,11 +46,11 @@
 // One unlucky call meets three crashes. It is refused itself, but other calls with its
 // part are not.
 func TestPartOfASingleCallIsNotRefused(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 3 {
 		w.Failed(promptAttempt(fmt.Sprint("s", i), 7, "w", 1))
-		c.now += 200
+		c.Time += 200
 	}
 	_, refused := w.Refused(suspector.Call{Fingerprint: 7, Parts: []uint64{1}})
 	require.True(t, refused)
@@ -60,13 +61,13 @@
 // Calls whose answers were under way when their servers crashed say nothing about their
 // parts.
 func TestPartOfAnAnswerUnderWayIsNotRefused(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 5 {
 		a := promptAttempt(fmt.Sprint("s", i), uint64(i), "w", 1)
 		a.Events = suspector.ProgressEvents
 		w.Failed(a)
-		c.now += 200
+		c.Time += 200
 	}
 	_, refused := w.Refused(suspector.Call{Fingerprint: 99, Parts: []uint64{1}})
 	require.False(t, refused)
@@ -76,7 +77,7 @@
 // crashes under a part of another workspace's prompts must still be counted, and a part
 // that is refused must stay refused.
 func TestRecordOfAPartIsNotDisplacedByMadeUpParts(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	a, b := suspector.NewTracker(c, zap.NewNop(), nil), suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range uint64(3) {
 		a.Failed(promptAttempt(fmt.Sprint("s", i), i, "victim", 1, 2+i))
@@ -85,7 +86,7 @@
 			a.Failed(promptAttempt(fmt.Sprint("t", call), call, "other", manyParts(call, 200)...))
 		}
 		b.Merge(a.Records())
-		c.now += 300
+		c.Time += 300
 	}
 	for _, w := range []*suspector.Tracker{a, b} {
 		_, refused := w.Refused(suspector.Call{Fingerprint: 99, Parts: []uint64{50, 1}})
@@ -94,7 +95,7 @@
 	for call := range uint64(5000) {
 		a.Failed(promptAttempt(fmt.Sprint("u", call), call, "other", manyParts(1<<20+call, 10)...))
 		a.Completed(suspector.Call{Fingerprint: call, Parts: manyParts(1<<21+call, 10), Workspace: "other"})
-		c.now += 2
+		c.Time += 2
 	}
 	_, refused := a.Refused(suspector.Call{Fingerprint: 99, Parts: []uint64{1}})
 	require.True(t, refused)
@@ -102,7 +103,7 @@
 
 // A crashing part is hidden among 300 made-up ones, more than are recorded of one call.
 func TestPartAmongManyMadeUpOnesIsFound(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	sent := 0
 	for call := range uint64(40) {
@@ -112,7 +113,7 @@
 		}
 		sent++
 		w.Failed(promptAttempt(fmt.Sprint("s", call), call, "w", parts...))
-		c.now += 100
+		c.Time += 100
 	}
 	require.Less(t, sent, 20)
 }
@@ -120,7 +121,7 @@
 // Thousands of calls with long prompts fail at a host within one report window. What it
 // reports must still fit into a datagram with the rest of its digest.
 func TestReportOfManyFailuresFitsIntoADatagram(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for call := range uint64(5000) {
 		w.Failed(promptAttempt(fmt.Sprint("i-", call), call, fmt.Sprint("w", call%50), manyParts(call, 20)...))
@@ -132,7 +133,7 @@
 
 // Records of prompts are bounded in memory and in the message that a host sends.
 func TestPromptStateSize(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -141,7 +142,7 @@
 		w.Failed(promptAttempt(fmt.Sprint("s", call), call, fmt.Sprint("w", call%50), manyParts(call, 500)...))
 		w.Completed(suspector.Call{Fingerprint: 1 << 30, Parts: manyParts(1<<22+call, 500)})
 		if call%100 == 99 {
-			c.now += timer.Second
+			c.Time += timer.Second
 			frame, err := cbor.Marshal(w.Records())
 			require.NoError(t, err)
 			require.Less(t, len(frame), 48<<10, "a datagram holds 64 KiB")
--- a/suspector/suspector_test.go
+++ b/suspector/suspector_test.go
@@ -20,6 +20,7 @@
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/registrar"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -263,12 +264,8 @@
 	return out
 }
 
-type clock struct{ now timer.Millis }
-
 func incarnation(id string) cataloger.Incarnation { return cataloger.Incarnation{ID: id, StartedAt: 1} }
 
-func (c *clock) Now() timer.Millis { return c.now }
-
 // attempt returns an attempt of a call at a server.
 func attempt(server string, fingerprint uint64, sent timer.Millis) suspector.Attempt {
 	return suspector.Attempt{Call: suspector.Call{Fingerprint: fingerprint}, Server: incarnation(server), Sent: sent}
@@ -277,7 +274,7 @@
 // The same call is sent to one host after another, and each observes the failure of one
 // server under it.
 func TestTrackersShareCrashes(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	hosts := make([]*suspector.Tracker, 4)
 	for i := range hosts {
 		hosts[i] = suspector.NewTracker(c, zap.NewNop(), nil)
@@ -291,12 +288,12 @@
 		}
 	}
 	for i := range 2 {
-		hosts[i].Failed(attempt(fmt.Sprint("s", i), culprit, c.now))
+		hosts[i].Failed(attempt(fmt.Sprint("s", i), culprit, c.Time))
 		exchange()
 		_, refused := hosts[0].Refused(suspector.Call{Fingerprint: culprit})
 		require.False(t, refused)
 	}
-	hosts[2].Failed(attempt("s2", culprit, c.now))
+	hosts[2].Failed(attempt("s2", culprit, c.Time))
 	exchange()
 	for _, h := range hosts[:3] {
 		after, refused := h.Refused(suspector.Call{Fingerprint: culprit})
@@ -306,11 +303,11 @@
 	_, refused := hosts[3].Refused(suspector.Call{Fingerprint: culprit})
 	require.False(t, refused)
 
-	c.now += 16 * timer.Second
+	c.Time += 16 * timer.Second
 	_, refused = hosts[0].Refused(suspector.Call{Fingerprint: culprit})
 	require.False(t, refused, "still refused after the wait")
 	require.Empty(t, hosts[0].Records().Crashes, "reported for longer than the report window")
-	hosts[1].Failed(attempt("s3", culprit, c.now))
+	hosts[1].Failed(attempt("s3", culprit, c.Time))
 	exchange()
 	after, refused := hosts[0].Refused(suspector.Call{Fingerprint: culprit})
 	require.True(t, refused, "not refused after the next failure")
@@ -321,14 +318,14 @@
 // it is down. The soak test (seed 25) found that an item was refused after it had met two
 // crashed servers, one of them twice.
 func TestCallSentAfterServerCrashIsNotRefused(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 3 {
 		server := fmt.Sprint("s", i)
-		w.Failed(attempt(server, 1, c.now))
-		c.now += 10
-		w.Failed(attempt(server, 2, c.now))
-		w.Failed(attempt(server, 3, c.now-20))
+		w.Failed(attempt(server, 1, c.Time))
+		c.Time += 10
+		w.Failed(attempt(server, 2, c.Time))
+		w.Failed(attempt(server, 3, c.Time-20))
 	}
 	_, refused := w.Refused(suspector.Call{Fingerprint: 2})
 	require.False(t, refused, "sent after the servers had failed")
@@ -339,43 +336,43 @@
 // Servers that crashed with many calls in flight displaced the record of the call that
 // crashes them from the bounded memory.
 func TestRecordOfCrashingCallIsNotDisplacedByOthers(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 3 {
-		w.Failed(attempt(fmt.Sprint("s", i), 7, c.now))
+		w.Failed(attempt(fmt.Sprint("s", i), 7, c.Time))
 	}
 	for i := range 60 {
 		for call := range uint64(10) {
-			w.Failed(attempt(fmt.Sprint("t", i), 100+uint64(i)*10+call, c.now-5))
+			w.Failed(attempt(fmt.Sprint("t", i), 100+uint64(i)*10+call, c.Time-5))
 		}
-		c.now += 10
+		c.Time += 10
 	}
 	_, refused := w.Refused(suspector.Call{Fingerprint: 7})
 	require.True(t, refused)
 }
 
 func TestFailuresOfOneIncarnationDoNotRefuseACall(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	for range 5 {
-		w.Failed(attempt("s", 1, c.now))
+		w.Failed(attempt("s", 1, c.Time))
 		w.Answered(incarnation("s"))
-		c.now += 100
+		c.Time += 100
 	}
 	_, refused := w.Refused(suspector.Call{Fingerprint: 1})
 	require.False(t, refused, "the server answered, so the call did not crash it")
 }
 
 func TestSuccessOnOneHostClearsACallOnAll(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	a, b := suspector.NewTracker(c, zap.NewNop(), nil), suspector.NewTracker(c, zap.NewNop(), nil)
 	for i := range 2 {
-		a.Failed(attempt(fmt.Sprint("s", i), 7, c.now))
+		a.Failed(attempt(fmt.Sprint("s", i), 7, c.Time))
 	}
 	b.Merge(a.Records())
 	b.Completed(suspector.Call{Fingerprint: 7})
 	a.Merge(b.Records())
-	a.Failed(attempt("s3", 7, c.now))
+	a.Failed(attempt("s3", 7, c.Time))
 	_, refused := a.Refused(suspector.Call{Fingerprint: 7})
 	require.False(t, refused)
 	b.Completed(suspector.Call{Fingerprint: 8})
@@ -395,17 +392,17 @@
 
 // The memory of a Tracker is bounded, however many calls meet crashes.
 func TestTrackerStateSize(t *testing.T) {
-	c := &clock{now: 1000}
+	c := &harness.Clock{Time: 1000}
 	w := suspector.NewTracker(c, zap.NewNop(), nil)
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	for call := range uint64(20000) {
 		for server := range 3 {
-			w.Failed(attempt(fmt.Sprint("s", server, "-", call/8), call, c.now-5))
+			w.Failed(attempt(fmt.Sprint("s", server, "-", call/8), call, c.Time-5))
 		}
 		if call%8 == 7 {
-			c.now += 2 * timer.Second
+			c.Time += 2 * timer.Second
 			w.Records()
 		}
 	}
--- a/throttler/bench_test.go
+++ b/throttler/bench_test.go
@@ -8,13 +8,14 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
 
 // limited returns a Throttler of one of these hosts, with limits of these servers.
-func limited(servers, hosts int) (*throttler.Throttler, *clock, []cataloger.Incarnation) {
+func limited(servers, hosts int) (*throttler.Throttler, *harness.Clock, []cataloger.Incarnation) {
 	h, c := newThrottler()
 	var list []cataloger.Incarnation
 	for i := range servers {
@@ -24,7 +25,7 @@
 	}
 	var peers []rationer.Peer
 	for i := range hosts - 1 {
-		peers = append(peers, rationer.Peer{Name: fmt.Sprint("host-", i), LastReceived: c.now + 1000*timer.Second})
+		peers = append(peers, rationer.Peer{Name: fmt.Sprint("host-", i), LastReceived: c.Time + 1000*timer.Second})
 	}
 	h.SetHosts(peers, rationer.Order{Index: 7, Hosts: hosts})
 	return h, c, list
@@ -47,7 +48,7 @@
 			i := 0
 			for b.Loop() {
 				if i++; i%64 == 0 {
-					c.now++
+					c.Time++
 				}
 				h.Room(list[i%64], throttler.Online{})
 			}
@@ -59,7 +60,7 @@
 	for _, n := range []int{70, 10000} {
 		b.Run(fmt.Sprint(n, " limits"), func(b *testing.B) {
 			h, c, list := limited(n, max(n/3, 12))
-			c.now += 20000
+			c.Time += 20000
 			for i := range 20 {
 				h.Take(list[i], throttler.Batch{})
 			}
@@ -99,7 +100,7 @@
 	runtime.ReadMemStats(&before)
 	for i := range 360000 {
 		if i%10 == 0 {
-			c.now += 100
+			c.Time += 100
 		}
 		h.Merge(fmt.Sprint("host-", i), "1", []throttler.Notice{{ID: list[0].ID, Born: list[0].StartedAt, Rate: 2.5, Version: 1, Taken: 1, Recent: 1, Turn: uint64(i)}})
 	}
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
@@ -14,14 +15,10 @@
 	"pgregory.net/rapid"
 )
 
-type clock struct{ now timer.Millis }
-
-func (c *clock) Now() timer.Millis { return c.now }
-
 var server = cataloger.Incarnation{ID: "s", StartedAt: 1}
 
-func newThrottler() (*throttler.Throttler, *clock) {
-	c := &clock{now: 1000}
+func newThrottler() (*throttler.Throttler, *harness.Clock) {
+	c := &harness.Clock{Time: 1000}
 	return throttler.New(c, zap.NewNop()), c
 }
 
@@ -71,7 +68,7 @@
 	hear(h, "0")
 	_, ok := h.Take(server, throttler.Online{})
 	require.False(t, ok)
-	c.now += 10 * timer.Second
+	c.Time += 10 * timer.Second
 	require.True(t, h.Room(server, throttler.Online{}).Probe)
 	_, ok = h.Take(server, throttler.Online{})
 	require.True(t, ok)
@@ -136,7 +133,7 @@
 func TestEndOfALowLimitIsConfirmedAtOnce(t *testing.T) {
 	h, c := newThrottler()
 	hear(h, "0.2")
-	c.now += 5 * timer.Second
+	c.Time += 5 * timer.Second
 	_, ok := h.Take(server, throttler.Online{})
 	require.True(t, ok)
 	mark := h.Mark(server)
@@ -158,7 +155,7 @@
 	require.NotEmpty(t, h.Notices())
 	hear(h)
 	hear(h)
-	c.now += 6 * timer.Second
+	c.Time += 6 * timer.Second
 	h.Retain(func(cataloger.Incarnation) bool { return true })
 	require.Empty(t, h.Notices())
 	require.Empty(t, h.Known())
@@ -172,7 +169,7 @@
 	}
 	require.LessOrEqual(t, len(h.Notices()), 260)
 	require.LessOrEqual(t, h.InForce(), 16384)
-	c.now += 2 * timer.Second
+	c.Time += 2 * timer.Second
 	seen := make(map[string]bool)
 	for range 5000 {
 		list := h.Notices()
@@ -180,7 +177,7 @@
 		for _, n := range list {
 			seen[n.ID] = true
 		}
-		c.now += 200
+		c.Time += 200
 	}
 	require.Len(t, seen, 16384)
 }
@@ -204,7 +201,7 @@
 		h.RefuseUntil("svc", 4, 100, 1600)
 	}
 	require.EqualValues(t, 2100, h.RefuseUntil("svc", 4, 100, 1600), "nobody waits for that place, so it stays free")
-	c.now += 5 * timer.Second
+	c.Time += 5 * timer.Second
 	require.EqualValues(t, 100, h.RefuseUntil("svc", 4, 100, 1600))
 	require.EqualValues(t, 10, h.Refused())
 }
@@ -214,7 +211,7 @@
 func TestHostsAgreeOnTheNewestLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		c := &clock{now: 1000}
+		c := &harness.Clock{Time: 1000}
 		hosts := make([]*throttler.Throttler, rapid.IntRange(2, 8).Draw(t, "hosts"))
 		for i := range hosts {
 			hosts[i] = throttler.New(c, zap.NewNop())
@@ -227,7 +224,7 @@
 				values = []string{limit}
 			}
 			for range 60 {
-				c.now += 50
+				c.Time += 50
 				h := hosts[random.IntN(len(hosts))]
 				h.Heard(server, h.Mark(server), values, true)
 				from := hosts[random.IntN(len(hosts))]
@@ -275,18 +272,18 @@
 		require.False(t, ok)
 	}
 	require.False(t, far.Room(server, throttler.Online{}).Limited, "only the host that was told reports it, so the time does not grow on the way")
-	c.now += 1500
+	c.Time += 1500
 	b.Merge("a", "1", a.Notices())
 	a.Pause(server, 100)
 	require.EqualValues(t, 500, a.Room(server, throttler.Online{}).RetryAfter, "a shorter time does not end a longer one")
-	c.now += 500
+	c.Time += 500
 	for _, h := range []*throttler.Throttler{a, b} {
 		require.False(t, h.Room(server, throttler.Online{}).Limited)
 		counted, ok := h.Take(server, throttler.Online{})
 		require.True(t, ok)
 		require.False(t, counted)
 	}
-	c.now += 6 * timer.Second
+	c.Time += 6 * timer.Second
 	a.Retain(func(cataloger.Incarnation) bool { return true })
 	require.Empty(t, a.Notices())
 }
@@ -298,7 +295,7 @@
 	require.EqualValues(t, 30*timer.Second, h.Room(server, throttler.Online{}).RetryAfter)
 	hear(h)
 	require.False(t, h.Room(server, throttler.Online{}).Open)
-	c.now += 30 * timer.Second
+	c.Time += 30 * timer.Second
 	room := h.Room(server, throttler.Online{})
 	require.True(t, room.Limited)
 	require.InDelta(t, 1, room.Rate, 0)
