exchanger: looking up one header stops at the first again

Cause: with the values of a limit, the look-up of every header scanned all headers and allocated a list. Ruled out: a second loop beside the first. headers is an iterator now, which header ends after one value. Behaviour is unchanged; the package's tests pass.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"io"
+	"iter"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -147,7 +149,7 @@
 		return Broken{Code: CodeMismatched, Err: eris.New("the answer has the identifier of another request")}, false
 	}
 	if e.call.Answered != nil {
-		e.call.Answered(Head{Status: status, Limit: headers(r, HeaderLimit), RetryAfter: retryAfter(r)})
+		e.call.Answered(Head{Status: status, Limit: slices.Collect(headers(r, HeaderLimit)), RetryAfter: retryAfter(r)})
 	}
 	if status == fasthttp.StatusTooManyRequests || (status == fasthttp.StatusServiceUnavailable && header(r, HeaderNotRun) != "") {
 		return Refused{Status: status, RetryAfter: retryAfter(r)}, false
@@ -256,21 +258,21 @@
 
 // header returns the value of the first header with this name, in any case, or "".
 func header(r *fasthttp.Response, name string) string {
-	if all := headers(r, name); len(all) > 0 {
-		return all[0]
+	for v := range headers(r, name) {
+		return v
 	}
 	return ""
 }
 
-// headers returns the values of the headers with this name, in any case.
-func headers(r *fasthttp.Response, name string) []string {
-	var out []string
-	for k, v := range r.Header.All() {
-		if strings.EqualFold(string(k), name) {
-			out = append(out, string(v))
+// headers yields the values of the headers with this name, in any case.
+func headers(r *fasthttp.Response, name string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for k, v := range r.Header.All() {
+			if strings.EqualFold(string(k), name) && !yield(string(v)) {
+				return
+			}
 		}
 	}
-	return out
 }
 
 // notForwarded has the names, in lower case, of headers that apply to one connection
