hoster: one handler for what hosts tell a host that has started

Cause: the handlers of suspects and of limits were the same but for the value. serveKnown serves both. Only the text of an encoding error differs. Checked by the soak, whose hosts take over suspects and limits after kills.

--- a/hoster/known.go
+++ b/hoster/known.go
@@ -25,10 +25,15 @@
 
 // serveSuspects registers the handler of methodSuspects.
 func (b *base) serveSuspects() {
-	b.messenger.Handle(methodSuspects, func(_ context.Context, _ messenger.Peer, _ []byte, send func([]byte) error) error {
-		frame, err := cbor.Marshal(b.tracker.Known())
+	b.serveKnown(methodSuspects, func() any { return b.tracker.Known() })
+}
+
+// serveKnown registers the handler of a method that returns what this host knows.
+func (b *base) serveKnown(method messenger.Method, known func() any) {
+	b.messenger.Handle(method, func(_ context.Context, _ messenger.Peer, _ []byte, send func([]byte) error) error {
+		frame, err := cbor.Marshal(known())
 		if err != nil {
-			return eris.Wrap(err, "encode suspects")
+			return eris.Wrapf(err, "encode reply to %s", method)
 		}
 		return send(frame)
 	})
--- a/hoster/limits.go
+++ b/hoster/limits.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -28,12 +26,8 @@
 
 // serveLimits registers the handler of methodLimits.
 func (b *base) serveLimits() {
-	b.messenger.Handle(methodLimits, func(_ context.Context, _ messenger.Peer, _ []byte, send func([]byte) error) error {
-		frame, err := cbor.Marshal(knownLimits{Host: b.member.Name, Incarnation: b.member.Incarnation, Limits: b.throttler.Known()})
-		if err != nil {
-			return eris.Wrap(err, "encode limits")
-		}
-		return send(frame)
+	b.serveKnown(methodLimits, func() any {
+		return knownLimits{Host: b.member.Name, Incarnation: b.member.Incarnation, Limits: b.throttler.Known()}
 	})
 }
 
