operator: decodeKey returns the key that it decodes

Cause: newKey returned a variable beside a call that fills it, and the language does not say which of the two is evaluated first. No failure was seen; the test that repeats key give passed and passes. Beside it, imports of dispatcher stand in one group and a comment of batcher is wrapped.

--- a/batcher/options.go
+++ b/batcher/options.go
@@ -37,8 +37,9 @@
 	FileRetention timer.Millis
 	// MaxAge is how long after its creation a job fails that has not ended. MaxAge plus
 	// Retention is how long after their creation a job's segments are kept if the job
-	// does not end, for example because its owner never reaches the store. When it ends, its items are deleted, and the expiry of its
-	// results is set anew, to Retention and a margin from then.
+	// does not end, for example because its owner never reaches the store. When it ends,
+	// its items are deleted, and the expiry of its results is set anew, to Retention and a
+	// margin from then.
 	MaxAge timer.Millis
 	// MaxItems is the maximum number of items in an input, and MaxLine the maximum
 	// length of a line in bytes.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,10 +46,9 @@
 	"context"
 	"sync"
 
-	"github.com/jackdawgate/jackdawgate/throttler"
-
 	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/throttler"
 
 	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/exchanger"
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -6,9 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/jackdawgate/jackdawgate/cataloger"
-
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/registrar"
--- a/operator/key.go
+++ b/operator/key.go
@@ -88,7 +88,7 @@
 		data, err := os.ReadFile(k.file)
 		switch {
 		case err == nil:
-			return n, k.decodeKey(data, id, workspace, &n)
+			return k.decodeKey(data, id, workspace)
 		case !errors.Is(err, fs.ErrNotExist):
 			return n, eris.Wrap(err, "read key file")
 		}
@@ -105,14 +105,15 @@
 }
 
 // decodeKey decodes the key file. It returns an error if the file has another key.
-func (k *KeyGive) decodeKey(data []byte, id, workspace string, n *newKey) error {
-	if err := json.Unmarshal(data, n); err != nil {
-		return eris.Wrapf(err, "decode key file %s", k.file)
+func (k *KeyGive) decodeKey(data []byte, id, workspace string) (newKey, error) {
+	var n newKey
+	if err := json.Unmarshal(data, &n); err != nil {
+		return n, eris.Wrapf(err, "decode key file %s", k.file)
 	}
 	if n.Key.ID != id || n.Key.Workspace != workspace {
-		return eris.Errorf("key file %s has key %q of workspace %q", k.file, n.Key.ID, n.Key.Workspace)
+		return n, eris.Errorf("key file %s has key %q of workspace %q", k.file, n.Key.ID, n.Key.Workspace)
 	}
-	return nil
+	return n, nil
 }
 
 // KeyWithdraw withdraws a key permanently.
