batcher: the test that removes a job during a list removes one job only

Cause: since the list asks all owners at the same time, the test's callback ran in several goroutines. Two of them could each see the job and remove it (deleting what is gone succeeds), and both appended to one slice. The list itself is right: it leaves out the job in each run. Ruled out: a fault of the store stand-in; a deletion whose key is gone is a success by the interface, so that a repeated call whose answer was lost ends.

--- a/batcher/list_test.go
+++ b/batcher/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -68,19 +69,23 @@
 // A job was removed while the list was being made, and the whole list failed.
 func TestListLeavesOutAJobThatIsRemovedMeanwhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		// The owners are asked at the same time, and the first question removes a job.
+		var first sync.Once
 		var removed []string
 		c, ids := newSilentCluster(t, func(c *cluster) {
-			keys, err := c.store.List(context.Background(), "jackdawgate/jobs/")
-			if err != nil || len(keys) < 6 {
-				return
-			}
-			v, err := c.store.Get(context.Background(), keys[0])
-			if err != nil {
-				return
-			}
-			if ok, err := c.store.Delete(context.Background(), keys[0], v.Version); ok && err == nil {
-				removed = append(removed, keys[0])
-			}
+			first.Do(func() {
+				keys, err := c.store.List(context.Background(), "jackdawgate/jobs/")
+				if err != nil || len(keys) < 6 {
+					return
+				}
+				v, err := c.store.Get(context.Background(), keys[0])
+				if err != nil {
+					return
+				}
+				if ok, err := c.store.Delete(context.Background(), keys[0], v.Version); ok && err == nil {
+					removed = append(removed, keys[0])
+				}
+			})
 		})
 		defer c.close()
 		page, err := c.anyBatcher().List(t.Context(), workspace, submitter.PageRequest{})
