An accepted job is not reported as unknown while its group changes its session

By reading: whether the host serves the group and whether the group has the job were two questions; a session that began in between has an empty table. The same gap let a cancellation be confirmed that was not recorded, and an item's body be denied. Now one step of the goroutine that owns the group asks both (Replica.WhileServing), so neither the session nor the owner's lease can change in between. Ruled out: the lock of the queue alone; it does not see the lease of the owner, so a host that had lost the group could still deny a job that the next owner accepted. The new test (session given up and reset right after the first question) answers 404 for results and bodies and 200 for the end on the code before; now 503, the body, 503.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -30,6 +30,8 @@
 	queues           []*queuer.Queue
 	serving          bool
 	receivesFromBulk bool
+	// afterServing, unless nil, is called after a group was read while it was served.
+	afterServing func(*queuer.Queue)
 	// other is another entry host, which receives digests from the bulk host if
 	// otherReceivesFromBulk.
 	other                 *broker.Broker
@@ -50,8 +52,17 @@
 		f.queues = append(f.queues, q)
 		digest.Groups = append(digest.Groups, n)
 		seats = append(seats, broker.LocalGroup{
-			Group:   executor.Group{Number: n, Queue: q, Propose: func(_ context.Context, data []byte) error { return f.propose(q, data) }},
-			Serving: func(context.Context) bool { return f.serving },
+			Group: executor.Group{Number: n, Queue: q, Propose: func(_ context.Context, data []byte) error { return f.propose(q, data) }},
+			WhileServing: func(_ context.Context, read func()) bool {
+				if !f.serving {
+					return false
+				}
+				read()
+				if f.afterServing != nil {
+					f.afterServing(q)
+				}
+				return true
+			},
 		})
 	}
 	broker.NewHandler(seats, func() []gossiper.Digest { return nil }, bulk, zap.NewNop())
@@ -83,6 +94,9 @@
 }
 
 func (f *fixture) propose(q *queuer.Queue, data []byte) error {
+	if !q.Serving() {
+		return &mirrorer.NotOwnerError{}
+	}
 	if f.proposeErr == nil || f.applyOnError {
 		q.Apply(data)
 	}
@@ -136,6 +150,30 @@
 	})
 }
 
+// A host that served a group gave up its session just after it had been asked whether it
+// serves the group. It reported an accepted job as unknown, and a job as ended that was not.
+func TestAcceptedJobIsNotUnknownWhileTheGroupChangesItsSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range []struct {
+			call   namer.JobCall
+			status int
+		}{
+			{namer.ReadResults{Job: "j"}, http.StatusServiceUnavailable},
+			{namer.ReadBody{Job: "j", Item: "a"}, http.StatusOK},
+			{namer.CancelJob{Job: "j"}, http.StatusServiceUnavailable},
+		} {
+			f := start(t)
+			require.Equal(t, http.StatusAccepted, f.submit("j", "a b").Status)
+			f.afterServing = func(q *queuer.Queue) {
+				q.StopServing()
+				q.Reset()
+				f.serving = false
+			}
+			require.Equal(t, c.status, f.read("w", c.call).Status, "%T", c.call)
+		}
+	})
+}
+
 func TestJobThatMayHaveBeenAcceptedIsNotRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t)
--- a/broker/handler.go
+++ b/broker/handler.go
@@ -21,8 +21,9 @@
 // LocalGroup is a group on a host that may serve it.
 type LocalGroup struct {
 	executor.Group
-	// Serving reports whether the host serves the group now.
-	Serving func(ctx context.Context) bool
+	// WhileServing calls read, which must not block, if the host serves the group now, and
+	// reports whether it did. The group's state and owner do not change during read.
+	WhileServing func(ctx context.Context, read func()) bool
 }
 
 // Handler handles calls about batch jobs on the host that serves their groups.
@@ -57,22 +58,25 @@
 	})
 }
 
-// localGroup returns the group of a job, and whether this host serves it now.
-func (d *Handler) localGroup(ctx context.Context, job string) (LocalGroup, bool) {
-	s := d.groups[GroupOf(job)]
-	return s, s.Serving(ctx)
+// whileServing returns what read returns for a job's group, and false if this host does
+// not serve the group. What the group does not have while it is served does not exist.
+func whileServing[T any](ctx context.Context, s LocalGroup, read func(*queuer.Queue) T) (T, bool) {
+	var found, none T
+	if !s.WhileServing(ctx, func() { found = read(s.Queue) }) {
+		// read may still be called, after ctx has ended.
+		return none, false
+	}
+	return found, true
 }
 
 func (d *Handler) submit(ctx context.Context, m submitRequest) reply {
-	s, ok := d.localGroup(ctx, m.Job.ID)
-	if !ok {
+	s := d.groups[GroupOf(m.Job.ID)]
+	v, ok := whileServing(ctx, s, func(q *queuer.Queue) verdict { return ownership(q, m.Job.ID, m.Job.Workspace) })
+	switch {
+	case !ok:
 		return reply{Verdict: verdictNotOwner}
-	}
-	if owner, ok := s.Queue.Workspace(m.Job.ID); ok {
-		if owner != m.Job.Workspace {
-			return reply{Verdict: verdictConflict}
-		}
-		return reply{Verdict: verdictDone}
+	case v != verdictNotFound:
+		return reply{Verdict: v}
 	}
 	key := queuer.QueueKey{Workspace: m.Job.Workspace, Route: m.Job.Route}
 	tokens := m.Job.Tokens()
@@ -117,28 +121,47 @@
 	return reply{Verdict: verdictUncertain}
 }
 
-// lookUp returns the group of a job. The verdict is verdictDone if this host serves the
-// group and the job belongs to the workspace.
-func (d *Handler) lookUp(ctx context.Context, m jobRequest) (LocalGroup, verdict) {
-	s, ok := d.localGroup(ctx, m.Job)
-	if !ok {
-		return s, verdictNotOwner
+// ownership returns verdictDone if a workspace has a job, verdictConflict if another one
+// has a job of this name, and verdictNotFound if none has.
+func ownership(q *queuer.Queue, job, workspace string) verdict {
+	owner, ok := q.Workspace(job)
+	switch {
+	case !ok:
+		return verdictNotFound
+	case owner != workspace:
+		return verdictConflict
+	}
+	return verdictDone
+}
+
+// lookUp calls read for the group of a job. The verdict is verdictDone if this host serves
+// the group and the job belongs to the workspace; only then the result is read's.
+func lookUp[T any](ctx context.Context, d *Handler, m jobRequest, read func(*queuer.Queue) T) (T, verdict) {
+	type result struct {
+		verdict verdict
+		value   T
 	}
-	if owner, ok := s.Queue.Workspace(m.Job); !ok || owner != m.Workspace {
-		return s, verdictNotFound
+	r, ok := whileServing(ctx, d.groups[GroupOf(m.Job)], func(q *queuer.Queue) result {
+		if ownership(q, m.Job, m.Workspace) != verdictDone {
+			return result{verdict: verdictNotFound}
+		}
+		return result{verdictDone, read(q)}
+	})
+	if !ok {
+		return r.value, verdictNotOwner
 	}
-	return s, verdictDone
+	return r.value, r.verdict
 }
 
 func (d *Handler) results(ctx context.Context, m jobRequest) reply {
-	s, v := d.lookUp(ctx, m)
+	s, v := lookUp(ctx, d, m, func(q *queuer.Queue) *queuer.Queue { return q })
 	if v != verdictDone {
 		return reply{Verdict: v}
 	}
 	wait, cancel := context.WithTimeout(ctx, m.Wait.Duration())
 	defer cancel()
 	for {
-		r, updated, ok := s.Queue.Results(m.Job, m.From, maxResultBytes)
+		r, updated, ok := s.Results(m.Job, m.From, maxResultBytes)
 		switch {
 		case !ok:
 			return reply{Verdict: verdictNotOwner}
@@ -147,7 +170,7 @@
 		}
 		select {
 		case <-updated:
-			if !s.Queue.Serving() {
+			if !s.Serving() {
 				return reply{Verdict: verdictNotOwner}
 			}
 		case <-wait.Done():
@@ -157,26 +180,29 @@
 }
 
 func (d *Handler) body(ctx context.Context, m jobRequest) reply {
-	s, v := d.lookUp(ctx, m)
-	if v != verdictDone {
-		return reply{Verdict: v}
+	type body struct {
+		data []byte
+		ok   bool
 	}
-	body, ok := s.Queue.Body(m.Job, m.Item)
-	if !ok {
+	b, v := lookUp(ctx, d, m, func(q *queuer.Queue) body {
+		data, ok := q.Body(m.Job, m.Item)
+		return body{data, ok}
+	})
+	switch {
+	case v != verdictDone:
+		return reply{Verdict: v}
+	case !b.ok:
 		return reply{Verdict: verdictNotFound}
 	}
-	return reply{Verdict: verdictDone, Body: body}
+	return reply{Verdict: verdictDone, Body: b.data}
 }
 
 func (d *Handler) end(ctx context.Context, m jobRequest) reply {
-	s, v := d.lookUp(ctx, m)
-	if v != verdictDone {
+	active, v := lookUp(ctx, d, m, func(q *queuer.Queue) bool { return q.Active(m.Job) })
+	if v != verdictDone || !active {
 		return reply{Verdict: v}
 	}
-	if !s.Queue.Active(m.Job) {
-		return reply{Verdict: verdictDone}
-	}
-	r := d.commit(ctx, s, queuer.Ended{Job: m.Job})
+	r := d.commit(ctx, d.groups[GroupOf(m.Job)], queuer.Ended{Job: m.Job})
 	d.logger.Info("job ended", zap.String("job", m.Job), zap.Uint8("verdict", uint8(r.Verdict)))
 	return r
 }
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -157,7 +157,7 @@
 func (h *BulkHost) localGroups() []broker.LocalGroup {
 	var out []broker.LocalGroup
 	for n, g := range h.groups() {
-		out = append(out, broker.LocalGroup{Group: g, Serving: h.replicas[n].Serving})
+		out = append(out, broker.LocalGroup{Group: g, WhileServing: h.replicas[n].WhileServing})
 	}
 	return out
 }
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -366,9 +366,20 @@
 
 // Serving reports whether this host owns the group and has applied every entry
 // that was ever visible to readers.
-func (r *Replica) Serving(ctx context.Context) bool {
+func (r *Replica) Serving(ctx context.Context) bool { return r.WhileServing(ctx, func() {}) }
+
+// WhileServing calls read if Serving, and reports whether it did. The group's state and
+// session do not change during read, which must not block. If ctx ends first, read may
+// still be called after WhileServing has returned false.
+func (r *Replica) WhileServing(ctx context.Context, read func()) bool {
 	answer := make(chan bool, 1)
-	if !r.post(func() { answer <- r.serving() }) {
+	if !r.post(func() {
+		ok := r.serving()
+		if ok {
+			read()
+		}
+		answer <- ok
+	}) {
 		return false
 	}
 	select {
