Of two jobs of one name that are submitted at the same time, one is accepted

Both got 202, and the job that was committed second was never run. Now the owner of the name is looked up again after the commit; the second one gets 409. If the host has lost the group meanwhile, the outcome is unknown and the call is repeated. The test fails on the code before: 202 and 202. Ruled out: a lock over the commit, which would hold up every submission behind one that waits for its disks.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -37,6 +37,8 @@
 	other                 *broker.Broker
 	otherReceivesFromBulk bool
 	proposeErr            error
+	// proposeTime is how long a proposal takes.
+	proposeTime timer.Millis
 	// applyOnError makes a proposal take effect although it fails with proposeErr.
 	applyOnError bool
 }
@@ -97,6 +99,7 @@
 	if !q.Serving() {
 		return &mirrorer.NotOwnerError{}
 	}
+	timer.Sleep(context.Background(), f.proposeTime)
 	if f.proposeErr == nil || f.applyOnError {
 		q.Apply(data)
 	}
@@ -104,8 +107,12 @@
 }
 
 func (f *fixture) submit(id, items string) gatekeeper.JobAnswer {
+	return f.submitAs("w", id, items)
+}
+
+func (f *fixture) submitAs(workspace, id, items string) gatekeeper.JobAnswer {
 	return f.broker.Submit(f.t.Context(), gatekeeper.Submission{
-		ID: id, Workspace: "w", Route: &cataloger.Route{Name: "r", MaxQueued: 50}, Host: "h", Body: []byte(items),
+		ID: id, Workspace: workspace, Route: &cataloger.Route{Name: "r", MaxQueued: 50}, Host: "h", Body: []byte(items),
 	})
 }
 
@@ -174,6 +181,20 @@
 	})
 }
 
+// Two workspaces submitted jobs of one name at the same time. Both were told that their job
+// was accepted, and one of them was never run.
+func TestOnlyOneOfTwoJobsOfOneNameIsAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		f.proposeTime = 10
+		statuses := make(chan int, 2)
+		for _, w := range []string{"w", "other"} {
+			go func() { statuses <- f.submitAs(w, "j", "a").Status }()
+		}
+		require.ElementsMatch(t, []int{http.StatusAccepted, http.StatusConflict}, []int{<-statuses, <-statuses})
+	})
+}
+
 func TestJobThatMayHaveBeenAcceptedIsNotRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := start(t)
--- a/broker/handler.go
+++ b/broker/handler.go
@@ -87,11 +87,28 @@
 	}
 	defer s.Queue.Reserve(key, tokens)()
 	r := d.commit(ctx, s, queuer.Accepted{Job: m.Job})
+	if r.Verdict == verdictDone {
+		r = d.acceptance(ctx, s, m)
+	}
 	d.logger.Info("job taken in", zap.String("job", m.Job.ID), zap.String("workspace", m.Job.Workspace), zap.Int("items", len(m.Job.Items)),
 		zap.Int64("tokens", tokens), zap.Int64("waiting", waiting), zap.Uint8("verdict", uint8(r.Verdict)))
 	return r
 }
 
+// acceptance returns the reply for a submission that was committed. Of two jobs of one name
+// that were submitted at the same time, the first one committed is accepted.
+func (d *Handler) acceptance(ctx context.Context, s LocalGroup, m submitRequest) reply {
+	v, ok := whileServing(ctx, s, func(q *queuer.Queue) verdict { return ownership(q, m.Job.ID, m.Job.Workspace) })
+	if !ok {
+		return reply{Verdict: verdictUncertain}
+	}
+	if v == verdictNotFound {
+		// The job was accepted and has been removed since.
+		return reply{Verdict: verdictDone}
+	}
+	return reply{Verdict: v}
+}
+
 // waiting returns the number of tokens that wait on all hosts.
 func (d *Handler) waiting(key queuer.QueueKey) int64 {
 	var n int64
