A new owner of a group serves only after the lease of the owner before it has ended

Callers saw: a moment's 404 for an accepted job (known red, the soak that upgrades hosts). Cause: an owner serves reads for 0.9 s after its holders last acknowledged it. A holder that took the group over refused it from then on, but served at once, so for the rest of the 0.9 s two hosts served the group, and the old one did not know what the new one accepted or finished. Entry hosts ask the one whose digest says that it serves. Now a host remembers which owners it acknowledged, and serves when each has acknowledged the new session, which ends the old one, or its lease is over. A process that has started waits for 0.9 s, since its predecessor may have acknowledged another owner. Ruled out: a shorter lease (a slow heartbeat would then stop an undisturbed owner). Handing over by agreement costs nothing: the old owner is asked to acknowledge.

--- a/mirrorer/fleet_test.go
+++ b/mirrorer/fleet_test.go
@@ -368,3 +368,17 @@
 	defer cancel()
 	return h.replica.Propose(ctx, []byte(text))
 }
+
+// requireOneServing checks throughout a period that no two hosts serve the group.
+func (f *fleet) requireOneServing(period timer.Millis) {
+	f.t.Helper()
+	for until := f.clock.Now() + period; f.clock.Now() < until; sleep(5) {
+		var serving []string
+		for _, h := range f.hosts {
+			if h.running && h.replica.Serving(context.Background()) {
+				serving = append(serving, h.name)
+			}
+		}
+		require.LessOrEqual(f.t, len(serving), 1, "%v serve the group", serving)
+	}
+}
--- a/mirrorer/holder.go
+++ b/mirrorer/holder.go
@@ -50,8 +50,16 @@
 }
 
 // appendFromOwner makes this log match the owner's up to the last entry of m, or
-// replies where the owner should continue.
+// replies where the owner should continue. Unless it refuses, it extends the owner's lease.
 func (r *Replica) appendFromOwner(m appendRequest) appendReply {
+	reply := r.matchOwner(m)
+	if !reply.Refused {
+		r.acknowledged[m.Owner] = r.options.Clock.Now()
+	}
+	return reply
+}
+
+func (r *Replica) matchOwner(m appendRequest) appendReply {
 	log := r.options.Log
 	if m.To != r.options.Disk || m.Epoch < r.highestEpoch || r.diskFailed {
 		return appendReply{Refused: true, Epoch: r.highestEpoch}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -23,8 +23,11 @@
 //     reason, a process that is already the owner when it starts changes the
 //     manifest first: its predecessor may have sent such a transaction.
 //   - An owner serves reads only while every holder has acknowledged it within
-//     ServingLease. A new owner is a holder named by the old owner's manifest, and
-//     refuses the old owner.
+//     ServingLease. A new owner is a holder named by the old owner's manifest,
+//     refuses the old owner, and serves once the old owner's lease has ended: every
+//     owner that it has acknowledged within ServingLease must have acknowledged the
+//     new session, which ends the old one. A process that has started cannot tell
+//     whom its predecessor acknowledged, and waits for ServingLease.
 //   - A disk that replaces another one has a new name and is not a holder.
 //   - Entries are removed only up to a checkpoint that all holders have. A disk
 //     that lacks removed entries is not a holder, and its log is restarted.
@@ -127,6 +130,9 @@
 
 	// The fields below are used only by the goroutine that executes run.
 	group cataloger.Group
+	// acknowledged maps the disk of an owner to when this host last acknowledged it.
+	// The key "" stands for those that earlier processes of this host acknowledged.
+	acknowledged map[string]timer.Millis
 	// highestEpoch is the highest epoch that this Replica has received.
 	highestEpoch uint64
 	session      *session
@@ -156,8 +162,8 @@
 	firstIndex, committed uint64
 	// waiters maps an index to the channel on which the proposer waits for its commit.
 	waiters map[uint64]chan error
-	// serving is set once every entry of earlier sessions has been applied,
-	// handingOver while another host is to become the owner.
+	// serving is set once every entry of earlier sessions has been applied and the
+	// leases of earlier owners have ended, handingOver while another host is to become the owner.
 	serving, handingOver bool
 	// checkpoint has been appended but is not yet committed. While deferring is
 	// set, proposals wait in deferred until a checkpoint has been appended.
@@ -192,7 +198,10 @@
 	defaulter.Set(&o.CompactAfter, defaultCompactAfter)
 	defaulter.Set(&o.MaxAppend, defaultMaxAppend)
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replica{options: o, inbox: make(chan func(), inboxSize), ctx: ctx, cancel: cancel, done: make(chan struct{})}
+	r := &Replica{
+		options: o, inbox: make(chan func(), inboxSize), ctx: ctx, cancel: cancel, done: make(chan struct{}),
+		acknowledged: map[string]timer.Millis{"": o.Clock.Now()},
+	}
 	r.highestEpoch = o.Log.TermAt(o.Log.Last()).Epoch
 	go r.run()
 	return r
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/cataloger"
@@ -145,7 +146,7 @@
 		}
 		commitIndex = min(commitIndex, f.matchIndex)
 	}
-	if commitIndex <= s.committed || (!s.serving && (commitIndex < s.firstIndex || !s.priorWritesSettled)) {
+	if commitIndex <= s.committed || (!s.serving && (commitIndex < s.firstIndex || !s.priorWritesSettled || r.otherMayServe())) {
 		return
 	}
 	for s.committed < commitIndex {
@@ -169,6 +170,17 @@
 	}
 }
 
+// otherMayServe reports whether an earlier owner may still serve the group under its lease.
+// The session of one that is a required follower has ended with its first acknowledgement.
+func (r *Replica) otherMayServe() bool {
+	now := r.options.Clock.Now()
+	maps.DeleteFunc(r.acknowledged, func(_ string, at timer.Millis) bool { return now-at > ServingLease })
+	for _, d := range r.requiredFollowers() {
+		delete(r.acknowledged, d)
+	}
+	return len(r.acknowledged) > 0
+}
+
 func (r *Replica) apply(s *session, e Entry) {
 	s.committed++
 	if len(e.Data) > 0 {
--- a/mirrorer/replica_test.go
+++ b/mirrorer/replica_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 
 	"github.com/jackdawgate/jackdawgate/mirrorer"
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
 
@@ -76,6 +77,31 @@
 	})
 }
 
+// A new owner served the group before the lease of the owner that it replaced had ended. The
+// replaced owner, which others still reached, reported jobs as unknown that the new one had
+// accepted, and fewer results than had been read.
+func TestNewOwnerServesOnlyAfterTheLeaseOfTheOwnerThatItReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		o := f.awaitOwner(3000)
+		for range 5 {
+			for _, h := range f.hosts {
+				if h != o {
+					f.setCut(o, h, true)
+				}
+			}
+			f.requireOneServing(3000)
+			for _, h := range f.hosts {
+				if h != o {
+					f.setCut(o, h, false)
+				}
+			}
+			f.requireOneServing(3000)
+			o = f.awaitOwner(3000)
+		}
+	})
+}
+
 func TestKillingAllProcessesLosesNoEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
@@ -176,7 +202,7 @@
 
 // Hosts are killed, wiped, and cut off from each other and from the store at random,
 // with at most one disk lost at a time. Every later owner must apply all acknowledged
-// entries, in the same order, and no entry twice.
+// entries, in the same order, and no entry twice. No two hosts serve at the same time.
 func TestAcknowledgedEntriesSurviveRandomFaults(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -205,9 +231,7 @@
 			checkApplied(t, o.machine.list(), acknowledged, uncertain)
 		}
 		f.injectFault(r)
-		for range r.IntN(20) {
-			sleep(100)
-		}
+		f.requireOneServing(timer.Millis(100 * r.IntN(20)))
 	}
 	f.heal()
 	o := f.awaitOwner(20000)
