A host that has just started takes no group from an owner that does not know it yet

Seen in the logs of 28 upgrades: 145 times a group was taken over as its owner was silent, though mostly it was alive: a host that has started judged others 0.3 s after its start by their silence, but hosts send digests only to hosts whose entry they have read. Its groups moved for nothing, and their items were run on from saved output. Now a host that was never heard counts as up for as long after the start (0.7 s) as if its last digest had come then.

--- a/hoster/fleet.go
+++ b/hoster/fleet.go
@@ -30,18 +30,16 @@
 
 	mu          sync.Mutex
 	refreshedAt timer.Millis
-	started     timer.Millis
 	leaving     bool
 	current     mirrorer.View
-	// lastUp is when a disk's host was last up; changed is when the set of hosts
-	// that are up last changed.
-	lastUp  map[string]timer.Millis
+	silence     *mirrorer.Silence
+	// changed is when the set of hosts that are up last changed.
 	changed timer.Millis
 }
 
 func newBulkFleet(b *base, losses int) *bulkFleet {
 	now := b.clock.Now()
-	return &bulkFleet{base: b, minHolders: losses + 1, started: now, changed: now, lastUp: make(map[string]timer.Millis)}
+	return &bulkFleet{base: b, minHolders: losses + 1, silence: mirrorer.NewSilence(now, bulkTimeout), changed: now}
 }
 
 // leave marks this host as about to stop.
@@ -69,7 +67,7 @@
 	v := f.current
 	v.SilentFor = make(map[string]timer.Millis, len(g.Holders)+1)
 	for _, d := range append([]string{g.Owner}, g.Holders...) {
-		v.SilentFor[d] = now - max(f.lastUp[d], f.started)
+		v.SilentFor[d] = f.silence.For(d, now)
 	}
 	return v
 }
@@ -91,7 +89,7 @@
 	slices.SortFunc(up, func(a, b cataloger.Member) int { return strings.Compare(a.Name, b.Name) })
 	for _, m := range up {
 		v.Reachable = append(v.Reachable, m.Disk)
-		f.lastUp[m.Disk] = now
+		f.silence.SetUp(m.Disk, now)
 		v.Retiring[m.Disk] = s.Retiring[m.Name]
 		v.Leaving[m.Disk] = m.Leaving || s.Retiring[m.Name]
 	}
--- a/mirrorer/plan.go
+++ b/mirrorer/plan.go
@@ -29,8 +29,8 @@
 	// MinHolders is the least number of disks that must hold the log, WantedHolders
 	// the number that should.
 	MinHolders, WantedHolders int
-	// SilentFor are the times since the last digests of the hosts of the holders and
-	// the owner were received, or since this process started if that is shorter.
+	// SilentFor are the times for which the hosts of the holders and the owner have been
+	// down (see Silence).
 	SilentFor map[string]timer.Millis
 	// Stable reports whether the set of hosts has been unchanged for long enough
 	// that a group may move merely for balance, or be created on fewer disks than
@@ -95,8 +95,8 @@
 	return WriteManifest{Group: cataloger.Group{Epoch: 1, Owner: v.Self, Holders: slices.Clone(holders)}, Reason: "created"}
 }
 
-// silenceGrace is the time without a digest from the host of an owner or holder after
-// which it is replaced.
+// silenceGrace is the time for which the host of an owner or holder must be down before it
+// is replaced.
 const silenceGrace timer.Millis = 300
 
 // successorDelay is how much longer each further possible successor waits, in case
