--- /dev/null
+++ b/executor/fill.go
@@ -0,0 +1,166 @@
+package executor
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/filler"
+	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/selector"
+	"github.com/jackdawgate/jackdawgate/throttler"
+	"github.com/jackdawgate/jackdawgate/timer"
+	"go.uber.org/zap"
+)
+
+// servicesInUse returns the services on whose servers items of this host run.
+func (x *Executor) servicesInUse(s cataloger.Snapshot) []string {
+	var out []string
+	for _, t := range x.tasks {
+		if v, ok := s.Servers[t.server]; t.running && ok && !slices.Contains(out, v.Service) {
+			out = append(out, v.Service)
+		}
+	}
+	return out
+}
+
+// fill starts and evicts items on the servers of one service as filler.Plan decides. It
+// returns how many of the ready items the limits of servers hold back.
+func (x *Executor) fill(ctx context.Context, s cataloger.Snapshot, service string, ready []*task) int {
+	in, servers := x.input(s, service, len(ready))
+	start, evict := filler.Plan(in)
+	for id, n := range evict {
+		x.evict(id, n)
+	}
+	rest := x.assign(ctx, start, ready, servers)
+	if avoided := x.avoided(rest); len(avoided) > 0 {
+		// The remaining items avoid servers where they failed. Plan again without
+		// those servers: others may have free slots too.
+		for i, v := range in.Servers {
+			in.Servers[i].Closed = v.Closed || avoided[v.ID]
+			v.Batch[x.options.Host] += start[v.ID]
+			in.Servers[i].Starts = max(0, v.Starts-start[v.ID])
+		}
+		more, _ := filler.Plan(in)
+		rest = x.assign(ctx, more, rest, servers)
+	}
+	return min(len(rest), in.HeldBack())
+}
+
+// input returns what filler.Plan needs to decide about a service for which this host
+// has backlog items ready, and the servers of the service by identifier.
+func (x *Executor) input(s cataloger.Snapshot, service string, backlog int) (filler.Input, map[string]cataloger.Server) {
+	digests := x.options.Digests()
+	in := filler.Input{Self: x.options.Host, Backlogs: map[string]int{x.options.Host: backlog}, Policy: x.options.Policy}
+	for _, d := range digests {
+		in.Backlogs[d.Host] = d.Backlog
+	}
+	mine := x.options.Picker.Loads()
+	servers := make(map[string]cataloger.Server)
+	online := 0
+	candidates := x.options.Picker.Candidates(service, x.class(service))
+	x.yielding[service] = needsLimited(candidates)
+	for _, c := range candidates {
+		v := filler.Server{
+			ID: c.Server.ID, Slots: picker.Slots(s, c.Server), Online: c.Online,
+			Closed: c.Server.Draining || !c.Usable, Batch: map[string]int{}, Limited: c.Room.Limited,
+		}
+		if c.Room.Open {
+			v.Starts = 1
+		}
+		if n := mine[v.ID].Batch; n > 0 {
+			v.Batch[x.options.Host] = n
+		}
+		for _, d := range digests {
+			if n := d.Loads[v.ID].Batch; n > 0 {
+				v.Batch[d.Host] = n
+			}
+		}
+		servers[v.ID] = c.Server
+		in.Servers = append(in.Servers, v)
+		online += v.Online
+	}
+	in.Policy = in.Policy.WithDemand(x.peakOnline(service, online), len(in.Servers))
+	return in, servers
+}
+
+// yieldShare is the share of the slots of servers without a limit from which on online
+// calls need the servers with one.
+const yieldShare = 0.6
+
+// needsLimited reports whether online calls need what the limits of servers leave.
+func needsLimited(list []selector.Candidate) bool {
+	online, slots := 0, 0
+	for _, c := range list {
+		if !c.Room.Limited && c.Usable && !c.Server.Draining {
+			online += c.Online
+			slots += c.Slots
+		}
+	}
+	return float64(online) >= yieldShare*float64(slots)
+}
+
+// class returns the class of the items of a service, as of the last decision.
+func (x *Executor) class(service string) throttler.Batch {
+	return throttler.Batch{Yield: x.yielding[service]}
+}
+
+// assign starts ready items on servers, as many as start says for each, and returns
+// those that it did not start. No item starts on a server that it avoids.
+func (x *Executor) assign(ctx context.Context, start filler.Counts, ready []*task, servers map[string]cataloger.Server) []*task {
+	now := x.options.Clock.Now()
+	for id, n := range start {
+		for range n {
+			i := slices.IndexFunc(ready, func(t *task) bool { return !t.avoids(id, now) })
+			if i < 0 {
+				break
+			}
+			if !x.start(ctx, ready[i], servers[id]) {
+				break
+			}
+			ready = slices.Delete(ready, i, i+1)
+		}
+	}
+	return ready
+}
+
+// avoided returns the servers that any item of list avoids.
+func (x *Executor) avoided(list []*task) map[string]bool {
+	out := make(map[string]bool)
+	now := x.options.Clock.Now()
+	for _, t := range list {
+		if now < t.avoidUntil {
+			maps.Copy(out, t.failedAt)
+		}
+	}
+	return out
+}
+
+// avoids reports whether the item should not start on server because it recently
+// failed there.
+func (t *task) avoids(server string, now timer.Millis) bool {
+	return now < t.avoidUntil && t.failedAt[server]
+}
+
+// evict cancels n items on a server: those due last, and among them those that
+// started last, which lose the least work.
+func (x *Executor) evict(server string, n int) {
+	var running []*task
+	for _, t := range x.tasks {
+		if t.running && t.server == server && t.evicted == 0 {
+			running = append(running, t)
+		}
+	}
+	slices.SortFunc(running, func(a, b *task) int {
+		if d := b.job.Due() - a.job.Due(); d != 0 {
+			return int(d)
+		}
+		return int(b.started - a.started)
+	})
+	for _, t := range running[:min(n, len(running))] {
+		t.evicted++
+		t.cancel()
+		x.options.Logger.Info("item evicted", zap.String("item", t.item().ID), zap.String("job", t.key.ref.Job), zap.String("server", server))
+	}
+}
