An owner whose process is back at once serves again at once

Cause: since a new owner waits for the lease of the one before, a process that started waited for 0.9 s, as it does not know whom its predecessor acknowledged. Now a session appends an empty entry when it begins to serve, and under each manifest that it adopts. A process that finds one of the manifest in place in its log knows that its predecessor served under it, and that no earlier owner does. The new test fails without. Ruled out: times of acknowledgements on the disk (a write for each heartbeat).

--- a/mirrorer/fleet_test.go
+++ b/mirrorer/fleet_test.go
@@ -181,9 +181,18 @@
 	h.running = false
 	f.changed = f.clock.Now()
 	f.mu.Unlock()
-	if !was {
-		return
+	if was {
+		f.stop(h)
 	}
+}
+
+// restart kills a host's process and starts it again before others notice.
+func (f *fleet) restart(h *host) {
+	f.stop(h)
+	f.start(h)
+}
+
+func (f *fleet) stop(h *host) {
 	f.net.Remove(h.name)
 	h.cancel()
 	<-h.polled
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -27,7 +27,10 @@
 //     refuses the old owner, and serves once the old owner's lease has ended: every
 //     owner that it has acknowledged within ServingLease must have acknowledged the
 //     new session, which ends the old one. A process that has started cannot tell
-//     whom its predecessor acknowledged, and waits for ServingLease.
+//     whom its predecessor acknowledged, and waits for ServingLease, unless the log
+//     shows that the predecessor served under the manifest that is in place: a
+//     session appends a second entry, and one under each later manifest, once it
+//     serves.
 //   - A disk that replaces another one has a new name and is not a holder.
 //   - Entries are removed only up to a checkpoint that all holders have. A disk
 //     that lacks removed entries is not a holder, and its log is restarted.
@@ -133,6 +136,9 @@
 	// acknowledged maps the disk of an owner to when this host last acknowledged it.
 	// The key "" stands for those that earlier processes of this host acknowledged.
 	acknowledged map[string]timer.Millis
+	// servedEpoch is the epoch of the last manifest under which an earlier process of
+	// this host served, or zero if the log does not show it.
+	servedEpoch uint64
 	// highestEpoch is the highest epoch that this Replica has received.
 	highestEpoch uint64
 	session      *session
@@ -200,7 +206,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Replica{
 		options: o, inbox: make(chan func(), inboxSize), ctx: ctx, cancel: cancel, done: make(chan struct{}),
-		acknowledged: map[string]timer.Millis{"": o.Clock.Now()},
+		acknowledged: map[string]timer.Millis{"": o.Clock.Now()}, servedEpoch: servedEpoch(o.Log),
 	}
 	r.highestEpoch = o.Log.TermAt(o.Log.Last()).Epoch
 	go r.run()
@@ -277,6 +283,7 @@
 		r.beginSession(before.Revision != 0 || written)
 	default:
 		r.session.adoptManifest(g)
+		r.recordServing()
 	}
 }
 
@@ -292,6 +299,9 @@
 
 func (r *Replica) beginSession(priorWritesSettled bool) {
 	r.endSession()
+	if r.servedEpoch == r.group.Epoch {
+		delete(r.acknowledged, "")
+	}
 	term := Term{Epoch: r.group.Epoch, Incarnation: r.options.Incarnation}
 	s := &session{
 		term: term, priorWritesSettled: priorWritesSettled, followers: make(map[string]*follower),
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -167,9 +167,27 @@
 		s.serving = true
 		r.options.Machine.StartServing()
 		r.options.Logger.Info("group served", zap.Int("group", r.options.Group), zap.Uint64("epoch", s.term.Epoch), zap.Uint64("committed", s.committed))
+		r.recordServing()
 	}
 }
 
+// recordServing appends an empty entry to the log of a session that serves, for servedEpoch.
+func (r *Replica) recordServing() {
+	if s := r.session; s.serving && !r.appendLocal([]Entry{{Term: s.term}}) {
+		r.endSession()
+	}
+}
+
+// servedEpoch returns the epoch under which the log's last entry was appended. It is zero
+// unless the session that appended it served.
+func servedEpoch(log *Log) uint64 {
+	last := log.Last()
+	if last < log.Base()+2 || log.TermAt(last-1).Incarnation != log.TermAt(last).Incarnation {
+		return 0
+	}
+	return log.TermAt(last).Epoch
+}
+
 // otherMayServe reports whether an earlier owner may still serve the group under its lease.
 // The session of one that is a required follower has ended with its first acknowledgement.
 func (r *Replica) otherMayServe() bool {
--- a/mirrorer/replica_test.go
+++ b/mirrorer/replica_test.go
@@ -102,6 +102,21 @@
 	})
 }
 
+// An owner whose process was killed and was back at once served again only after the lease
+// that its former process might have granted to another owner, though it had served itself.
+func TestRestartedOwnerServesAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		o := f.awaitOwner(3000)
+		for range 3 {
+			sleep(4000)
+			f.restart(o)
+			sleep(450)
+			require.Same(t, o, f.owner(), "served 450 ms after the start")
+		}
+	})
+}
+
 func TestKillingAllProcessesLosesNoEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 3)
