A request's target and headers cannot frame it

Found by reading what a caller may put into an item of a batch job: its path was written into the request as it came. With line feeds in it one request became two at the server, and the second could name any workspace (a request for which nobody's key was given). A header Content-Length or Host of an item stood beside the host's own. Now a target must be an absolute path without spaces or control characters, or nothing is sent; the headers that frame a request are the transporter's alone. Online calls cannot do this: the HTTP server refuses such lines. A caller's absolute URI is passed on as a path. RemoveHopHeaders moves here unchanged, with its test, for items need it too. The tests fail on the code before: two requests of one, and a body cut to one byte. Ruled out: checking only what is submitted; logs hold items of earlier versions.

--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/jackdawgate/jackdawgate/transporter"
 	"go.uber.org/zap"
 )
 
@@ -178,15 +179,24 @@
 	x.finish(outcome)
 }
 
+// target returns the path and query of a request as the caller sent them, without the scheme
+// and host that a caller may put before them.
+func target(q *http.Request) string {
+	if strings.HasPrefix(q.RequestURI, "/") {
+		return q.RequestURI
+	}
+	return q.URL.RequestURI()
+}
+
 // call returns the call that is relayed for the request. The key is not passed on.
 func (x *exchange) call(body []byte) relayer.Call {
 	names := x.gatekeeper.options.Names
 	h := x.request.Header.Clone()
-	relayer.RemoveHopHeaders(h)
+	transporter.RemoveHopHeaders(h)
 	parts := names.SharedParts(strings.Join(h.Values(names.Prompt), ","))
 	h.Del(names.Key)
 	c := relayer.Call{
-		ID: x.id, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: h, Body: body,
+		ID: x.id, Method: x.request.Method, Target: target(x.request), Host: x.request.Host, Header: h, Body: body,
 		Route: x.route, Service: x.route.Pick(rand.Float64()), Deadline: x.deadline(), Prompt: strings.Join(parts, ","),
 	}
 	c.MaxWait = c.Deadline - x.started
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -134,7 +134,7 @@
 	defer held.Release()
 	body := held.Bytes()
 	h := a.Header.Clone()
-	RemoveHopHeaders(h)
+	transporter.RemoveHopHeaders(h)
 	if u.sink.Head(a.Status, h, int64(len(body))) != nil {
 		return errCallerGone
 	}
@@ -150,7 +150,7 @@
 	u.resuming = u.headSent
 	if !u.headSent {
 		h := a.Header.Clone()
-		RemoveHopHeaders(h)
+		transporter.RemoveHopHeaders(h)
 		if u.sink.Head(a.Status, h, -1) != nil {
 			return errCallerGone
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -131,22 +131,3 @@
 
 // New returns a Relayer.
 func New(o Options) *Relayer { return &Relayer{options: o} }
-
-// hopHeaders are the headers that apply to a single connection and are not
-// forwarded.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Proxy-Authorization", "Expect",
-}
-
-// RemoveHopHeaders removes from h the headers that apply to a single connection,
-// including those that its Connection header lists.
-func RemoveHopHeaders(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range splitList(list) {
-			h.Del(name)
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -291,12 +291,6 @@
 	require.Positive(t, o.(relayer.NotRun).RetryAfter)
 }
 
-func TestHopByHopHeadersAreRemoved(t *testing.T) {
-	h := http.Header{"Connection": {"close, X-Own"}, "X-Own": {"1"}, "Keep-Alive": {"timeout=1"}, "Content-Length": {"3"}, "Other": {"2"}}
-	relayer.RemoveHopHeaders(h)
-	require.Equal(t, http.Header{"Other": {"2"}}, h)
-}
-
 // A call that crashes every server that starts to run it is repeated.
 func TestCallIsRefusedAsNotRunAfterServerFailures(t *testing.T) {
 	f := newFixture(t, 6, breakOff, breakOff, breakOff)
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"io"
-	"iter"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/departer"
@@ -376,14 +374,3 @@
 	retry := u.refusals <= maxRefusals && u.call.Route.MaxAttempts > u.refusals+u.attempts
 	return u.giveUp("servers refused it", retryOverloaded), retry
 }
-
-// splitList yields the non-empty elements of a comma-separated header value.
-func splitList(list string) iter.Seq[string] {
-	return func(yield func(string) bool) {
-		for part := range strings.SplitSeq(list, ",") {
-			if part = strings.TrimSpace(part); part != "" && !yield(part) {
-				return
-			}
-		}
-	}
-}
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -125,7 +125,7 @@
 	b.WriteString(" HTTP/1.1\r\nHost: ")
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
-	_ = r.Header.Write(&b)
+	_ = r.Header.WriteSubset(&b, framingHeaders)
 	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete) {
 		b.WriteString("Content-Length: ")
 		b.WriteString(strconv.Itoa(len(r.Body)))
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -42,7 +42,7 @@
 	// Server identifies the server, Address is where it listens.
 	Server, Address string
 	Method          string
-	// Target is the path and query exactly as the caller sent them.
+	// Target is the path and query exactly as the caller sent them (see ValidTarget).
 	Target string
 	Host   string
 	Header http.Header
@@ -173,8 +173,12 @@
 
 // Send sends r and returns the answer after its head has been read. The exchange
 // fails if the server sends nothing for the duration silence. The caller must Close
-// the answer. When ctx ends, the exchange fails and its connection is closed.
+// the answer. When ctx ends, the exchange fails and its connection is closed. A request
+// without a valid target fails with a *TargetError within a *NotSentError.
 func (c *Transporter) Send(ctx context.Context, r *Request, silence timer.Millis) (*Answer, error) {
+	if !ValidTarget(r.Target) {
+		return nil, &NotSentError{Server: r.Server, Err: &TargetError{Target: r.Target}}
+	}
 	n, err := c.connect(ctx, r)
 	if err != nil {
 		return nil, &NotSentError{Server: r.Server, Err: err}
