An item's headers do not replace those of the host

A job without a workspace could name another one, and an item that named an event to go on after got its first events lost (test: output e5 e6 in place of e1 to e6). Headers that concern one connection were passed on too. Now these are left out, as for online calls. An item whose path cannot be requested is abandoned; before, it was sent again and again and each time the server was blamed.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -173,14 +173,17 @@
 	}
 }
 
-// header returns the item's own headers.
+// header returns the item's own headers without those that only hosts set.
 func (t *task) header(names namer.Names) http.Header {
 	item := t.item()
 	h := make(http.Header, len(item.Headers)+5)
 	for name, value := range item.Headers {
 		h.Set(name, value)
 	}
-	h.Del(names.Key)
+	transporter.RemoveHopHeaders(h)
+	for _, name := range []string{names.Key, names.Workspace, names.ResumeAfter} {
+		h.Del(name)
+	}
 	return h
 }
 
@@ -216,6 +219,9 @@
 // Options.Stall is cancelled.
 func (x *Executor) exchange(ctx context.Context, t *task, reservation *picker.Reservation) outcome {
 	v := reservation.Server
+	if !transporter.ValidTarget(t.item().Path) {
+		return abandoned{reason: "its path cannot be requested"}
+	}
 	remaining, limited := t.remaining()
 	if limited && remaining <= 0 {
 		return abandoned{reason: reasonExpired}
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -75,6 +75,7 @@
 	statuses []int
 	hold     chan struct{}
 	runs     []string
+	head     http.Header
 	// answers are the whole responses of the next runs, from their status lines on.
 	answers []string
 	// ranAt holds the addresses of the servers that ran something.
@@ -87,6 +88,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs = append(e.runs, fmt.Sprint(q.Header.Get("Id"), " after ", q.Header.Get("After"), " ", body))
+	e.head = q.Header
 	status, breakAt = http.StatusOK, -1
 	if e.ranAt == nil {
 		e.ranAt = make(map[string]bool)
@@ -197,6 +199,13 @@
 	return append([]string(nil), e.runs...)
 }
 
+// lastHead returns the headers of the last run.
+func (e *engine) lastHead() http.Header {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.head
+}
+
 type fixture struct {
 	t        *testing.T
 	engine   *engine
@@ -293,10 +302,17 @@
 func (f *fixture) submit(items int) { f.submitAs("j", items) }
 
 func (f *fixture) submitAs(job string, items int) {
-	j := queuer.Job{ID: job, Host: "h", Submitted: time.Now().UnixMilli(), RunObjective: 18000, Retention: 60000, MaxAttempts: 3}
+	var list []queuer.Item
 	for i := range items {
-		j.Items = append(j.Items, queuer.Item{ID: "i" + strconv.Itoa(i), Path: "/b/x", Body: []byte("body" + strconv.Itoa(i))})
+		list = append(list, queuer.Item{ID: "i" + strconv.Itoa(i), Path: "/b/x", Body: []byte("body" + strconv.Itoa(i))})
 	}
+	f.submitItems(job, list)
+}
+
+func (f *fixture) submitItem(i queuer.Item) { f.submitItems("j", []queuer.Item{i}) }
+
+func (f *fixture) submitItems(job string, list []queuer.Item) {
+	j := queuer.Job{ID: job, Host: "h", Submitted: time.Now().UnixMilli(), RunObjective: 18000, Retention: 60000, MaxAttempts: 3, Items: list}
 	data, err := queuer.Encode(queuer.Accepted{Job: j})
 	require.NoError(f.t, err)
 	f.queue.Apply(data)
