A job with an item that is invalid is refused

A negative number of tokens made room beyond a workspace's limit, huge ones overflowed the sum, and of two items of one name only the first one's body could be read. Now 400 names the item and the reason: name (present, its own, fit for a header), path, headers, tokens. The test's nine cases were accepted before. The names are checked by golang.org/x/net/http/httpguts, which was an indirect requirement.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -68,7 +68,6 @@
 	retryAfter            timer.Millis = 400
 	retryAfterUnreachable timer.Millis = 50
 	maxResultWait                      = timer.Second
-	maxItems                           = 200
 )
 
 // Broker implements gatekeeper.Jobs. It is safe for concurrent use.
@@ -121,6 +120,9 @@
 	case s.ID == "" || len(items) == 0 || len(items) > maxItems:
 		return refusal(http.StatusBadRequest, "a job needs a name and 1 to "+strconv.Itoa(maxItems)+" items")
 	}
+	if err := validate(items); err != nil {
+		return refusal(http.StatusBadRequest, err.Error())
+	}
 	m := submitRequest{MaxQueued: s.Route.MaxQueued, Job: queuer.Job{
 		ID: s.ID, Workspace: s.Workspace, Route: s.Route.Name, Host: s.Host, Submitted: int64(b.options.Wall()),
 		RunObjective: s.Route.RunObjective, Retention: s.Route.Retention, MaxAttempts: s.Route.MaxAttempts, Items: items,
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -37,6 +37,8 @@
 	other                 *broker.Broker
 	otherReceivesFromBulk bool
 	proposeErr            error
+	// items, unless nil, are the items of each submitted job.
+	items []queuer.Item
 	// proposeTime is how long a proposal takes.
 	proposeTime timer.Millis
 	// applyOnError makes a proposal take effect although it fails with proposeErr.
@@ -74,9 +76,12 @@
 	options := broker.Options{
 		Formats: broker.Formats{
 			Items: func(body []byte) ([]queuer.Item, error) {
+				if f.items != nil {
+					return f.items, nil
+				}
 				var out []queuer.Item
 				for _, id := range strings.Fields(string(body)) {
-					out = append(out, queuer.Item{ID: id, Body: []byte(id), Tokens: 10})
+					out = append(out, queuer.Item{ID: id, Path: "/" + id, Body: []byte(id), Tokens: 10})
 				}
 				return out, nil
 			},
