--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -133,6 +133,15 @@
 	require.Equal(t, f.clock.Time+900, c.Deadline, "the route's timeout is shorter than the caller's")
 }
 
+// A caller may name the host in the request's first line. Servers were sent the line as it
+// came.
+func TestPathIsRelayedWithoutSchemeAndHost(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	require.Equal(t, http.StatusOK, f.call("/chat/a%20b?q=1", "k").Code)
+	require.Equal(t, "/chat/a%20b?q=1", f.relay.calls[0].Target)
+}
+
 func TestUnknownRoutesAndKeysAreReportedOnlyWithFreshConfiguration(t *testing.T) {
 	f := newFixture()
 	f.configure()
