Items that servers reject do not eject servers

Found by reading what a caller's items may do to others: an answer of 404, say, to an item counted as a call that the server broke off. Three in a row eject a server, hosts tell one another, and an item is sent again until its retention ends: items with a path that a service does not know could take all its servers from everybody. Now a signed answer of 4xx is the server's word on the item: it runs again later, as before, and nobody is blamed. Ruled out: giving such items up; only 422 says that an item can never be done.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -265,6 +265,8 @@
 		return abandoned{reason: "server reported that the item can never succeed"}
 	case answer.Status == http.StatusInternalServerError:
 		return failed{status: answer.Status}
+	case answer.Status/100 == 4 && answer.Header.Get(x.options.Names.Signature) != "":
+		return retry{reason: "server rejected the item: status " + strconv.Itoa(answer.Status), interrupted: true}
 	case answer.Status != http.StatusOK || answer.Header.Get(x.options.Names.Signature) == "" || !mayBeStream(answer):
 		x.options.Ejector.CallBroken(v.ID)
 		return retry{reason: "unusable response: status " + strconv.Itoa(answer.Status), interrupted: true}
--- a/executor/header_test.go
+++ b/executor/header_test.go
@@ -1,6 +1,8 @@
 package executor_test
 
 import (
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,3 +41,16 @@
 	require.Empty(t, e.received())
 	require.True(t, f.options.Ejector.Usable("s0", false))
 }
+
+// Items that servers answer with 404, say, counted as calls that the servers broke off: one
+// caller's items could eject every server of a service for all callers.
+func TestItemsThatServersRejectDoNotEjectServers(t *testing.T) {
+	e := &engine{statuses: slices.Repeat([]int{http.StatusNotFound}, 12)}
+	f := start(t, e)
+	f.submit(4)
+	require.Eventually(t, func() bool {
+		require.True(t, f.options.Ejector.Usable("s0", false), "after %d runs", len(e.received()))
+		return len(e.received()) >= 12
+	}, waitTimeout, pollInterval)
+	require.Len(t, f.results(4), 4, "they are still owed")
+}
