mirrorer: the comment on Entry.Data names both kinds of empty entries

Read once more: since a session that serves records it in the log, an entry without data is no longer the first of a session only.

--- a/mirrorer/log.go
+++ b/mirrorer/log.go
@@ -20,7 +20,8 @@
 type Entry struct {
 	_    struct{} `cbor:",toarray"`
 	Term Term
-	// Data is the proposed data; it is empty for the first entry of a session.
+	// Data is the proposed data; it is empty for the entries with which a session begins
+	// and records that it serves.
 	Data []byte
 }
 
