--- a/review/version/main.go
+++ b/review/version/main.go
@@ -131,10 +131,16 @@
 	return fleet.Held
 }
 
-// askFor sends one request that asks for weights of a version.
+// askFor sends one request that asks for weights of a version, or with VIA=item a batch job
+// with one such item.
 func askFor(f *fleet.Fleet, header, version string) {
 	h, names := f.EntryHosts()[0], platform.Names()
-	q, err := http.NewRequest(http.MethodPost, "http://"+h.Callers+standin.Resumable.Prefix+"versioned", strings.NewReader("versioned"))
+	path, body := standin.Resumable.Prefix+"versioned", "versioned"
+	if os.Getenv("VIA") == "item" {
+		path = standin.Batch.Prefix + "versioned"
+		body = fmt.Sprintf(`{"items":[{"id":"versioned-item","path":"%s/item","headers":{"%s":"%s"},"body":"","tokens":20}]}`, path, header, version)
+	}
+	q, err := http.NewRequest(http.MethodPost, "http://"+h.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return
 	}
@@ -142,7 +148,9 @@
 	q.Header.Set(names.Key, fleet.Key)
 	q.Header.Set(names.RequestID, "versioned")
 	q.Header.Set(names.Deadline, "5000")
-	q.Header.Set(header, version)
+	if os.Getenv("VIA") != "item" {
+		q.Header.Set(header, version)
+	}
 	r, err := f.Caller.Client.Do(q)
 	if err != nil {
 		f.Record.Log("the request that asks for weights %s, sent to %s: %v", version, h.Name, err)
