--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -66,6 +66,8 @@
 	Disk string `cbor:"7,keyasint"`
 	// Leaving is set when the host is about to stop.
 	Leaving bool `cbor:"8,keyasint"`
+	// Revision is the store's revision of the entry.
+	Revision uint64 `cbor:"-"`
 }
 
 // Group is the manifest of one group of batch jobs: the disks that hold a replica of its
@@ -92,6 +94,14 @@
 	Revision uint64 `cbor:"-"`
 }
 
+// RetireStatus is what the store says of a host that is, or was, to be emptied.
+type RetireStatus struct {
+	// Empty reports whether the host has been emptied.
+	Empty bool
+	// Revision is the store's revision of the status; zero when there is none.
+	Revision uint64
+}
+
 // Snapshot is what is known of the fleet at one moment. It is immutable: readers must not
 // change the maps.
 type Snapshot struct {
@@ -103,8 +113,12 @@
 	Groups  map[int]Group
 	// Retiring holds the names of the hosts whose data is to be moved elsewhere.
 	Retiring map[string]bool
+	// RetireStatus holds the status of such hosts, by name.
+	RetireStatus map[string]RetireStatus
 	// Quarantined holds the records of quarantined calls, by fingerprint.
 	Quarantined map[uint64]Quarantine
+	// Revision is a revision of the store up to which the Snapshot has all changes.
+	Revision uint64
 	// ConfirmedAt is the time at which the request was sent whose reply contained or
 	// confirmed all of this. It is on the clock that counts suspended time; zero means never.
 	ConfirmedAt timer.Millis
@@ -194,6 +208,17 @@
 	return s
 }
 
+// WithRetireStatus returns s with the status of the host of this name; the zero status
+// stands for none.
+func (s Snapshot) WithRetireStatus(name string, status RetireStatus) Snapshot {
+	if status.Revision == 0 {
+		s.RetireStatus = withoutEntry(s.RetireStatus, name)
+	} else {
+		s.RetireStatus = withEntry(s.RetireStatus, name, status)
+	}
+	return s
+}
+
 // WithQuarantine returns s with the record of a call, or s unchanged if its record has the
 // same or a higher revision.
 func (s Snapshot) WithQuarantine(fingerprint uint64, q Quarantine) Snapshot {
@@ -216,6 +241,12 @@
 	return s
 }
 
+// WithRevision returns s, which has all changes of the store up to a revision.
+func (s Snapshot) WithRevision(revision uint64) Snapshot {
+	s.Revision = max(s.Revision, revision)
+	return s
+}
+
 // ServersOf returns the servers of a service, sorted by identifier. The caller must not
 // change the slice.
 func (s Snapshot) ServersOf(service string) []Server { return s.services[service] }
--- a/follower/apply.go
+++ b/follower/apply.go
@@ -25,7 +25,7 @@
 			if t, ok := f.options.Decoder.Kind(i.Key).(ServerFact); ok {
 				unreadable[t.Server.ID] = true
 			}
-			fresh = f.withUnreadable(fresh, s, i.Key)
+			fresh = f.withUnreadable(fresh, s, i)
 		case ServerFact:
 			delete(f.missing, entryID{name: t.Server.ID})
 			servers = append(servers, t.Server)
@@ -48,7 +48,7 @@
 	}
 	f.cursor, f.loaded = from, true
 	f.changeLog.restart(from)
-	return fresh, nil
+	return fresh.WithRevision(uint64(from)), nil
 }
 
 // apply returns s with one change applied.
@@ -58,29 +58,31 @@
 	}
 	fact := f.decode(c.Item)
 	if fact == nil {
-		return f.applyUnreadable(s, c.Key)
+		return f.applyUnreadable(s, c.Item)
 	}
 	return f.applyFact(s, fact)
 }
 
-// applyUnreadable returns s after the value of a key changed to one that cannot be decoded.
-// A backend server with such an entry is not used any more. Of everything else, what was
+// applyUnreadable returns s after an item changed to a value that cannot be decoded. A
+// backend server with such an entry is not used any more. Of everything else, what was
 // known is kept: hosts live on whatever their entries say, and a quarantined call is not
 // released.
-func (f *Follower) applyUnreadable(s cataloger.Snapshot, key string) cataloger.Snapshot {
-	if t, ok := f.options.Decoder.Kind(key).(ServerFact); ok {
+func (f *Follower) applyUnreadable(s cataloger.Snapshot, i storer.Item) cataloger.Snapshot {
+	if t, ok := f.options.Decoder.Kind(i.Key).(ServerFact); ok {
 		delete(f.missing, entryID{name: t.Server.ID})
 		return s.WithoutServer(t.Server.ID)
 	}
-	return s
+	return f.withUnreadable(s, s, i)
 }
 
-// withUnreadable returns fresh with what known has of a key whose value cannot be decoded,
-// as applyUnreadable keeps it.
-func (f *Follower) withUnreadable(fresh, known cataloger.Snapshot, key string) cataloger.Snapshot {
-	switch t := f.options.Decoder.Kind(key).(type) {
+// withUnreadable returns fresh with what known has of an item whose value cannot be decoded.
+// A host's entry has the revision of that value, by which the host notices that the entry is
+// not the one that it wrote.
+func (f *Follower) withUnreadable(fresh, known cataloger.Snapshot, i storer.Item) cataloger.Snapshot {
+	switch t := f.options.Decoder.Kind(i.Key).(type) {
 	case MemberFact:
 		if m, ok := known.Members[t.Member.Name]; ok {
+			m.Revision = uint64(i.Revision)
 			return fresh.WithMember(m)
 		}
 	case GroupFact:
@@ -124,6 +126,8 @@
 		return s.WithGroup(t.Number, t.Group)
 	case RetireFact:
 		return s.WithRetiring(t.Host, true)
+	case RetireStatusFact:
+		return s.WithRetireStatus(t.Host, t.Status)
 	case QuarantineFact:
 		return s.WithQuarantine(t.Fingerprint, t.Quarantine)
 	case OtherFact:
@@ -140,6 +144,8 @@
 		return f.removeMember(s, t.Member.Name)
 	case RetireFact:
 		return s.WithRetiring(t.Host, false)
+	case RetireStatusFact:
+		return s.WithRetireStatus(t.Host, cataloger.RetireStatus{})
 	case QuarantineFact:
 		return s.WithoutQuarantine(t.Fingerprint)
 	case ConfigFact, GroupFact, OtherFact:
--- a/follower/facts.go
+++ b/follower/facts.go
@@ -35,6 +35,12 @@
 // RetireFact requests that all batch groups be moved off a host.
 type RetireFact struct{ Host string }
 
+// RetireStatusFact is the status of a host that is, or was, to be emptied.
+type RetireStatusFact struct {
+	Host   string
+	Status cataloger.RetireStatus
+}
+
 // QuarantineFact is the record of a call that crashes backend servers.
 type QuarantineFact struct {
 	Fingerprint uint64
@@ -44,10 +50,11 @@
 // OtherFact is a key that the Follower ignores.
 type OtherFact struct{}
 
-func (ConfigFact) fact()     {}
-func (ServerFact) fact()     {}
-func (MemberFact) fact()     {}
-func (GroupFact) fact()      {}
-func (RetireFact) fact()     {}
-func (QuarantineFact) fact() {}
-func (OtherFact) fact()      {}
+func (ConfigFact) fact()       {}
+func (ServerFact) fact()       {}
+func (MemberFact) fact()       {}
+func (GroupFact) fact()        {}
+func (RetireFact) fact()       {}
+func (RetireStatusFact) fact() {}
+func (QuarantineFact) fact()   {}
+func (OtherFact) fact()        {}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -221,7 +221,7 @@
 	}
 	f.changeLog.add(changes)
 	f.cursor = max(f.cursor, changes.Current)
-	f.confirm(s, confirmed)
+	f.confirm(s.WithRevision(uint64(f.cursor)), confirmed)
 }
 
 // confirm publishes s as confirmed at this instant.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -49,7 +49,7 @@
 	case follower.ServerFact:
 		return follower.ServerFact{Server: cataloger.Server{ID: name, Draining: string(i.Value) == "draining"}}, nil
 	case follower.MemberFact:
-		return follower.MemberFact{Member: cataloger.Member{Name: name}}, nil
+		return follower.MemberFact{Member: cataloger.Member{Name: name, Leaving: string(i.Value) == "leaving"}}, nil
 	case follower.QuarantineFact:
 		return follower.QuarantineFact{Fingerprint: 7, Quarantine: cataloger.Quarantine{Revision: uint64(i.Revision)}}, nil
 	}
@@ -213,6 +213,31 @@
 	})
 }
 
+// Guards against servers and hosts that are kept as missing although they had said that they
+// were about to go. All keys are read after an outage of the store.
+func TestEntriesThatWereGoingAreNotKeptAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := start(t)
+		l, err := x.ledger.Grant(t.Context(), 3000)
+		require.NoError(t, err)
+		x.set("servers/going", "draining", l)
+		x.set("servers/there", "ready", l)
+		x.set("hosts/going", "leaving", l)
+		x.set("hosts/there", "ready", l)
+		pass(1000)
+		x.ledger.SetUnavailable(true)
+		pass(4000)
+		x.ledger.Compact()
+		x.ledger.SetUnavailable(false)
+		pass(1500)
+		s := x.f.Snapshot()
+		require.Contains(t, s.Servers, "there")
+		require.Contains(t, s.Members, "there")
+		require.NotContains(t, s.Servers, "going")
+		require.NotContains(t, s.Members, "going")
+	})
+}
+
 // The store may lose its history of changes in the outage; the renewed entry is then
 // seen only by a full read.
 func TestRenewedEntrySeenByFullReadIsKept(t *testing.T) {
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -18,6 +18,7 @@
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/retirer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -36,13 +37,13 @@
 	executor *executor.Executor
 	// rationer tracks the quotas, for entry hosts that restart.
 	rationer *rationer.Rationer
+	retirer  *retirer.Retirer
 	cancel   context.CancelFunc
-	done     chan struct{}
 }
 
 // NewBulkHost starts a bulk host.
 func NewBulkHost(s checker.MemberSettings, p Platform, l *zap.Logger) (*BulkHost, error) {
-	h := &BulkHost{done: make(chan struct{}), rationer: rationer.New(timer.Boot())}
+	h := &BulkHost{rationer: rationer.New(timer.Boot())}
 	disk, err := openDisk(s.Disk.Folder)
 	if err != nil {
 		return nil, err
@@ -72,7 +73,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	go h.handler.Expire(ctx, s.Bounds.Keep, timer.Wall)
-	go h.reportRetirement(ctx)
+	h.retirer = retirer.New(retirer.Options{
+		Self: retirer.Self{Host: b.member.Name, Disk: disk, MinHolders: s.Disk.Losses + 1}, Groups: broker.Groups, Ledger: p.Ledger, StatusKey: p.RetireStatusKey(b.member.Name), GroupKey: p.GroupKey,
+		EncodeStatus: p.RetireStatus, Snapshot: b.follower.Snapshot, Logger: l,
+	})
 	h.workers.Go(func() { h.inherit(ctx, bootstrapper, h.rationer) })
 	h.workers.Go(func() { h.inheritKnown(ctx) })
 	h.workers.Go(func() { h.watchLimits(ctx) })
@@ -203,6 +207,7 @@
 		timer.Sleep(context.Background(), 20)
 	}
 	h.cancel()
+	h.retirer.Close()
 	for _, r := range h.replicas {
 		r.Close()
 	}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -167,6 +167,7 @@
 		Ledger: p.Ledger, Key: p.MemberKey(m.Name), TTL: s.Store.LeaseTTL,
 		Hosts: func() int { return len(b.follower.Snapshot().Members) }, StoreUnavailable: func() bool { return b.age() > storeUnavailableAfter }, Logger: l,
 	}, m)
+	b.follower.Notify(b.enroller.Observe)
 	return b, nil
 }
 
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -43,7 +43,10 @@
 // operator, and the addresses and keys that callers use. It also has the hosts and
 // the checker.
 type environment struct {
-	ledger      *storer.MemoryLedger
+	ledger *storer.MemoryLedger
+	// store is what hosts reach of ledger: some of their writes are late.
+	store       *storer.LateLedger
+	late        *lateWrites
 	operator    *standin.Operator
 	storeServer *http.Server
 	// resolver queries hosts for the addresses that callers should connect to.
@@ -70,17 +73,18 @@
 	avoided     map[string]time.Time
 }
 
-func newEnvironment() (*environment, string, error) {
+func newEnvironment(seed uint64) (*environment, string, error) {
 	e := &environment{
 		ledger: storer.NewMemoryLedger(timer.System()), checker: newChecker(), avoided: make(map[string]time.Time), resolver: newCaller(),
-		keys: map[string]map[string]time.Time{plainWorkspace: {}, greedyWorkspace: {}},
+		keys: map[string]map[string]time.Time{plainWorkspace: {}, greedyWorkspace: {}}, late: newLateWrites(seed),
 	}
+	e.store = storer.NewLateLedger(e.ledger, e.late.draw)
 	e.operator = standin.NewOperator(e.ledger)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, "", err
 	}
-	store := standin.NewStore(e.ledger)
+	store := standin.NewStore(e.store)
 	store.OnWrite(e.showProxies)
 	e.storeServer = &http.Server{Handler: store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.storeServer.Serve(l) }()
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -62,6 +62,7 @@
 }
 
 func (h *host) settingsPath() string { return filepath.Join(h.folder, h.name+".ini") }
+func (h *host) logPath() string      { return filepath.Join(h.folder, h.name+".log") }
 func (h *host) diskPath() string     { return filepath.Join(h.folder, h.name+"-disk") }
 
 // start starts the process. It calls unexpected if the process exits on its own, or
@@ -69,7 +70,7 @@
 func (h *host) start(program string, unexpected func(error)) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out, err := os.OpenFile(filepath.Join(h.folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(h.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -10,6 +10,9 @@
 // guarantee with its documented bound, so a single violation is a defect, however rarely
 // it occurs.
 //
+// Under every seed, a share of the hosts' writes to the store is not answered and is carried
+// out seconds later, as the platform's store may do.
+//
 // At the end all faults heal. Within the recovery bounds, every host must be ready
 // and answer requests, and the results of every accepted job must be complete.
 package soaker
@@ -72,7 +75,7 @@
 // run runs a soak with the given scenario. It calls setUp before any servers or hosts
 // are started.
 func run(o Options, setUp, scenario func(*soak)) (Report, error) {
-	env, storeAddr, err := newEnvironment()
+	env, storeAddr, err := newEnvironment(o.Seed)
 	if err != nil {
 		return Report{}, err
 	}
@@ -86,7 +89,9 @@
 	if err := s.startHosts(); err != nil {
 		return Report{}, err
 	}
+	env.late.setActive(true)
 	scenario(s)
+	s.checkEntries()
 	return s.report(), nil
 }
 
@@ -221,6 +226,7 @@
 	f := newFaultInjector(s, s.options.Program)
 	f.run(faultCtx)
 	stopFaults()
+	s.env.late.setActive(false)
 	s.recordFault("healed")
 	if !s.awaitReady(recoveryBound) {
 		s.env.checker.report("the fleet recovers within the bound", "not every host is ready and listed after %v", recoveryBound)
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -62,6 +62,12 @@
 	soakSeeds(t, soaker.Run, soaker.Options{FaultPeriod: *faultPeriod, Servers: 4})
 }
 
+// The store carried a write of the entry of a process out when another one had replaced it.
+// The living host was missing from the store from then on, and jobs could not be read.
+func TestLateWriteOfAnEntryHidesNoHost(t *testing.T) {
+	soakSeeds(t, soaker.RunLateEntries, soaker.Options{FaultPeriod: 4 * time.Second, Servers: 4})
+}
+
 // A request that had crashed three servers was sent to further servers.
 // To run the test for longer:
 // go test ./soaker -run Crashes -soak.seeds 10 -soak.trouble 30s.
--- a/storer/ledger.go
+++ b/storer/ledger.go
@@ -80,7 +80,13 @@
 }
 
 // ConflictError reports that a condition of a transaction was false.
-type ConflictError struct{ Key string }
+type ConflictError struct {
+	// Key is that of the condition, or of the first one if the store does not say which.
+	Key string
+	// Current are the items of the conditions that exist, as they were then. It is nil if
+	// the store did not report them.
+	Current []Item
+}
 
 func (e *ConflictError) Error() string {
 	return fmt.Sprintf("condition on %q does not hold", e.Key)
--- a/storer/memory_ledger.go
+++ b/storer/memory_ledger.go
@@ -206,7 +206,7 @@
 	}
 	for _, c := range t.Conditions {
 		if m.items[c.Key].Revision != c.Revision {
-			return 0, &ConflictError{Key: c.Key}
+			return 0, &ConflictError{Key: c.Key, Current: m.currentItems(t.Conditions)}
 		}
 	}
 	for _, i := range t.Set {
@@ -228,6 +228,17 @@
 	return m.revision, nil
 }
 
+// currentItems returns the items of the conditions that exist. The caller holds m.mu.
+func (m *MemoryLedger) currentItems(conditions []Condition) []Item {
+	out := []Item{}
+	for _, c := range conditions {
+		if i, ok := m.items[c.Key]; ok {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // Grant implements Ledger.
 func (m *MemoryLedger) Grant(_ context.Context, ttl timer.Millis) (Lease, error) {
 	defer m.mu.Unlock()
