--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -187,7 +187,9 @@
 	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || e.call.Method == fasthttp.MethodHead {
 		return requester.Usage{}, nil
 	}
-	bodyParser := newParser(e.call, r, status)
+	memory := e.options.Memory.Open()
+	defer memory.Release()
+	bodyParser := newParser(e.call, r, status, memory)
 	body := r.BodyStream()
 	pooled := bufferPool.Get().(*[]byte)
 	defer bufferPool.Put(pooled)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -22,7 +22,7 @@
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/defaulter"
-
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/requester"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
@@ -61,6 +61,8 @@
 	IdleTimeout timer.Millis
 	// MaxIdle is the maximum number of unused connections kept for one address.
 	MaxIdle int
+	// Memory is the memory for bodies and events that are buffered; default 32 MB.
+	Memory *holder.Holder
 	// Clock measures the age of unused connections. The default is the system
 	// clock.
 	Clock timer.Clock
@@ -86,6 +88,9 @@
 	defaulter.Set(&o.GapTimeout, defaultGapTimeout)
 	defaulter.Set(&o.IdleTimeout, defaultIdleTimeout)
 	defaulter.Set(&o.MaxIdle, defaultMaxIdle)
+	if o.Memory == nil {
+		o.Memory = &holder.Holder{}
+	}
 	if o.Clock == nil {
 		o.Clock = timer.System()
 	}
--- a/exchanger/parse.go
+++ b/exchanger/parse.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"iter"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/requester"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -41,6 +42,29 @@
 	usage() requester.Usage
 }
 
+// buffer holds bytes in memory of an account.
+type buffer struct {
+	memory *holder.Account
+	bytes  []byte
+}
+
+// maxGrowth is by how much a buffer grows at most beyond what is needed, in bytes.
+const maxGrowth = 64 << 10
+
+// add appends data, or returns an error if there is no memory for it.
+func (b *buffer) add(data []byte) error {
+	length, before := len(b.bytes)+len(data), cap(b.bytes)
+	if length > before {
+		after := length + min(length, maxGrowth)
+		if err := b.memory.Reserve(int64(after - before)); err != nil {
+			return err
+		}
+		b.bytes = append(make([]byte, 0, after), b.bytes...)
+	}
+	b.bytes = append(b.bytes, data...)
+	return nil
+}
+
 // mismatchError reports an event that belongs to another answer.
 type mismatchError struct{ want, got string }
 
@@ -49,36 +73,36 @@
 }
 
 // newParser returns the parser for the body of an answer to c.
-func newParser(c *Call, r *fasthttp.Response, status int) parser {
+func newParser(c *Call, r *fasthttp.Response, status int, memory *holder.Account) parser {
 	if c.Stream && status == fasthttp.StatusOK {
-		return &eventParser{resumedFrom: c.ResumeFrom}
+		return &eventParser{buffer: buffer{memory: memory}, resumedFrom: c.ResumeFrom}
 	}
 	// Without a length or chunked encoding the body ends when the connection is
 	// closed, so the framing doesn't distinguish a complete body from a truncated
 	// one. ContentLength returns -2 in this case.
-	return &plainParser{unframed: r.Header.ContentLength() == -2}
+	return &plainParser{body: buffer{memory: memory}, unframed: r.Header.ContentLength() == -2}
 }
 
 // plainParser yields a body unchanged. An unframed body must be a complete JSON
 // value.
 type plainParser struct {
 	unframed bool
-	body     []byte
+	body     buffer
+	// tooLarge is set if the body is longer than maxBufferedBodyBytes, or than the memory
+	// for answers allows.
 	tooLarge bool
 }
 
 func (p *plainParser) feed(data []byte) iter.Seq2[piece, error] {
-	if len(p.body)+len(data) > maxBufferedBodyBytes {
-		p.body, p.tooLarge = nil, true
-	}
-	if !p.tooLarge {
-		p.body = append(p.body, data...)
+	if !p.tooLarge && (len(p.body.bytes)+len(data) > maxBufferedBodyBytes || p.body.add(data) != nil) {
+		p.body.bytes, p.tooLarge = nil, true
+		p.body.memory.Release()
 	}
 	return func(yield func(piece, error) bool) { yield(piece{data: data}, nil) }
 }
 
 func (p *plainParser) end() error {
-	if p.unframed && (p.tooLarge || !json.Valid(p.body)) {
+	if p.unframed && (p.tooLarge || !json.Valid(p.body.bytes)) {
 		return eris.New("the answer has no length and is not a complete JSON value")
 	}
 	return nil
@@ -88,7 +112,7 @@
 
 func (p *plainParser) usage() requester.Usage {
 	var body usageBody
-	if p.tooLarge || json.Unmarshal(p.body, &body) != nil || body.Usage == nil {
+	if p.tooLarge || json.Unmarshal(p.body.bytes, &body) != nil || body.Usage == nil {
 		return requester.Usage{}
 	}
 	return body.Usage.usage()
@@ -134,7 +158,7 @@
 	// buffer has the bytes received that have not been yielded by an earlier call of
 	// feed. pending is the part of buffer after the events that the current call has
 	// yielded; at its end, pending is moved to the start of buffer.
-	buffer        []byte
+	buffer        buffer
 	pending       []byte
 	answerID      string
 	done          bool
@@ -151,8 +175,11 @@
 
 func (p *eventParser) feed(data []byte) iter.Seq2[piece, error] {
 	return func(yield func(piece, error) bool) {
-		p.buffer = append(p.buffer, data...)
-		p.pending = p.buffer
+		if err := p.buffer.add(data); err != nil {
+			yield(piece{}, err)
+			return
+		}
+		p.pending = p.buffer.bytes
 		for {
 			i := eventIndex(p.pending)
 			if i < 0 {
@@ -168,8 +195,8 @@
 		if len(p.pending) > maxEventBytes {
 			yield(piece{}, eris.Errorf("an event is longer than %d bytes", maxEventBytes))
 		}
-		p.buffer = p.buffer[:copy(p.buffer, p.pending)]
-		p.pending = p.buffer
+		p.buffer.bytes = p.buffer.bytes[:copy(p.buffer.bytes, p.pending)]
+		p.pending = p.buffer.bytes
 	}
 }
 
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -281,7 +281,7 @@
 		}
 		return t.addEvent(e)
 	}
-	if err := splitter.Read(answer, func() { x.options.Ejector.BytesReceived(v.ID) }, take); err != nil {
+	if err := splitter.Read(answer, answer.Memory().Reserve, func() { x.options.Ejector.BytesReceived(v.ID) }, take); err != nil {
 		return x.interrupted(ctx, runCtx, flight, attempt, err)
 	}
 	if t.eventCount() == 0 {
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -36,7 +37,9 @@
 	snapshot   cataloger.Snapshot
 	started    timer.Millis
 	id         string
-	workspace  *cataloger.Workspace
+	// memory is what the request's body takes.
+	memory    *holder.Account
+	workspace *cataloger.Workspace
 	// route is nil for calls about existing jobs; job is nil for all other calls.
 	route *cataloger.Route
 	job   namer.JobCall
--- a/gatekeeper/exchange_body.go
+++ b/gatekeeper/exchange_body.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -23,16 +25,26 @@
 	l := x.snapshot.Config.Limits
 	defaulter.Set(&l.BodyBytes, defaultBodyBytes)
 	defaulter.Set(&l.IdleTimeout, defaultMaxPause)
-	if x.request.ContentLength > l.BodyBytes {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too long"}
+	tooLong := &refusal{status: http.StatusRequestEntityTooLarge, reason: fmt.Sprintf("body exceeds the configuration's limit of %d bytes", l.BodyBytes)}
+	limit := l.BodyBytes
+	if most := x.gatekeeper.options.Memory.MaxBytes(); limit > most {
+		limit = most
+		tooLong.reason = fmt.Sprintf("body exceeds the %d bytes that one body may take of this host's memory; the configuration's limit is %d", most, l.BodyBytes)
+	}
+	if x.request.ContentLength > limit {
+		return nil, tooLong
 	}
 	p := &timedBody{body: x.request.Body, controller: http.NewResponseController(x.writer), maxPause: l.IdleTimeout}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, p, l.BodyBytes))
+	body, err := holder.ReadAll(x.memory, http.MaxBytesReader(x.writer, p, limit), x.request.ContentLength)
 	p.clearDeadline()
 	var long *http.MaxBytesError
+	var noMemory *holder.TooLongError
 	switch {
+	case errors.As(err, &noMemory):
+		x.writer.Header().Set("Connection", "close")
+		return nil, &refusal{http.StatusServiceUnavailable, "no memory for the body now", retrySoon}
 	case errors.As(err, &long):
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too long"}
+		return nil, tooLong
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.writer.Header().Set("Connection", "close")
 		return nil, &refusal{http.StatusRequestTimeout, "body did not go on", retrySoon}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -27,6 +27,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/rationer"
@@ -58,6 +59,9 @@
 	// instead of 404 or 401 if the Snapshot was confirmed longer ago than this;
 	// default 1.5 s.
 	FreshConfigAge timer.Millis
+	// Memory is the memory for bodies of requests; default 32 MB. One body takes half of it
+	// at most.
+	Memory *holder.Holder
 }
 
 // Gatekeeper is the http.Handler for requests of callers. It is safe for
@@ -76,6 +80,9 @@
 func New(o Options) *Gatekeeper {
 	defaulter.Set(&o.MaxConfigAge, 3600)
 	defaulter.Set(&o.FreshConfigAge, 1500)
+	if o.Memory == nil {
+		o.Memory = &holder.Holder{}
+	}
 	return &Gatekeeper{options: o}
 }
 
@@ -135,7 +142,8 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{gatekeeper: g, writer: w, request: r, snapshot: g.options.Snapshot(), started: g.options.Clock.Now()}
+	x := &exchange{gatekeeper: g, writer: w, request: r, snapshot: g.options.Snapshot(), started: g.options.Clock.Now(), memory: g.options.Memory.Open()}
+	defer x.memory.Release()
 	x.id = r.Header.Get(g.options.Names.RequestID)
 	x.serve()
 }
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/platform"
 	"github.com/jackdawgate/jackdawgate/rationer"
@@ -24,10 +26,15 @@
 type relay struct {
 	calls   []relayer.Call
 	outcome relayer.Outcome
+	// during is called while a call runs; it may be nil.
+	during func(relayer.Call)
 }
 
 func (r *relay) Run(_ context.Context, c relayer.Call, s relayer.Sink) relayer.Outcome {
 	r.calls = append(r.calls, c)
+	if r.during != nil {
+		r.during(c)
+	}
 	if d, ok := r.outcome.(relayer.Delivered); ok {
 		_ = s.Head(d.Status, http.Header{}, 2)
 		_ = s.Write([]byte("ok"))
@@ -52,18 +59,22 @@
 	relay    *relay
 	jobs     *jobs
 	gate     *gatekeeper.Gatekeeper
+	memory   *holder.Holder
 }
 
+// memoryForBodies is the memory of the fixture's host for bodies, in bytes.
+const memoryForBodies = 1 << 20
+
 func newFixture() *fixture { return newLoggedFixture(zap.NewNop()) }
 
 func newLoggedFixture(l *zap.Logger) *fixture {
-	f := &fixture{clock: &harness.Clock{Time: 100000}, relay: &relay{outcome: relayer.Delivered{Status: 200}}, jobs: &jobs{}}
+	f := &fixture{clock: &harness.Clock{Time: 100000}, relay: &relay{outcome: relayer.Delivered{Status: 200}}, jobs: &jobs{}, memory: holder.New(memoryForBodies)}
 	r := rationer.New(f.clock)
 	f.clock.Time += 10 * timer.Second
 	f.gate = gatekeeper.New(gatekeeper.Options{
 		Names:    namer.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", SharedParts: platform.Names().SharedParts, ParseJobCall: jobCall},
 		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs,
-		Clock: f.clock, Logger: l, MaxConfigAge: 3600,
+		Clock: f.clock, Logger: l, MaxConfigAge: 3600, Memory: f.memory,
 	})
 	return f
 }
@@ -103,7 +114,12 @@
 }
 
 func (f *fixture) call(path, key string) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
+	return f.send(path, key, strings.NewReader("body"))
+}
+
+// send makes a call with a body.
+func (f *fixture) send(path, key string, body io.Reader) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, body)
 	r.Header.Set("Key", key)
 	r.Header.Set("Deadline", "4000")
 	r.Header.Set("Prompt", "a:1,b:2,own:3")
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -1,85 +1,223 @@
-// Package holder buffers answers until they are complete, in bounded memory.
+// Package holder bounds the memory that the answers of backend servers, and what others
+// send to a host, occupy.
 //
-// A call whose answer was passed on in part cannot be retried, so short answers are
-// buffered completely first. A server whose answer never ends could exhaust the
-// host's memory, so the size of each answer and the total size of all buffered
-// answers are bounded.
+// Heads, whole answers that are held until they are complete, and unfinished events all
+// need memory, and a faulty server may send bytes without end. Each call has an Account,
+// whose first bytes are free, so that short answers are received whatever other servers do.
+// What goes beyond that is reserved from the memory of all calls together (Holder).
 package holder
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
 const (
-	// maxBody bounds one answer, maxTotal all buffered answers together, in bytes.
-	maxBody  = 8 << 20
-	maxTotal = 32 << 20
-	// chunkSize is the unit in which memory is reserved and answers are read, in
-	// bytes.
+	// defaultTotal is the memory for all answers together, maxBody bounds one answer, in
+	// bytes. One answer takes no more than half of the memory for all.
+	defaultTotal = 32 << 20
+	maxBody      = 8 << 20
+	// Allowance is how many bytes each call may occupy without reserving memory.
+	Allowance = 32 << 10
+	// chunkSize is the unit in which answers are held, in bytes.
 	chunkSize = 32 << 10
+	// minBuffer is the least size of a buffer of ReadAll, in bytes.
+	minBuffer = 4 << 10
 )
 
 // TooLongError reports that an answer exceeds the memory for one answer, or what is
 // left of the memory for all.
 type TooLongError struct {
-	// Bytes is how much of the answer was read, InUse the memory reserved for all
-	// answers.
+	// Bytes is how much memory the call would have used, InUse the memory that all calls
+	// have reserved, in bytes.
 	Bytes, InUse int64
 }
 
 func (e *TooLongError) Error() string {
-	return fmt.Sprintf("answer longer than %d bytes exceeds buffer memory, with %d bytes in use by all answers", e.Bytes, e.InUse)
+	return fmt.Sprintf("answer of %d bytes exceeds the memory for answers, of which all calls use %d bytes", e.Bytes, e.InUse)
 }
 
-// Holder buffers answers. It is safe for concurrent use. The zero Holder is ready to
-// use.
-type Holder struct{ inUse atomic.Int64 }
+// Holder is the memory for the answers of all calls of a host. It is safe for concurrent
+// use. The zero Holder has 32 MB.
+type Holder struct {
+	total int64
+	inUse atomic.Int64
+}
+
+// New returns a Holder of total bytes, or of 32 MB if total is zero.
+func New(total int64) *Holder { return &Holder{total: total} }
+
+func (h *Holder) limit() int64 {
+	if h.total == 0 {
+		return defaultTotal
+	}
+	return h.total
+}
+
+// MaxBytes returns the length of the longest body that ReadAll returns.
+func (h *Holder) MaxBytes() int64 { return h.limit() / 2 }
+
+// InUse returns the reserved memory in bytes.
+func (h *Holder) InUse() int64 { return h.inUse.Load() }
+
+// add adds n bytes to the reserved memory unless that would exceed the limit, and returns
+// the reserved memory. A reservation that fails is never counted, not even for a moment, so
+// that it makes no other one fail.
+func (h *Holder) add(n int64) (inUse int64, ok bool) {
+	for {
+		inUse = h.inUse.Load()
+		if n > 0 && inUse+n > h.limit() {
+			return inUse, false
+		}
+		if h.inUse.CompareAndSwap(inUse, inUse+n) {
+			return inUse + n, true
+		}
+	}
+}
+
+// Open returns an Account for one call.
+func (h *Holder) Open() *Account { return &Account{holder: h} }
+
+// Account is the memory that one call uses. It must be used by one goroutine at a time.
+type Account struct {
+	holder *Holder
+	// used is what the call uses, reserved the part of it beyond Allowance.
+	used, reserved int64
+}
+
+// Reserve adds n bytes to what the call uses. After an error nothing was added.
+func (a *Account) Reserve(n int64) error {
+	more := max(0, a.used+n-Allowance) - a.reserved
+	if more != 0 {
+		if inUse, ok := a.holder.add(more); !ok {
+			return &TooLongError{Bytes: a.used + n, InUse: inUse}
+		}
+	}
+	a.used += n
+	a.reserved += more
+	return nil
+}
+
+// Release returns the memory of the call.
+func (a *Account) Release() {
+	a.holder.inUse.Add(-a.reserved)
+	a.used, a.reserved = 0, 0
+}
+
+// maxBody returns the length of the longest answer that is held whole.
+func (a *Account) maxBody() int64 { return min(maxBody, a.holder.MaxBytes()) }
+
+// chunks holds the chunks of answers that were released.
+var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
 
-// Body is a buffered answer, which occupies memory until Release.
+// Body is a whole answer.
 type Body struct {
-	holder   *Holder
-	buffer   bytes.Buffer
-	reserved int64
+	chunks []*[chunkSize]byte
+	length int
 }
 
-// Read reads r to its end. If it fails, no memory remains reserved.
-func (h *Holder) Read(r io.Reader) (*Body, error) {
-	b := &Body{holder: h}
+// Read reads r to its end, in memory of the account. The caller must Close the Body, also
+// if the account is released.
+func Read(a *Account, r io.Reader) (*Body, error) {
+	b := &Body{}
 	for {
-		if err := b.reserve(); err != nil {
-			b.Release()
+		n, err := b.readChunk(a, r)
+		b.length += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return b, nil
+		case err == nil && int64(b.length) > a.maxBody():
+			err = &TooLongError{Bytes: int64(b.length), InUse: a.holder.InUse()}
+		}
+		if err != nil {
+			b.Close()
 			return nil, err
 		}
-		_, err := io.CopyN(&b.buffer, r, chunkSize)
+	}
+}
+
+// readChunk reads the next chunk. It returns io.EOF if r has ended.
+func (b *Body) readChunk(a *Account, r io.Reader) (int, error) {
+	if err := a.Reserve(chunkSize); err != nil {
+		return 0, err
+	}
+	c := chunks.Get().(*[chunkSize]byte)
+	b.chunks = append(b.chunks, c)
+	return readFull(r, c[:])
+}
+
+// readFull fills p, or returns the error of r. Unlike io.ReadFull it returns io.EOF also after
+// a part of p, so that io.ErrUnexpectedEOF always means that the answer was broken off.
+func readFull(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var got int
+		got, err = r.Read(p[n:])
+		n += got
+	}
+	if n == len(p) {
+		return n, nil
+	}
+	return n, err
+}
+
+// ReadAll reads r to its end into one slice, which takes memory of the account until its
+// Release, and no more than half of the memory for all. length is how many bytes to expect,
+// or -1; memory is taken as they come.
+func ReadAll(a *Account, r io.Reader, length int64) ([]byte, error) {
+	var out []byte
+	// One byte more shows that r has ended.
+	most := int(a.holder.MaxBytes()) + 1
+	if length >= 0 {
+		most = int(min(int64(most), length+1))
+	}
+	for {
+		if len(out) == cap(out) {
+			grown := min(max(minBuffer, 2*cap(out)), most)
+			if grown == cap(out) {
+				return nil, &TooLongError{Bytes: int64(grown), InUse: a.holder.InUse()}
+			}
+			if err := a.Reserve(int64(grown - cap(out))); err != nil {
+				return nil, err
+			}
+			out = append(make([]byte, 0, grown), out...)
+		}
+		n, err := r.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			return b, nil
+			return out, nil
 		case err != nil:
-			b.Release()
 			return nil, err
 		}
 	}
 }
 
-// reserve reserves memory for another chunk. The caller must Release b if it fails.
-func (b *Body) reserve() error {
-	b.reserved += chunkSize
-	held := b.holder.inUse.Add(chunkSize)
-	if b.reserved > maxBody+chunkSize || held > maxTotal {
-		return &TooLongError{Bytes: int64(b.buffer.Len()), InUse: held}
+// Len returns the length of the answer in bytes.
+func (b *Body) Len() int { return b.length }
+
+// Write calls write with the parts of the answer in order, until it fails.
+func (b *Body) Write(write func(part []byte) error) error {
+	left := b.length
+	for _, c := range b.chunks {
+		part := c[:min(left, chunkSize)]
+		if len(part) == 0 {
+			break
+		}
+		if err := write(part); err != nil {
+			return err
+		}
+		left -= len(part)
 	}
 	return nil
 }
 
-// Bytes returns the answer. It is valid until Release.
-func (b *Body) Bytes() []byte { return b.buffer.Bytes() }
-
-// Release returns the memory. It must be called once.
-func (b *Body) Release() { b.holder.inUse.Add(-b.reserved) }
-
-// InUse returns the reserved memory in bytes, a multiple of the chunk size.
-func (h *Holder) InUse() int64 { return h.inUse.Load() }
+// Close returns the chunks of the answer. It must be called once.
+func (b *Body) Close() {
+	for _, c := range b.chunks {
+		chunks.Put(c)
+	}
+	b.chunks, b.length = nil, 0
+}
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 
 	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/stretchr/testify/require"
@@ -17,23 +19,42 @@
 
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
 
+// content returns the whole of a Body.
+func content(b *holder.Body) []byte {
+	var out []byte
+	_ = b.Write(func(p []byte) error {
+		out = append(out, p...)
+		return nil
+	})
+	return out
+}
+
 func TestCompleteAnswersAreHeld(t *testing.T) {
 	var h holder.Holder
-	for _, n := range []int{0, 1, 32 << 10, 8 << 20} {
-		want := strings.Repeat("x", n)
-		b, err := h.Read(strings.NewReader(want))
+	for _, n := range []int{0, 1, 32<<10 - 1, 32 << 10, 32<<10 + 1, 8 << 20} {
+		want := make([]byte, n)
+		for i := range want {
+			want[i] = byte(i / 7)
+		}
+		a := h.Open()
+		b, err := holder.Read(a, iotest.OneByteReader(bytes.NewReader(want)))
 		require.NoError(t, err)
-		require.True(t, bytes.Equal([]byte(want), b.Bytes()))
-		b.Release()
+		require.Equal(t, n, b.Len())
+		require.True(t, bytes.Equal(want, content(b)))
+		b.Close()
+		a.Release()
 	}
 	require.Zero(t, h.InUse())
 }
 
 func TestBrokenAnswerIsNotHeld(t *testing.T) {
 	var h holder.Holder
-	broken := errors.New("broken")
-	_, err := h.Read(io.MultiReader(strings.NewReader("abc"), &failing{broken}))
-	require.ErrorIs(t, err, broken)
+	for _, broken := range []error{errors.New("broken"), io.ErrUnexpectedEOF, fmt.Errorf("server: %w", io.ErrUnexpectedEOF)} {
+		a := h.Open()
+		_, err := holder.Read(a, io.MultiReader(strings.NewReader("abc"), &failing{broken}))
+		require.ErrorIs(t, err, broken)
+		a.Release()
+	}
 	require.Zero(t, h.InUse())
 }
 
@@ -48,9 +69,11 @@
 	var running sync.WaitGroup
 	for range 64 {
 		running.Go(func() {
-			_, err := h.Read(endless{})
+			a := h.Open()
+			defer a.Release()
+			_, err := holder.Read(a, endless{})
 			var long *holder.TooLongError
-			if !errors.As(err, &long) || long.InUse > most+64*32<<10 {
+			if !errors.As(err, &long) || long.InUse > most {
 				t.Errorf("%v", err)
 			}
 		})
@@ -63,17 +86,88 @@
 // has been released.
 func TestReleaseReturnsMemory(t *testing.T) {
 	var h holder.Holder
-	var held []*holder.Body
+	var held []*holder.Account
 	for {
-		b, err := h.Read(strings.NewReader(strings.Repeat("x", 4<<20)))
-		if err != nil {
+		a := h.Open()
+		if _, err := holder.Read(a, strings.NewReader(strings.Repeat("x", 4<<20))); err != nil {
+			a.Release()
 			break
 		}
-		held = append(held, b)
+		held = append(held, a)
 	}
-	require.Len(t, held, 7)
+	require.Len(t, held, 8)
 	held[0].Release()
-	b, err := h.Read(strings.NewReader(strings.Repeat("x", 4<<20)))
+	a := h.Open()
+	_, err := holder.Read(a, strings.NewReader(strings.Repeat("x", 4<<20)))
 	require.NoError(t, err)
-	b.Release()
+}
+
+// Faulty servers have taken all memory. A short answer of another one is received.
+func TestShortAnswersAreReceivedWithoutFreeMemory(t *testing.T) {
+	h := holder.New(1 << 20)
+	require.NoError(t, h.Open().Reserve(1<<20+holder.Allowance))
+	require.Error(t, h.Open().Reserve(holder.Allowance+1))
+	a := h.Open()
+	require.NoError(t, a.Reserve(4<<10))
+	require.NoError(t, a.Reserve(28<<10))
+	require.Error(t, a.Reserve(1))
+	a.Release()
+	require.EqualValues(t, 1<<20, h.InUse())
+}
+
+// A reservation that failed was counted for a moment, and made others fail that fit.
+func TestReservationThatFailsMakesNoOtherFail(t *testing.T) {
+	h := holder.New(1 << 20)
+	var running sync.WaitGroup
+	for range 8 {
+		running.Go(func() {
+			for range 20_000 {
+				if h.Open().Reserve(1<<20+holder.Allowance+1) == nil {
+					t.Error("reserved more than the limit")
+				}
+			}
+		})
+	}
+	for range 20_000 {
+		a := h.Open()
+		require.NoError(t, a.Reserve(1<<20))
+		a.Release()
+	}
+	running.Wait()
+	require.Zero(t, h.InUse())
+}
+
+// On a host with little memory one answer takes no more than half of it.
+func TestOneAnswerDoesNotTakeAllMemory(t *testing.T) {
+	h := holder.New(1 << 20)
+	a := h.Open()
+	_, err := holder.Read(a, endless{})
+	var long *holder.TooLongError
+	require.ErrorAs(t, err, &long)
+	require.LessOrEqual(t, long.Bytes, int64(1<<19+32<<10))
+	a.Release()
+	require.Zero(t, h.InUse())
+}
+
+func TestReadAllIsBoundedByTheMemory(t *testing.T) {
+	h := holder.New(1 << 20)
+	for _, n := range []int{0, 1, 4 << 10, 100000, 1 << 19} {
+		want := bytes.Repeat([]byte("xyz"), n/3+1)[:n]
+		a := h.Open()
+		got, err := holder.ReadAll(a, iotest.HalfReader(bytes.NewReader(want)), -1)
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(want, got))
+		a.Release()
+		got, err = holder.ReadAll(a, iotest.HalfReader(bytes.NewReader(want)), int64(n))
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(want, got))
+		require.LessOrEqual(t, h.InUse(), int64(n+1))
+		a.Release()
+	}
+	a := h.Open()
+	_, err := holder.ReadAll(a, endless{}, -1)
+	var long *holder.TooLongError
+	require.ErrorAs(t, err, &long)
+	a.Release()
+	require.Zero(t, h.InUse())
 }
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -77,6 +77,7 @@
 		Measurer:     p.Measurer,
 		Jobs:         jobs,
 		MaxConfigAge: timer.Millis(float64(s.Bounds.Revoke) * maxConfigAgeShare),
+		Memory:       memoryFor(s, bodyShare),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -25,6 +25,7 @@
 	"github.com/jackdawgate/jackdawgate/enroller"
 	"github.com/jackdawgate/jackdawgate/follower"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/namer"
@@ -69,6 +70,23 @@
 // Go runtime, near which the garbage collector runs more often.
 const memoryShare = 0.6
 
+// Parts of a host's memory: for the answers of backend servers, for messages of other hosts
+// while they are received, and for the bodies of callers' requests.
+const (
+	answerShare  = 0.125
+	messageShare = 0.1875
+	bodyShare    = 0.1875
+)
+
+// memoryFor returns a part of the host's memory, or nil for the default if the settings do
+// not state its memory.
+func memoryFor(s checker.MemberSettings, share float64) *holder.Holder {
+	if s.Host.MemoryMB == 0 {
+		return nil
+	}
+	return holder.New(int64(float64(s.Host.MemoryMB) * share * (1 << 20)))
+}
+
 // storeUnavailableAfter is the age of a host's last confirmation from the store above which
 // the store counts as unavailable.
 const storeUnavailableAfter timer.Millis = 1500
@@ -121,7 +139,7 @@
 	}
 	b.messenger = messenger.New(messenger.Options{
 		Self: messenger.Peer{Name: m.Name, Incarnation: m.Incarnation}, Logger: l,
-		DialTimeout: 500, IdleTimeout: 1200, PingInterval: 300,
+		DialTimeout: 500, IdleTimeout: 1200, PingInterval: 300, Memory: memoryFor(s, messageShare),
 	})
 	b.streams = streams
 	gossiperSet := make(chan struct{})
@@ -136,7 +154,7 @@
 	b.quarantiner = quarantiner.New(quarantiner.Options{Ledger: p.Ledger, Key: p.QuarantineKey, Clock: clock, Logger: l})
 	b.tracker = suspector.NewTracker(clock, l, b.quarantiner)
 	b.ejector = ejector.New(clock, l)
-	b.transporter = transporter.New(transporter.Options{IDHeader: p.Names.RequestID, Clock: clock})
+	b.transporter = transporter.New(transporter.Options{IDHeader: p.Names.RequestID, Clock: clock, Memory: memoryFor(s, answerShare)})
 	b.departer = departer.New(clock, l)
 	b.comparer = comparer.New(clock, l)
 	b.throttler = throttler.New(clock, l)
--- a/messenger/connection.go
+++ b/messenger/connection.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fasthttp/websocket"
+	"github.com/jackdawgate/jackdawgate/holder"
 )
 
 const (
@@ -15,7 +16,8 @@
 	writeQueue = 256
 	// batchBytes is the size at which no more frames are added to a message.
 	batchBytes = 64 << 10
-	// maxMessageBytes bounds one message from a peer.
+	// maxMessageBytes bounds one message from a peer. Messages of all peers have twice that
+	// by default, while they are received and decoded.
 	maxMessageBytes = 64 << 20
 )
 
@@ -85,24 +87,35 @@
 // run reads until the connection ends, and passes each frame to handle.
 func (c *connection) run(handle func(frame)) {
 	c.workers.Go(c.write)
+	memory := c.options.Memory.Open()
 	for {
-		kind, message, err := c.socket.ReadMessage()
+		err := c.readMessage(memory, handle)
+		memory.Release()
 		if err != nil {
 			c.fail(asIdleError(err))
 			break
 		}
-		c.extendReadDeadline()
-		if kind != websocket.BinaryMessage {
-			continue
-		}
-		if err := decodeFrames(message, handle); err != nil {
-			c.fail(err)
-			break
-		}
 	}
 	c.workers.Wait()
 }
 
+// readMessage reads one message and passes its frames to handle.
+func (c *connection) readMessage(memory *holder.Account, handle func(frame)) error {
+	kind, r, err := c.socket.NextReader()
+	if err != nil {
+		return err
+	}
+	message, err := holder.ReadAll(memory, r, -1)
+	if err != nil {
+		return err
+	}
+	c.extendReadDeadline()
+	if kind != websocket.BinaryMessage {
+		return nil
+	}
+	return decodeFrames(message, handle)
+}
+
 func asIdleError(err error) error {
 	var n net.Error
 	if errors.As(err, &n) && n.Timeout() {
--- a/messenger/host.go
+++ b/messenger/host.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/holder"
 
 	"github.com/fasthttp/websocket"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -43,6 +44,9 @@
 	KeepUnused timer.Millis
 	// Window is how many answer frames may be in flight per call; default 64.
 	Window int
+	// Memory is the memory for messages that are received; default 128 MB. One message
+	// takes half of it at most.
+	Memory *holder.Holder
 	Logger *zap.Logger
 }
 
@@ -52,6 +56,9 @@
 	defaulter.Set(&o.DialTimeout, 2*timer.Second)
 	defaulter.Set(&o.KeepUnused, 60*timer.Second)
 	defaulter.Set(&o.Window, 64)
+	if o.Memory == nil {
+		o.Memory = holder.New(2 * maxMessageBytes)
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
@@ -129,6 +136,12 @@
 	return h
 }
 
+// MaxCallBytes returns the length of the longest body of a call that hosts with as much
+// memory for messages as this one receive.
+func (h *Host) MaxCallBytes() int64 {
+	return min(maxMessageBytes, h.options.Memory.MaxBytes()) - 2*batchBytes
+}
+
 // Handle implements Registry. It must be called before Serve.
 func (h *Host) Handle(m Method, f Handler) {
 	h.mu.Lock()
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/jackdawgate/jackdawgate/comparer"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/splitter"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -15,8 +16,6 @@
 )
 
 const (
-	// maxRefusalBody bounds how much of the body of a refusal is read, in bytes.
-	maxRefusalBody = 64 << 10
 	// firstRateSample is the number of events after which the event rate of an
 	// answer is recorded for the first time.
 	firstRateSample = 8
@@ -127,19 +126,18 @@
 
 // relayBody passes an answer on once it is complete.
 func (u *run) relayBody(a *transporter.Answer) error {
-	held, err := u.relayer.bodyBuffer.Read(a)
+	body, err := holder.Read(a.Memory(), a)
 	if err != nil {
 		return err
 	}
-	defer held.Release()
-	body := held.Bytes()
+	defer body.Close()
 	h := a.Header.Clone()
 	transporter.RemoveHopHeaders(h)
-	if u.sink.Head(a.Status, h, int64(len(body))) != nil {
+	if u.sink.Head(a.Status, h, int64(body.Len())) != nil {
 		return errCallerGone
 	}
 	u.headSent = true
-	if len(body) > 0 && u.sink.Write(body) != nil {
+	if body.Write(u.sink.Write) != nil {
 		return errCallerGone
 	}
 	return nil
@@ -159,7 +157,7 @@
 	if u.canResend() && u.resumable {
 		a.SetSilenceTimeout(resumeAfter)
 	}
-	return splitter.Read(a, func() { u.relayer.options.Ejector.BytesReceived(r.Server.ID) }, func(e splitter.Event) error { return u.relayEvent(r, e) })
+	return splitter.Read(a, a.Memory().Reserve, func() { u.relayer.options.Ejector.BytesReceived(r.Server.ID) }, func(e splitter.Event) error { return u.relayEvent(r, e) })
 }
 
 // relayEvent passes one event on. A resumable stream must continue right after the
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -7,11 +7,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/stretchr/testify/require"
 )
 
 // endless sends a head and then part repeatedly until the connection is closed.
@@ -62,7 +65,30 @@
 					}
 				})
 			}
-			running.Wait()
+			most := harness.MostInUse(&running, f.memory.InUse)
+			require.LessOrEqual(t, most, int64(memoryForAnswers), "all calls together")
+			require.Zero(t, f.memory.InUse(), "memory of calls that have ended")
+		})
+	}
+}
+
+// A server refuses a call and goes on to send bytes, one now and then or without end. The
+// call goes to another server at once.
+func TestRefusalThatDoesNotEndIsNotReadToItsEnd(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 9000000000\r\n\r\n"
+	for name, pause := range map[string]time.Duration{"now-and-then": 50 * time.Millisecond, "without-end": 0} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, func(c net.Conn, _ *http.Request) {
+				_, err := io.WriteString(c, refusal)
+				for err == nil {
+					time.Sleep(pause)
+					_, err = io.WriteString(c, "x")
+				}
+			}, text("200 OK", signed, "ok"))
+			began := f.clock.Now()
+			o, _ := f.run(route(cataloger.Idempotent, false, 2))
+			require.IsType(t, relayer.Delivered{}, o)
+			require.Less(t, f.clock.Now()-began, timer.Second)
 		})
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -19,7 +19,6 @@
 	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
-	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/suspector"
@@ -125,8 +124,7 @@
 
 // Relayer runs calls. It is safe for concurrent use.
 type Relayer struct {
-	options    Options
-	bodyBuffer holder.Holder
+	options Options
 }
 
 // New returns a Relayer.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -19,6 +19,7 @@
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/relayer"
@@ -36,6 +37,9 @@
 	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", ResumeAfter: "After",
 }
 
+// memoryForAnswers is the memory of the fixture's host for answers, in bytes.
+const memoryForAnswers = 32 << 20
+
 // script is the behaviour of a backend server for one request.
 type script func(w net.Conn, q *http.Request)
 
@@ -50,6 +54,7 @@
 	throttler *throttler.Throttler
 	ejector   *ejector.Ejector
 	clock     timer.Clock
+	memory    *holder.Holder
 
 	mu       sync.Mutex
 	snapshot cataloger.Snapshot
@@ -72,7 +77,8 @@
 		Snapshot: f.current, RemoteLoad: func(string) gossiper.Load { return gossiper.Load{} },
 		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
 	})
-	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock})
+	f.memory = holder.New(memoryForAnswers)
+	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock, Memory: f.memory})
 	t.Cleanup(c.Close)
 	f.tracker = suspector.NewTracker(clock, zap.NewNop(), nil)
 	f.relayer = relayer.New(relayer.Options{Names: names, Transporter: c, Picker: f.picker, Throttler: f.throttler, Ejector: e, Tracker: f.tracker, Departer: f.departer, Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -358,7 +357,7 @@
 // handleRefusal handles an answer with which the server guarantees that it did not
 // run the call. Its results are those of attempt.
 func (u *run) handleRefusal(r *picker.Reservation, a *transporter.Answer) (Outcome, bool) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxRefusalBody))
+	// The body is not read: it may not end, and the connection is not used again.
 	u.excluded = append(u.excluded, r.Server.ID)
 	u.relayer.options.Logger.Info("server refused", zap.String("request", u.call.ID), zap.String("server", r.Server.ID),
 		zap.Int("status", a.Status), zap.Int("online", r.Load.Online), zap.Int("batch", r.Load.Batch))
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -24,7 +24,9 @@
 // host is one host of the fleet: a process, a disk, and the proxies to the store and from
 // the other hosts.
 type host struct {
-	name, role, folder                    string
+	name, role, folder string
+	// memoryMB is the memory in the host's settings, zero for none.
+	memoryMB                              int
 	callersAddr, readyAddr, directoryAddr string
 	// The other hosts use peersProxyAddr, which has the same length as peersAddr.
 	peersAddr, peersProxyAddr string
@@ -47,7 +49,7 @@
 	if err := os.RemoveAll(h.diskPath()); err != nil {
 		return err
 	}
-	text := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\n\n[listen]\npeers = %s\n", h.name, dataCentreOf(h.name), h.peersAddr)
+	text := fmt.Sprintf("[host]\nname = %s\ndata-centre = %s\nmemory-mb = %d\n\n[listen]\npeers = %s\n", h.name, dataCentreOf(h.name), h.memoryMB, h.peersAddr)
 	if h.role == entryRole {
 		text += fmt.Sprintf("callers = %s\nready = %s\ndirectory = %s\n", h.callersAddr, h.readyAddr, h.directoryAddr)
 	}
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -159,6 +159,11 @@
 		if n > 0 {
 			p.waitToForward(fromTarget)
 			if _, err := to.Write(buffer[:n]); err != nil {
+				if fromTarget {
+					// The host has closed the connection; the target may send without end.
+					_ = from.Close()
+					return
+				}
 				break
 			}
 		}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -42,6 +42,8 @@
 	Seed     uint64
 	// FaultPeriod is how long new faults are started.
 	FaultPeriod time.Duration
+	// MemoryMB is the memory of a host in its settings, in MB; zero for none.
+	MemoryMB int
 	// EntryHosts, BulkHosts and Servers are the numbers of each at the start.
 	EntryHosts, BulkHosts, Servers int
 }
@@ -111,7 +113,7 @@
 		}
 	}
 	for i := range s.options.EntryHosts + s.options.BulkHosts {
-		h := &host{name: fmt.Sprintf("entry-%d", i), role: entryRole, folder: s.options.Folder}
+		h := &host{name: fmt.Sprintf("entry-%d", i), role: entryRole, folder: s.options.Folder, memoryMB: s.options.MemoryMB}
 		if i >= s.options.EntryHosts {
 			h.name, h.role = fmt.Sprintf("bulk-%d", i-s.options.EntryHosts), bulkRole
 		}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -82,6 +82,13 @@
 	soakSeeds(t, soaker.RunCrashingPrompts, soaker.Options{FaultPeriod: max(*faultPeriod, 18*time.Second), Servers: 8})
 }
 
+// Servers sent bytes without end, and the host that had called them ran out of memory. The
+// hosts have the memory of the smallest ones that the users run. To send in all ways:
+// go test ./soaker -run Endless -soak.seeds 4.
+func TestEndlessResponsesDoNotExhaustMemory(t *testing.T) {
+	soakSeeds(t, soaker.RunEndless, soaker.Options{Servers: 6, MemoryMB: 112})
+}
+
 // A server announces in its responses that it is leaving, while its entry says
 // that it is ready and the store does not answer.
 func TestLeavingServerGetsNoNewRequests(t *testing.T) {
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -33,6 +33,10 @@
 // Splitter buffers the bytes of an event that is not complete yet. The zero value is
 // ready to use. A Splitter is not safe for concurrent use.
 type Splitter struct {
+	// Reserve is called before the Splitter takes n bytes more of memory, which it keeps.
+	// If it returns an error, Feed does too. It may be nil.
+	Reserve func(n int64) error
+
 	pending []byte
 	// searched is the length of the prefix of pending in which no event ends.
 	searched int
@@ -40,8 +44,11 @@
 
 // Feed adds bytes of the stream and calls each for every event that they complete. The
 // bytes of an event are valid only until each returns. Feed returns the first error
-// of each, or a *TooLongError if the unfinished event exceeds maxEvent.
+// of each or Reserve, or a *TooLongError if the unfinished event exceeds maxEvent.
 func (s *Splitter) Feed(p []byte, each func(Event) error) error {
+	if err := s.grow(len(s.pending) + len(p)); err != nil {
+		return err
+	}
 	s.pending = append(s.pending, p...)
 	used := 0
 	for {
@@ -67,6 +74,25 @@
 	return nil
 }
 
+// maxGrowth is by how much the buffer grows at most beyond what is needed, in bytes.
+const maxGrowth = 32 << 10
+
+// grow makes room for length bytes.
+func (s *Splitter) grow(length int) error {
+	before := cap(s.pending)
+	if length <= before {
+		return nil
+	}
+	after := length + min(length, maxGrowth)
+	if s.Reserve != nil {
+		if err := s.Reserve(int64(after - before)); err != nil {
+			return err
+		}
+	}
+	s.pending = append(make([]byte, 0, after), s.pending...)
+	return nil
+}
+
 // readSize is the size of the buffer for one read, in bytes.
 const readSize = 4 << 10
 
@@ -75,11 +101,11 @@
 
 func (*PartialError) Error() string { return "stream ended within an event" }
 
-// Read reads a stream to its end. It calls onRead after each read that returned bytes
-// and each for every event. It returns nil only if the stream ended with io.EOF and
-// after a whole event.
-func Read(r io.Reader, onRead func(), each func(Event) error) error {
-	var s Splitter
+// Read reads a stream to its end. It calls onRead after each read that returned bytes,
+// each for every event, and reserve before it takes more memory. It returns nil only if the
+// stream ended with io.EOF and after a whole event.
+func Read(r io.Reader, reserve func(n int64) error, onRead func(), each func(Event) error) error {
+	s := Splitter{Reserve: reserve}
 	buffer := make([]byte, readSize)
 	for {
 		n, err := r.Read(buffer)
--- a/tester/harness/harness.go
+++ b/tester/harness/harness.go
@@ -5,7 +5,9 @@
 	"flag"
 	"net"
 	"os"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -33,6 +35,24 @@
 	return l.Addr().String()
 }
 
+// MostInUse returns the highest value of inUse that is seen until all of running have
+// ended. It looks each millisecond.
+func MostInUse(running *sync.WaitGroup, inUse func() int64) int64 {
+	done := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(done)
+	}()
+	for most := int64(0); ; {
+		select {
+		case <-done:
+			return most
+		case <-time.After(time.Millisecond):
+			most = max(most, inUse())
+		}
+	}
+}
+
 // Main runs a package's tests and exits with their code. It sets the seed of
 // property tests to 1, unless -rapid.seed sets another, so that runs are
 // repeatable. A package's TestMain calls it.
--- a/transporter/answer.go
+++ b/transporter/answer.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -27,6 +28,9 @@
 // Length returns the length of the body in bytes, or -1 if it is not stated.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
+// Memory returns the memory of the exchange, which is released by Close.
+func (a *Answer) Memory() *holder.Account { return a.connection.account }
+
 // SetSilenceTimeout replaces the bound on how long the server may send nothing.
 func (a *Answer) SetSilenceTimeout(bound timer.Millis) { a.connection.silenceTimeout = bound }
 
@@ -49,6 +53,7 @@
 func (a *Answer) Close() {
 	undisturbed := a.stopAfterFunc()
 	n := a.connection
+	n.account.Release()
 	reusable := undisturbed && a.complete && a.attributable && !a.response.Close && n.requestWritten() && n.reader.Buffered() == 0
 	if !reusable {
 		n.close()
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -24,15 +25,11 @@
 	// keepAliveMargin is the time between the last possible reuse of an idle
 	// connection and the moment at which its server closes it.
 	keepAliveMargin timer.Millis = 500
-	// maxHeadBytes bounds what is read for the heads of one answer, interim ones
-	// included. maxStrayBytes bounds the body of an answer to another request that
-	// is discarded; the exchange fails with a longer one.
-	maxHeadBytes  = 256 << 10
+	// maxStrayBytes bounds the body of an answer to another request that is discarded;
+	// the exchange fails with a longer one.
 	maxStrayBytes = 1 << 20
 )
 
-var errHeadTooLong = errors.New("bytes that do not become an answer")
-
 // connection is a connection to a server. It is used by one exchange at a time, and
 // guarded by that exchange or, while idle, by the Transporter.
 type connection struct {
@@ -41,10 +38,11 @@
 	reader *bufio.Reader
 	// silenceTimeout bounds each read; zero means no bound.
 	silenceTimeout timer.Millis
-	// headBudget is one more than the number of bytes that may still be read before
-	// the head of an answer must end; zero while no head is read.
-	headBudget int
-	reused     bool
+	// account is the memory of the exchange. head bounds the head that is read; it is nil
+	// while none is.
+	account *holder.Account
+	head    *headMeter
+	reused  bool
 	// keepIdle is how long the connection is kept idle, expires the instant at which
 	// an idle connection may no longer be used.
 	keepIdle timer.Millis
@@ -60,19 +58,21 @@
 	disturbed atomic.Bool
 }
 
-// Read implements io.Reader within silenceTimeout and headBudget.
+// Read implements io.Reader within silenceTimeout and the bounds of a head.
 func (n *connection) Read(p []byte) (int, error) {
 	if n.silenceTimeout > 0 {
 		_ = n.conn.SetReadDeadline(time.Now().Add(n.silenceTimeout.Duration()))
 	}
-	if n.headBudget == 0 {
+	if n.head == nil {
 		return n.conn.Read(p)
 	}
-	if n.headBudget == 1 {
+	if n.head.room() <= 0 {
 		return 0, errHeadTooLong
 	}
-	got, err := n.conn.Read(p[:min(len(p), n.headBudget-1)])
-	n.headBudget -= got
+	got, err := n.conn.Read(p[:min(len(p), n.head.room())])
+	if tooLong := n.head.count(p[:got]); tooLong != nil {
+		return 0, tooLong
+	}
 	return got, err
 }
 
@@ -137,8 +137,8 @@
 
 // readHead reads the head of an answer and skips interim (1xx) answers.
 func (n *connection) readHead(method string) (*http.Response, error) {
-	n.headBudget = maxHeadBytes
-	defer func() { n.headBudget = 0 }()
+	n.head = &headMeter{account: n.account}
+	defer func() { n.head = nil }()
 	for {
 		response, err := http.ReadResponse(n.reader, &http.Request{Method: method})
 		if err != nil {
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -34,6 +34,7 @@
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/defaulter"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -105,7 +106,9 @@
 	KeepIdle timer.Millis
 	// MaxIdle bounds the idle connections per server; default 32.
 	MaxIdle int
-	Clock   timer.Clock
+	// Memory is the memory for answers; default 32 MB.
+	Memory *holder.Holder
+	Clock  timer.Clock
 }
 
 // Transporter sends requests and pools idle connections. It is safe for concurrent use.
@@ -125,6 +128,9 @@
 	defaulter.Set(&o.DialTimeout, 400)
 	defaulter.Set(&o.KeepIdle, 8*timer.Second)
 	defaulter.Set(&o.MaxIdle, 32)
+	if o.Memory == nil {
+		o.Memory = &holder.Holder{}
+	}
 	return &Transporter{
 		options: o, idle: make(map[string][]*connection),
 		dialer: net.Dialer{Timeout: o.DialTimeout.Duration(), KeepAlive: -1},
@@ -183,11 +189,12 @@
 	if err != nil {
 		return nil, &NotSentError{Server: r.Server, Err: err}
 	}
-	n.silenceTimeout = silence
+	n.silenceTimeout, n.account = silence, c.options.Memory.Open()
 	stop := context.AfterFunc(ctx, n.close)
 	a, err := c.exchange(n, r)
 	if err != nil {
 		stop()
+		n.account.Release()
 		n.close()
 		return nil, n.classify(err)
 	}
