--- a/broker/broker.go
+++ b/broker/broker.go
@@ -13,12 +13,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/messenger"
@@ -48,6 +50,9 @@
 	// Clock, and false if there is none.
 	LastReceived func(host string) (timer.Millis, bool)
 	Clock        timer.Clock
+	// MaxJobBytes bounds an encoded job: the longest call that other hosts receive; default
+	// 24 MB.
+	MaxJobBytes int64
 	// Wall returns the wall-clock time, in Unix milliseconds.
 	Wall   func() timer.Millis
 	Logger *zap.Logger
@@ -61,20 +66,28 @@
 	hostSilenceTimeout timer.Millis = 600
 	// retryPause is the pause between two attempts.
 	retryPause timer.Millis = 70
-	// callTimeout limits one attempt, in addition to the time that a read may wait.
+	// callTimeout limits one attempt, in addition to the time that a read may wait and that
+	// the disks of a group need for a job.
 	callTimeout timer.Millis = 1000
+	// storedPerMilli is how many bytes of a job all disks of a group store per millisecond
+	// at least.
+	storedPerMilli = 4 << 10
 	// retryAfter is the retry-after time for callers if no host serves the job's group
 	// at the moment, retryAfterUnreachable the one if this host can reach no bulk host.
 	retryAfter            timer.Millis = 400
 	retryAfterUnreachable timer.Millis = 50
 	maxResultWait                      = timer.Second
+	defaultMaxJobBytes                 = 24 << 20
 )
 
 // Broker implements gatekeeper.Jobs. It is safe for concurrent use.
 type Broker struct{ options Options }
 
 // New returns a Broker.
-func New(o Options) *Broker { return &Broker{options: o} }
+func New(o Options) *Broker {
+	defaulter.Set(&o.MaxJobBytes, defaultMaxJobBytes)
+	return &Broker{options: o}
+}
 
 func refusal(status int, reason string) gatekeeper.JobAnswer {
 	return gatekeeper.JobAnswer{Status: status, Reason: reason}
@@ -127,7 +140,14 @@
 		ID: s.ID, Workspace: s.Workspace, Route: s.Route.Name, Host: s.Host, Submitted: int64(b.options.Wall()),
 		RunObjective: s.Route.RunObjective, Retention: s.Route.Retention, MaxAttempts: s.Route.MaxAttempts, Items: items,
 	}}
-	r, sent := callServingHost(ctx, b, s.ID, methodSubmit, m, callTimeout)
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return refusal(http.StatusBadRequest, "job cannot be encoded: "+err.Error())
+	}
+	if size := int64(len(body)); size > b.options.MaxJobBytes {
+		return refusal(http.StatusRequestEntityTooLarge, fmt.Sprintf("job of %d bytes exceeds the %d bytes that one message to another host may take of its memory", size, b.options.MaxJobBytes))
+	}
+	r, sent := b.callServingHost(ctx, s.ID, methodSubmit, body, callTimeout+timer.Millis(len(body)/storedPerMilli))
 	switch r.Verdict {
 	case verdictDone:
 		return gatekeeper.JobAnswer{Status: http.StatusAccepted}
@@ -148,10 +168,10 @@
 	case namer.ReadResults:
 		return b.results(ctx, workspace, t, wait)
 	case namer.ReadBody:
-		r, _ := callServingHost(ctx, b, t.Job, methodBody, jobRequest{Job: t.Job, Workspace: workspace, Item: t.Item}, callTimeout)
+		r := b.callAboutJob(ctx, methodBody, jobRequest{Job: t.Job, Workspace: workspace, Item: t.Item})
 		return b.answerFor(r, gatekeeper.JobAnswer{Status: http.StatusOK, ContentType: "application/octet-stream", Body: r.Body})
 	case namer.CancelJob:
-		r, _ := callServingHost(ctx, b, t.Job, methodEnd, jobRequest{Job: t.Job, Workspace: workspace}, callTimeout)
+		r := b.callAboutJob(ctx, methodEnd, jobRequest{Job: t.Job, Workspace: workspace})
 		return b.answerFor(r, gatekeeper.JobAnswer{Status: http.StatusOK})
 	}
 	return refusal(http.StatusNotFound, "no such call")
@@ -162,7 +182,7 @@
 	if ms, err := strconv.ParseInt(wait, 10, 64); err == nil {
 		m.Wait = min(timer.Millis(ms), maxResultWait)
 	}
-	r, _ := callServingHost(ctx, b, call.Job, methodResults, m, callTimeout+m.Wait)
+	r := b.callAboutJob(ctx, methodResults, m)
 	if r.Verdict != verdictDone {
 		return b.answerFor(r, gatekeeper.JobAnswer{})
 	}
@@ -186,15 +206,21 @@
 	return b.unavailable()
 }
 
+// callAboutJob calls the host that serves the group of an existing job.
+func (b *Broker) callAboutJob(ctx context.Context, m messenger.Method, q jobRequest) reply {
+	body, err := cbor.Marshal(q)
+	if err != nil {
+		b.options.Logger.Error("cannot encode call about a job", zap.String("job", q.Job), zap.Error(err))
+		return reply{}
+	}
+	r, _ := b.callServingHost(ctx, q.Job, m, body, callTimeout+q.Wait)
+	return r
+}
+
 // callServingHost calls the host that serves the job's group, directly or, if no bulk
 // host is reachable, through other entry hosts. It also reports whether a call was sent
 // whose outcome is unknown.
-func callServingHost[T any](ctx context.Context, b *Broker, job string, m messenger.Method, in T, timeout timer.Millis) (reply, bool) {
-	body, err := cbor.Marshal(in)
-	if err != nil {
-		b.options.Logger.Error("cannot encode call about a job", zap.String("job", job), zap.Error(err))
-		return reply{}, false
-	}
+func (b *Broker) callServingHost(ctx context.Context, job string, m messenger.Method, body []byte, timeout timer.Millis) (reply, bool) {
 	r, uncertain := b.callOwner(ctx, job, m, body, timeout)
 	if !r.final() && !b.reachesBulkHost() {
 		return b.callThroughRelays(ctx, relayRequest{Job: job, Method: m, Body: body, Timeout: timeout}, uncertain)
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -1,10 +1,13 @@
 package broker_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -43,8 +46,15 @@
 	proposeTime timer.Millis
 	// applyOnError makes a proposal take effect although it fails with proposeErr.
 	applyOnError bool
+
+	mu sync.Mutex
+	// longestEntry is the length of the longest entry that was proposed.
+	longestEntry int
 }
 
+// maxJobBytes is the length of the longest job that other hosts receive.
+const maxJobBytes = 20 << 20
+
 func start(t *testing.T) *fixture {
 	f := &fixture{t: t, net: messenger.NewMemory(), serving: true, receivesFromBulk: true, otherReceivesFromBulk: true}
 	bulk := f.net.Host("bulk", messenger.Peer{Name: "bulk"})
@@ -56,7 +66,7 @@
 		f.queues = append(f.queues, q)
 		digest.Groups = append(digest.Groups, n)
 		seats = append(seats, broker.LocalGroup{
-			Group: executor.Group{Number: n, Queue: q, Propose: func(_ context.Context, data []byte) error { return f.propose(q, data) }},
+			Group: executor.Group{Number: n, Queue: q, Propose: func(_ context.Context, entries ...[]byte) error { return f.propose(q, entries) }},
 			WhileServing: func(_ context.Context, read func()) bool {
 				if !f.serving {
 					return false
@@ -90,7 +100,7 @@
 		Caller: f.net.Host("entry", messenger.Peer{Name: "entry"}), Snapshot: func() cataloger.Snapshot { return s },
 		Digests:      func() []gossiper.Digest { return []gossiper.Digest{digest} },
 		LastReceived: func(host string) (timer.Millis, bool) { return clock.Now(), f.receivesFromBulk || host != "bulk" },
-		Clock:        clock, Wall: timer.Wall, Logger: zap.NewNop(),
+		Clock:        clock, Wall: timer.Wall, Logger: zap.NewNop(), MaxJobBytes: maxJobBytes,
 	}
 	f.broker = broker.New(options)
 	other := f.net.Host("other", messenger.Peer{Name: "other"})
@@ -100,13 +110,24 @@
 	return f
 }
 
-func (f *fixture) propose(q *queuer.Queue, data []byte) error {
+func (f *fixture) noteLengths(entries [][]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, data := range entries {
+		f.longestEntry = max(f.longestEntry, len(data))
+	}
+}
+
+func (f *fixture) propose(q *queuer.Queue, entries [][]byte) error {
 	if !q.Serving() {
 		return &mirrorer.NotOwnerError{}
 	}
 	timer.Sleep(context.Background(), f.proposeTime)
 	if f.proposeErr == nil || f.applyOnError {
-		q.Apply(data)
+		f.noteLengths(entries)
+		for _, data := range entries {
+			q.Apply(data)
+		}
 	}
 	return f.proposeErr
 }
@@ -232,8 +253,8 @@
 		require.Equal(t, http.StatusAccepted, f.submit("j", "a").Status)
 		go func() {
 			timer.Sleep(context.Background(), 300)
-			data, _ := queuer.Encode(queuer.Finished{Job: "j", Output: []byte("x")})
-			f.queues[broker.GroupOf("j")].Apply(data)
+			entries, _ := queuer.Encode(queuer.Finished{Job: "j", Output: []byte("x")})
+			f.queues[broker.GroupOf("j")].Apply(entries[0])
 		}()
 		clock := timer.System()
 		a := f.broker.Serve(t.Context(), "w", namer.ReadResults{Job: "j"}, "1000")
@@ -265,3 +286,29 @@
 		require.Equal(t, http.StatusServiceUnavailable, f.submit("k", "a").Status)
 	})
 }
+
+// A job exceeded the length of a log entry that can be read again, which the configuration
+// allowed. It ended the process that owned its group.
+func TestLongJobIsStoredInSeveralEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		f.items = []queuer.Item{{ID: "a", Path: "/a", Body: bytes.Repeat([]byte("a"), 9<<20)}, {ID: "b", Path: "/b", Body: bytes.Repeat([]byte("b"), 9<<20)}}
+		require.Equal(t, http.StatusAccepted, f.submit("j", "").Status)
+		require.LessOrEqual(t, f.longestEntry, mirrorer.MaxDataBytes)
+		for _, i := range f.items {
+			require.Equal(t, i.Body, f.read("w", namer.ReadBody{Job: "j", Item: i.ID}).Body)
+		}
+	})
+}
+
+func TestJobThatNoHostCanReceiveIsRefusedWithTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		f.items = []queuer.Item{{ID: "a", Path: "/a", Body: make([]byte, maxJobBytes)}}
+		a := f.submit("j", "")
+		require.Equal(t, http.StatusRequestEntityTooLarge, a.Status)
+		require.Contains(t, a.Reason, strconv.Itoa(maxJobBytes))
+		require.Zero(t, a.RetryAfterMillis)
+		require.Zero(t, f.longestEntry, "nothing is written")
+	})
+}
--- a/broker/handler.go
+++ b/broker/handler.go
@@ -122,12 +122,12 @@
 }
 
 func (d *Handler) commit(ctx context.Context, s LocalGroup, r queuer.Record) reply {
-	data, err := queuer.Encode(r)
+	entries, err := queuer.Encode(r)
 	if err != nil {
 		d.logger.Error("cannot encode record", zap.Error(err))
 		return reply{Verdict: verdictNotOwner}
 	}
-	err = s.Propose(ctx, data)
+	err = s.Propose(ctx, entries...)
 	var notOwner *mirrorer.NotOwnerError
 	switch {
 	case err == nil:
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -143,7 +143,7 @@
 // is closed. If a result is committed more than once, the first one counts.
 func (x *Executor) commitResult(ctx context.Context, t *task, f queuer.Finished, reason string) {
 	defer x.requeue(t, retry{})
-	data, err := queuer.Encode(f)
+	entries, err := queuer.Encode(f)
 	if err != nil {
 		x.options.Logger.Error("encode result", zap.String("item", t.item().ID), zap.Error(err))
 		return
@@ -151,7 +151,7 @@
 	ctx = context.WithoutCancel(ctx)
 	for t.group.Queue.Runnable(t.key.ref) {
 		attemptCtx, cancel := context.WithTimeout(ctx, commitTimeout.Duration())
-		err := t.group.Propose(attemptCtx, data)
+		err := t.group.Propose(attemptCtx, entries...)
 		cancel()
 		if err == nil {
 			x.options.Logger.Info("item listed", zap.String("item", t.item().ID), zap.String("job", f.Job), zap.Bool("dead", f.Dead),
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -36,9 +36,9 @@
 type Group struct {
 	Number int
 	Queue  *queuer.Queue
-	// Propose commits a record to the group's log. It returns nil only if the
-	// record is committed; after an error it may have been.
-	Propose func(ctx context.Context, data []byte) error
+	// Propose commits the entries of a record to the group's log. It returns nil only if
+	// the record is committed; after an error it may have been.
+	Propose func(ctx context.Context, entries ...[]byte) error
 }
 
 // Options are the settings of an Executor. Zero fields take the defaults.
--- a/executor/prompt_test.go
+++ b/executor/prompt_test.go
@@ -26,9 +26,9 @@
 	for i, prompt := range prompts {
 		j.Items = append(j.Items, queuer.Item{ID: job + strconv.Itoa(i), Path: "/b/x", Headers: map[string]string{"prompt": prompt}})
 	}
-	data, err := queuer.Encode(queuer.Accepted{Job: j})
+	entries, err := queuer.Encode(queuer.Accepted{Job: j})
 	require.NoError(f.t, err)
-	f.queue.Apply(data)
+	f.queue.Apply(entries[0])
 }
 
 // Items with one crashing part of their prompts were sent to servers without end, and
--- a/executor/save.go
+++ b/executor/save.go
@@ -13,26 +13,39 @@
 	saveInterval timer.Millis = 600
 	// saveTimeout bounds one proposal of saved output.
 	saveTimeout = 2 * timer.Second
+	// maxSavedBytes is how much output one record saves, unless one item has more of it.
+	// partBytes is about how long a part is without its job's name and its output.
+	maxSavedBytes = 1 << 20
+	partBytes     = 32
 )
 
-// unsavedRecords is the output and the failures of a group's items that are not yet
-// known to be in its log.
-type unsavedRecords struct {
-	group    Group
-	parts    []part
-	failures []failure
+// unsaved is the progress of an item that is not yet known to be in its group's log.
+type unsaved struct {
+	task *task
+	// failures is the item's number of failures, or zero if the log has it.
+	failures int
 }
 
-// part is the unsaved output of one item.
-type part struct {
-	task *task
-	queuer.Part
+// savedRecord is a record that saves the progress of some items.
+type savedRecord struct {
+	queuer.Saved
+	// parts and failures are the items of the record's parts and failures.
+	parts, failures []*task
+	// bytes is about how long the record is.
+	bytes int
 }
 
-// failure is the number of failures of one item, if that is not saved yet.
-type failure struct {
-	task *task
-	queuer.Failure
+// add adds what is unsaved of an item.
+func (r *savedRecord) add(u unsaved) {
+	ref := u.task.key.ref
+	if p, ok := u.task.unsaved(); ok {
+		r.Parts, r.parts = append(r.Parts, p), append(r.parts, u.task)
+		r.bytes += len(p.Output) + len(ref.Job) + partBytes
+	}
+	if u.failures > 0 {
+		r.Failures, r.failures = append(r.Failures, queuer.Failure{Job: ref.Job, Item: ref.Item, Count: u.failures}), append(r.failures, u.task)
+		r.bytes += len(ref.Job) + partBytes
+	}
 }
 
 // savePeriodically writes the output of running items to their groups' logs, so that
@@ -46,59 +59,60 @@
 }
 
 func (x *Executor) save(ctx context.Context) {
-	groups := make(map[int]*unsavedRecords)
+	groups := make(map[int][]unsaved)
 	x.mu.Lock()
 	for _, t := range x.tasks {
-		u, ok := groups[t.group.Number]
-		if !ok {
-			u = &unsavedRecords{group: t.group}
-			groups[t.group.Number] = u
-		}
-		if p, ok := t.unsaved(); ok {
-			u.parts = append(u.parts, part{task: t, Part: p})
-		}
+		u := unsaved{task: t}
 		if t.failures > t.loggedFailures {
-			u.failures = append(u.failures, failure{task: t, Failure: queuer.Failure{Job: t.key.ref.Job, Item: t.key.ref.Item, Count: t.failures}})
+			u.failures = t.failures
 		}
+		groups[t.group.Number] = append(groups[t.group.Number], u)
 	}
 	x.mu.Unlock()
-	for _, u := range groups {
-		if len(u.parts)+len(u.failures) > 0 {
-			x.saveGroup(ctx, u)
-		}
+	for _, list := range groups {
+		x.saveGroup(ctx, list[0].task.group, list)
 	}
 }
 
-func (x *Executor) saveGroup(ctx context.Context, u *unsavedRecords) {
-	g := u.group
-	var r queuer.Saved
-	for _, p := range u.parts {
-		r.Parts = append(r.Parts, p.Part)
-	}
-	for _, f := range u.failures {
-		r.Failures = append(r.Failures, f.Failure)
+// saveGroup saves the progress of a group's items, in several records if there is much.
+func (x *Executor) saveGroup(ctx context.Context, g Group, list []unsaved) {
+	var r savedRecord
+	for i, u := range list {
+		r.add(u)
+		if r.bytes == 0 || (r.bytes < maxSavedBytes && i < len(list)-1) {
+			continue
+		}
+		if !x.saveRecord(ctx, g, r) {
+			return
+		}
+		r = savedRecord{}
 	}
-	data, err := queuer.Encode(r)
+}
+
+// saveRecord commits a record to the group's log, and reports whether it was committed.
+func (x *Executor) saveRecord(ctx context.Context, g Group, r savedRecord) bool {
+	entries, err := queuer.Encode(r.Saved)
 	if err != nil {
 		x.options.Logger.Error("encode unsaved output", zap.Int("group", g.Number), zap.Error(err))
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, saveTimeout.Duration())
 	defer cancel()
-	if err := g.Propose(ctx, data); err != nil {
+	if err := g.Propose(ctx, entries...); err != nil {
 		// The save may still have taken effect. The next one repeats its bytes at the
 		// same offset, with any newer ones after them, so nothing is duplicated.
 		x.options.Logger.Info("save output of running items", zap.Int("group", g.Number), zap.Error(err))
-		return
+		return false
 	}
-	for _, p := range u.parts {
-		p.task.markSaved(p.From + len(p.Output))
+	for i, p := range r.Parts {
+		r.parts[i].markSaved(p.From + len(p.Output))
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for _, f := range u.failures {
-		f.task.loggedFailures = max(f.task.loggedFailures, f.Count)
+	for i, f := range r.Failures {
+		r.failures[i].loggedFailures = max(r.failures[i].loggedFailures, f.Count)
 	}
+	return true
 }
 
 // unsaved returns the output received since the item was last saved. It returns
--- /dev/null
+++ b/executor/save_test.go
@@ -0,0 +1,45 @@
+package executor_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/jackdawgate/jackdawgate/queuer"
+	"github.com/stretchr/testify/require"
+)
+
+// savedParts returns how many parts the records have that save output of items.
+func (f *fixture) savedParts() []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []int
+	for _, r := range f.records {
+		if s, ok := r.(queuer.Saved); ok {
+			out = append(out, len(s.Parts))
+		}
+	}
+	return out
+}
+
+// The output of all items of a group was saved in one record, which could exceed the length
+// of a log entry that can be read again.
+func TestLongOutputsAreSavedInSeveralRecords(t *testing.T) {
+	e := &engine{hold: make(chan struct{})}
+	defer close(e.hold)
+	data := "data: " + strings.Repeat("x", 511<<10) + "\n\n"
+	for range 4 {
+		whole := response("200 OK", "Content-Type: text/event-stream\r\n", "id: 1\n"+data+"id: 2\n"+data+"id: 3\n")
+		e.answers = append(e.answers, strings.TrimSuffix(whole, "id: 3\n"))
+	}
+	f := start(t, e)
+	f.submit(4)
+	total := func() (n int) {
+		for _, parts := range f.savedParts() {
+			n += parts
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return total() == 4 }, waitTimeout, pollInterval)
+	require.LessOrEqual(t, slices.Max(f.savedParts()), 2, "2 MB")
+}
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -69,7 +69,7 @@
 	})
 	jobs := broker.New(broker.Options{
 		Formats: p.JobFormats, Caller: b.messenger, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests, LastReceived: b.gossiper.LastReceived,
-		Clock: b.clock, Wall: timer.Wall, Logger: l,
+		Clock: b.clock, Wall: timer.Wall, Logger: l, MaxJobBytes: b.messenger.MaxCallBytes(),
 	})
 	jobs.ServeRelays(b.messenger)
 	e.gatekeeper = gatekeeper.New(gatekeeper.Options{
--- a/mirrorer/compact.go
+++ b/mirrorer/compact.go
@@ -1,6 +1,10 @@
 package mirrorer
 
-import "go.uber.org/zap"
+import (
+	"errors"
+
+	"go.uber.org/zap"
+)
 
 // defaultCompactAfter is the least growth of a log, in bytes, after which it is
 // compacted.
@@ -46,7 +50,13 @@
 		r.compactedSize = r.options.Log.Bytes()
 		return
 	}
-	if !r.appendLocal(list) {
+	var long *TooLongError
+	switch err := r.appendLocal(list); {
+	case errors.As(err, &long):
+		// The log is not compacted before it has grown as much again.
+		r.compactedSize = r.options.Log.Bytes()
+		return
+	case err != nil:
 		r.endSession()
 		return
 	}
@@ -59,7 +69,7 @@
 	waiting := s.deferred
 	s.deferred = nil
 	for _, p := range waiting {
-		r.propose(p.data, p.done)
+		r.propose(p.list, p.done)
 	}
 }
 
--- a/mirrorer/holder.go
+++ b/mirrorer/holder.go
@@ -118,5 +118,5 @@
 		r.diskFailed = true
 		return false
 	}
-	return r.appendLocal(entries)
+	return r.appendLocal(entries) == nil
 }
--- a/mirrorer/log.go
+++ b/mirrorer/log.go
@@ -1,6 +1,7 @@
 package mirrorer
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,6 +26,18 @@
 	Data []byte
 }
 
+// MaxDataBytes is the maximum length of the data of an entry. The rest of a record is for
+// the entry's term.
+const MaxDataBytes = framer.MaxRecordBytes - 4<<10
+
+// TooLongError reports that an entry exceeds the length that can be read again. Nothing
+// was written.
+type TooLongError struct{ Bytes, MaxBytes int }
+
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("entry of %d bytes exceeds the %d bytes of a log entry", e.Bytes, e.MaxBytes)
+}
+
 // location is the position of an entry in the log file, with the entry's term.
 type location struct {
 	term   Term
@@ -142,7 +155,8 @@
 	return index
 }
 
-// Append appends entries and returns once they are synced to the disk.
+// Append appends entries and returns once they are synced to the disk. After a
+// *TooLongError none of them was written.
 func (l *Log) Append(entries []Entry) error {
 	if len(entries) == 0 {
 		return nil
@@ -155,6 +169,9 @@
 		if err != nil {
 			return eris.Wrap(err, "encode entry")
 		}
+		if len(content) > framer.MaxRecordBytes {
+			return &TooLongError{Bytes: len(content), MaxBytes: framer.MaxRecordBytes}
+		}
 		before := len(buf)
 		buf = framer.AppendRecord(buf, l.seed, first+uint64(i), first, content)
 		added = append(added, location{term: e.Term, offset: l.end + int64(before), size: int64(len(buf) - before)})
--- a/mirrorer/log_test.go
+++ b/mirrorer/log_test.go
@@ -3,8 +3,10 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
+	"github.com/jackdawgate/jackdawgate/framer"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/stretchr/testify/require"
 )
@@ -144,3 +146,21 @@
 	require.NoError(t, l.Trim(1))
 	require.Equal(t, []string{"b"}, texts(t, l))
 }
+
+// An entry was written that no log reads again.
+func TestEntryThatCannotBeReadAgainIsNotWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	l := open(t, path)
+	require.NoError(t, l.Append(entries(1, "a")))
+	whole := l.Bytes()
+	var long *mirrorer.TooLongError
+	require.ErrorAs(t, l.Append(entries(1, "b", strings.Repeat("x", framer.MaxRecordBytes))), &long)
+	require.Equal(t, framer.MaxRecordBytes, long.MaxBytes)
+	require.Equal(t, whole, l.Bytes())
+	longest := strings.Repeat("x", mirrorer.MaxDataBytes)
+	require.NoError(t, l.Append(entries(1, longest, "c")))
+	require.NoError(t, l.Close())
+	l = open(t, path)
+	require.Equal(t, []string{"a", longest, "c"}, texts(t, l))
+	require.NoError(t, l.Close())
+}
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -38,6 +38,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
@@ -53,7 +54,8 @@
 type Machine interface {
 	// Reset discards all state.
 	Reset()
-	// Apply applies the next committed entry.
+	// Apply applies the next committed entry. A crash can leave only the first of the
+	// entries of a proposal in the log.
 	Apply(data []byte)
 	// Checkpoint returns entries that bring a Machine in any state into the state
 	// of this one. They are applied to this Machine too. A crash can leave only
@@ -180,7 +182,7 @@
 
 // deferredProposal is an entry that has not been appended yet.
 type deferredProposal struct {
-	data []byte
+	list [][]byte
 	done chan error
 }
 
@@ -307,7 +309,7 @@
 		term: term, priorWritesSettled: priorWritesSettled, followers: make(map[string]*follower),
 		pendingHolders: make(map[string]bool), waiters: make(map[uint64]chan error), committed: r.options.Log.Base(),
 	}
-	if !r.appendLocal([]Entry{{Term: term}}) {
+	if r.appendLocal([]Entry{{Term: term}}) != nil {
 		return
 	}
 	s.firstIndex = r.options.Log.Last()
@@ -332,25 +334,35 @@
 	r.options.Logger.Info("group given up", zap.Int("group", r.options.Group), zap.Uint64("epoch", s.term.Epoch))
 }
 
+var errDiskFailed = errors.New("an earlier append to the log has failed")
+
 // appendLocal appends entries to the local log. After a failed append the disk is
-// not used again.
-func (r *Replica) appendLocal(entries []Entry) bool {
+// not used again, but for one that was refused with a *TooLongError.
+func (r *Replica) appendLocal(entries []Entry) error {
 	if r.diskFailed {
-		return false
+		return errDiskFailed
 	}
-	if err := r.options.Log.Append(entries); err != nil {
-		r.diskFailed = true
+	err := r.options.Log.Append(entries)
+	var long *TooLongError
+	if err != nil {
+		r.diskFailed = !errors.As(err, &long)
 		r.options.Logger.Error("cannot append to group log", zap.Int("group", r.options.Group), zap.Error(err))
-		return false
 	}
-	return true
+	return err
 }
 
-// Propose appends data and returns nil once it is committed and applied. After a
-// *NotOwnerError it was not appended; after any other error it may be committed.
-func (r *Replica) Propose(ctx context.Context, data []byte) error {
+// Propose appends list as entries that follow each other, and returns nil once they are
+// committed and applied. Each is of MaxDataBytes at most. After a *NotOwnerError or a
+// *TooLongError none was appended; after any other error they, or the first of them, may
+// be committed.
+func (r *Replica) Propose(ctx context.Context, list ...[]byte) error {
+	for _, data := range list {
+		if len(data) > MaxDataBytes {
+			return &TooLongError{Bytes: len(data), MaxBytes: MaxDataBytes}
+		}
+	}
 	done := make(chan error, 1)
-	if !r.post(func() { r.propose(data, done) }) {
+	if !r.post(func() { r.propose(list, done) }) {
 		return &NotOwnerError{Group: r.options.Group}
 	}
 	select {
@@ -363,17 +375,21 @@
 	}
 }
 
-func (r *Replica) propose(data []byte, done chan error) {
+func (r *Replica) propose(list [][]byte, done chan error) {
 	s := r.session
 	if s == nil || s.handingOver || !r.serving() {
 		done <- &NotOwnerError{Group: r.options.Group}
 		return
 	}
 	if s.deferring {
-		s.deferred = append(s.deferred, deferredProposal{data, done})
+		s.deferred = append(s.deferred, deferredProposal{list, done})
 		return
 	}
-	if !r.appendLocal([]Entry{{Term: s.term, Data: data}}) {
+	entries := make([]Entry, 0, len(list))
+	for _, data := range list {
+		entries = append(entries, Entry{Term: s.term, Data: data})
+	}
+	if r.appendLocal(entries) != nil {
 		// A failed append may have reached the disk in part.
 		done <- &UncertainError{Group: r.options.Group}
 		r.endSession()
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -9,20 +9,34 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
 
 // replicate sends each of the other disks the entries that it lacks, and commits
-// the entries that all required disks have.
+// the entries that all required disks have. It ends the session if it can't read the log.
 func (r *Replica) replicate() {
 	s := r.session
 	if s == nil {
 		return
 	}
+	err := r.sendToAll(s)
+	if err == nil {
+		err = r.commit(s)
+	}
+	if err != nil {
+		r.options.Logger.Error("cannot read group log", zap.Int("group", r.options.Group), zap.Error(err))
+		r.endSession()
+	}
+}
+
+func (r *Replica) sendToAll(s *session) error {
 	for _, d := range r.recipients() {
-		r.send(d)
+		if err := r.send(s, d); err != nil {
+			return err
+		}
 	}
-	r.commit()
+	return nil
 }
 
 // recipients returns the other disks to which the log is sent: the required ones
@@ -35,8 +49,10 @@
 	return out
 }
 
-func (r *Replica) send(disk string) {
-	s, log := r.session, r.options.Log
+// send sends a disk the entries that it lacks, unless a message to it is in flight. It fails
+// if the log can't be read.
+func (r *Replica) send(s *session, disk string) error {
+	log := r.options.Log
 	f, ok := s.followers[disk]
 	if !ok {
 		f = &follower{nextIndex: log.Last() + 1}
@@ -45,7 +61,7 @@
 	now := r.options.Clock.Now()
 	due := now-f.lastSent >= heartbeatInterval
 	if f.inFlight || now < f.pausedUntil || (!due && (!f.probed || f.nextIndex > log.Last())) {
-		return
+		return nil
 	}
 	f.nextIndex = max(f.nextIndex, log.Base()+1)
 	m := appendRequest{
@@ -55,13 +71,12 @@
 	if f.probed {
 		var err error
 		if m.Entries, err = log.Read(f.nextIndex, r.options.MaxAppend); err != nil {
-			r.options.Logger.Error("cannot read group log to send it", zap.Int("group", r.options.Group), zap.Error(err))
-			r.endSession()
-			return
+			return err
 		}
 	}
 	f.inFlight, f.lastSent = true, now
 	go r.sendAndHandle(s, disk, f, m)
+	return nil
 }
 
 func (r *Replica) sendAndHandle(s *session, disk string, f *follower, m appendRequest) {
@@ -135,26 +150,28 @@
 	r.replicate()
 }
 
-// commit applies the entries that are on all required disks.
-func (r *Replica) commit() {
-	s, log := r.session, r.options.Log
+// commit applies the entries that are on all required disks. It fails if the log can't be
+// read.
+func (r *Replica) commit(s *session) error {
+	log := r.options.Log
 	commitIndex := log.Last()
 	for _, d := range r.requiredFollowers() {
 		f, ok := s.followers[d]
 		if !ok {
-			return
+			return nil
 		}
 		commitIndex = min(commitIndex, f.matchIndex)
 	}
 	if commitIndex <= s.committed || (!s.serving && (commitIndex < s.firstIndex || !s.priorWritesSettled || r.otherMayServe())) {
-		return
+		return nil
 	}
 	for s.committed < commitIndex {
 		entries, err := log.Read(s.committed+1, r.options.MaxAppend)
-		if err != nil || len(entries) == 0 {
-			r.options.Logger.Error("cannot read group log to apply it", zap.Int("group", r.options.Group), zap.Error(err))
-			r.endSession()
-			return
+		if err == nil && len(entries) == 0 {
+			err = eris.Errorf("log entry %d is missing", s.committed+1)
+		}
+		if err != nil {
+			return err
 		}
 		for _, e := range entries {
 			if s.committed == commitIndex {
@@ -169,11 +186,12 @@
 		r.options.Logger.Info("group served", zap.Int("group", r.options.Group), zap.Uint64("epoch", s.term.Epoch), zap.Uint64("committed", s.committed))
 		r.recordServing()
 	}
+	return nil
 }
 
 // recordServing appends an empty entry to the log of a session that serves, for servedEpoch.
 func (r *Replica) recordServing() {
-	if s := r.session; s.serving && !r.appendLocal([]Entry{{Term: s.term}}) {
+	if s := r.session; s.serving && r.appendLocal([]Entry{{Term: s.term}}) != nil {
 		r.endSession()
 	}
 }
--- a/queuer/checkpoint.go
+++ b/queuer/checkpoint.go
@@ -26,7 +26,7 @@
 			q.logger.Error("cannot encode checkpoint", zap.Error(err))
 			return nil
 		}
-		out = append(out, data)
+		out = append(out, data...)
 	}
 	return out
 }
--- a/queuer/mutated_test.go
+++ b/queuer/mutated_test.go
@@ -5,7 +5,6 @@
 
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/tester/harness"
-	"github.com/stretchr/testify/require"
 )
 
 // samples returns encoded records of all kinds.
@@ -18,10 +17,9 @@
 		queuer.Ended{Job: "j"},
 		queuer.Dropped{Job: "k"},
 		queuer.CheckpointRecord{First: true, Left: 1, Record: queuer.Accepted{Job: job("j", 1)}},
+		queuer.Piece{First: true, Data: encode(t, queuer.Ended{Job: "j"})[0]},
 	} {
-		data, err := queuer.Encode(r)
-		require.NoError(t, err)
-		out = append(out, data)
+		out = append(out, encode(t, r)...)
 	}
 	return out
 }
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -85,6 +85,9 @@
 	// records are still to come.
 	restoring jobTable
 	remaining int
+	// pieces are the pieces of a record, of which missing ones are still to come.
+	pieces  []byte
+	missing int
 	// reserved are the tokens of jobs whose acceptance is in flight.
 	reserved map[QueueKey]int64
 }
@@ -98,7 +101,7 @@
 func (q *Queue) Reset() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.jobs, q.restoring, q.serving = make(jobTable), nil, false
+	q.jobs, q.restoring, q.pieces, q.serving = make(jobTable), nil, nil, false
 }
 
 // StartServing implements mirrorer.Machine.
@@ -129,11 +132,41 @@
 		return
 	}
 	q.mu.Lock()
-	q.apply(r)
+	if p, ok := r.(Piece); ok {
+		r = q.join(p)
+	} else {
+		q.pieces = nil
+	}
+	if r != nil {
+		q.apply(r)
+	}
 	q.mu.Unlock()
 	q.changed()
 }
 
+// join returns the record whose last piece is p, or nil if it is not the last or earlier
+// ones are missing.
+func (q *Queue) join(p Piece) Record {
+	switch {
+	case p.First:
+		q.pieces = []byte{}
+	case q.pieces == nil || p.Left != q.missing-1:
+		q.pieces = nil
+		return nil
+	}
+	q.pieces, q.missing = append(q.pieces, p.Data...), p.Left
+	if p.Left > 0 {
+		return nil
+	}
+	r, err := Decode(q.pieces)
+	q.pieces = nil
+	if err != nil {
+		q.logger.Error("cannot decode record of several entries", zap.Error(err))
+		return nil
+	}
+	return r
+}
+
 func (q *Queue) apply(r Record) {
 	if t, ok := r.(CheckpointRecord); ok {
 		q.restore(t)
--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -1,6 +1,7 @@
 package queuer_test
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -12,11 +13,15 @@
 
 func newQueue() *queuer.Queue { return queuer.New(zap.NewNop(), func() {}) }
 
+func encode(t require.TestingT, r queuer.Record) [][]byte {
+	entries, err := queuer.Encode(r)
+	require.NoError(t, err)
+	return entries
+}
+
 func apply(t require.TestingT, q *queuer.Queue, records ...queuer.Record) {
 	for _, r := range records {
-		data, err := queuer.Encode(r)
-		require.NoError(t, err)
-		q.Apply(data)
+		applyData(q, encode(t, r))
 	}
 }
 
@@ -136,3 +141,29 @@
 		}
 	})
 }
+
+// Guards against output that is kept for items that will not run any more.
+func TestOutputOfAnEndedJobIsNotSaved(t *testing.T) {
+	q := newQueue()
+	apply(t, q, queuer.Accepted{Job: job("j", 1)}, queuer.Ended{Job: "j"})
+	before := len(q.Checkpoint())
+	ended := bytes.Join(q.Checkpoint(), nil)
+	apply(t, q, queuer.Saved{Parts: []queuer.Part{{Job: "j", Output: []byte("abc"), Events: 1, LastEvent: 1}}})
+	require.Len(t, q.Checkpoint(), before)
+	require.Equal(t, ended, bytes.Join(q.Checkpoint(), nil))
+}
+
+// Guards against a reader that waits for results at a host that has stopped serving them.
+func TestReadersAreWokenWhenTheHostStopsServing(t *testing.T) {
+	q := newQueue()
+	apply(t, q, queuer.Accepted{Job: job("j", 1)})
+	q.StartServing()
+	_, updated, ok := q.Results("j", 0, 1<<20)
+	require.True(t, ok)
+	q.StopServing()
+	select {
+	case <-updated:
+	default:
+		require.Fail(t, "the reader still waits")
+	}
+}
--- a/queuer/record.go
+++ b/queuer/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 )
@@ -110,12 +111,25 @@
 	Record Record
 }
 
+// Piece is a part of the encoding of a record that is too long for one entry of the log.
+// The pieces of a record follow each other without other records in between; a record that
+// lacks pieces is not applied.
+type Piece struct {
+	_ struct{} `cbor:",toarray"`
+	// First reports that this is the record's first piece; Left is the number of pieces
+	// that follow it.
+	First bool
+	Left  int
+	Data  []byte
+}
+
 func (Accepted) record()         {}
 func (Finished) record()         {}
 func (Saved) record()            {}
 func (Ended) record()            {}
 func (Dropped) record()          {}
 func (CheckpointRecord) record() {}
+func (Piece) record()            {}
 
 // checkpointMark marks an encoded Record as part of a checkpoint.
 type checkpointMark struct {
@@ -133,12 +147,36 @@
 	Dropped    *Dropped        `cbor:"4,keyasint,omitempty"`
 	Saved      *Saved          `cbor:"5,keyasint,omitempty"`
 	Checkpoint *checkpointMark `cbor:"6,keyasint,omitempty"`
+	Piece      *Piece          `cbor:"7,keyasint,omitempty"`
 }
 
-// Encode returns the encoding of r in the log.
-func Encode(r Record) ([]byte, error) {
+const (
+	// A record that is longer than maxEntryBytes is cut into pieces of pieceBytes, of which
+	// one message to another disk carries some.
+	maxEntryBytes = mirrorer.MaxDataBytes
+	pieceBytes    = 256 << 10
+)
+
+// Encode returns the entries of the log that hold r: one, or several for a record that is
+// too long for one.
+func Encode(r Record) ([][]byte, error) {
 	b, err := cbor.Marshal(newEnvelope(r))
-	return b, eris.Wrap(err, "encode record")
+	if err != nil {
+		return nil, eris.Wrap(err, "encode record")
+	}
+	if len(b) <= maxEntryBytes {
+		return [][]byte{b}, nil
+	}
+	var out [][]byte
+	for left := (len(b) - 1) / pieceBytes; left >= 0; left-- {
+		n := min(pieceBytes, len(b))
+		p, err := cbor.Marshal(newEnvelope(Piece{First: len(out) == 0, Left: left, Data: b[:n]}))
+		if err != nil {
+			return nil, eris.Wrap(err, "encode piece of a record")
+		}
+		out, b = append(out, p), b[n:]
+	}
+	return out, nil
 }
 
 func newEnvelope(r Record) envelope {
@@ -157,11 +195,13 @@
 		e.Dropped = &t
 	case Saved:
 		e.Saved = &t
+	case Piece:
+		e.Piece = &t
 	}
 	return e
 }
 
-// Decode decodes a Record that Encode has encoded.
+// Decode decodes the Record of an entry of the log, which may be a Piece of another one.
 func Decode(data []byte) (Record, error) {
 	var e envelope
 	if err := cbor.Unmarshal(data, &e); err != nil {
@@ -190,6 +230,8 @@
 		return *e.Dropped, true
 	case e.Saved != nil:
 		return *e.Saved, true
+	case e.Piece != nil:
+		return *e.Piece, true
 	}
 	return nil, false
 }
