--- a/departer/departer.go
+++ b/departer/departer.go
@@ -2,9 +2,13 @@
 // stopped, as announced by servers themselves: by a leave notice in an answer, or by an
 // answer in which another server states that it now uses the address.
 //
-// An announcement takes precedence over the store's entry, which may be stale or
+// A leave notice takes precedence over the store's entry, which may be stale or
 // unreadable, and over what other hosts report. It applies until the server's next
-// incarnation. It is attributed to the incarnation to which the request was sent, so
+// incarnation. That another server answers at an address is learned from a refusal, for
+// which there may be other reasons, so it applies only for goneFor: then the store's entry
+// counts again, and if it is stale, the next refusal shows it.
+//
+// Announcements are attributed to the incarnation to which the request was sent, so
 // a late answer of an earlier incarnation does not affect a later one, and reuse of
 // an address does not affect the server that now uses it. Hosts exchange notices of
 // announcements, so that not every host has to send a call to a server that has
@@ -12,6 +16,7 @@
 package departer
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
@@ -19,8 +24,7 @@
 	"go.uber.org/zap"
 )
 
-// Status is the announced state of an incarnation. A later constant supersedes an
-// earlier one.
+// Status is an announced state of an incarnation.
 type Status uint8
 
 const (
@@ -31,9 +35,12 @@
 )
 
 const (
-	// retention is how long an announcement is remembered. No leaving server runs
-	// for longer. maxEntries bounds how many are remembered.
-	retention  = 3600 * timer.Second
+	// retention is how long a leave notice is remembered. No leaving server runs for
+	// longer. maxEntries bounds how many announcements are remembered.
+	retention = 3600 * timer.Second
+	// goneFor is how long a server counts as stopped after it was found that another one
+	// uses its address.
+	goneFor    = 4 * timer.Second
 	maxEntries = 8192
 	// reportFor is how long a host reports an announcement that it received from
 	// the server itself.
@@ -47,12 +54,19 @@
 	Status Status `cbor:"3,keyasint"`
 }
 
-// entry is an announced status and when it was recorded.
+// entry is what is known of one incarnation.
 type entry struct {
-	status Status
-	at     timer.Millis
+	// leaving is set once the server announced that it is leaving. goneUntil is the instant
+	// until which it counts as stopped.
+	leaving   bool
+	goneUntil timer.Millis
+	// at is when the newest announcement was recorded.
+	at timer.Millis
 }
 
+// applies reports whether the server is leaving or counts as stopped.
+func (e entry) applies(now timer.Millis) bool { return e.leaving || now < e.goneUntil }
+
 // Departer records announcements. It is safe for concurrent use.
 type Departer struct {
 	clock  timer.Clock
@@ -76,8 +90,7 @@
 func (d *Departer) IsLeaving(v cataloger.Incarnation) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, ok := d.entries[v]
-	return ok
+	return d.entries[v].applies(d.clock.Now())
 }
 
 // Merge records the notices of another host. Notices with an unknown status, as of a
@@ -100,30 +113,46 @@
 	}
 	out := make([]Notice, 0, len(d.reported))
 	for _, v := range d.reported {
-		out = append(out, Notice{ID: v.ID, Born: v.StartedAt, Status: d.entries[v].status})
+		e := d.entries[v]
+		if e.leaving {
+			out = append(out, Notice{ID: v.ID, Born: v.StartedAt, Status: Leaving})
+		}
+		if now < e.goneUntil {
+			out = append(out, Notice{ID: v.ID, Born: v.StartedAt, Status: Gone})
+		}
 	}
 	return out
 }
 
-// record records status s of v, unless the same or a later one is recorded already.
-// own is set if this host received the announcement itself.
+// record records status s of v, unless that is recorded already. own is set if this host
+// received the announcement itself.
 func (d *Departer) record(v cataloger.Incarnation, s Status, own bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.entries[v].status >= s {
+	now := d.clock.Now()
+	e, known := d.entries[v]
+	if (s == Leaving && e.leaving) || (s == Gone && now < e.goneUntil) {
 		return
 	}
-	now := d.clock.Now()
-	d.evict(now)
-	d.entries[v] = entry{status: s, at: now}
+	if !known {
+		d.evict(now)
+	}
+	e.at = now
+	switch s {
+	case Leaving:
+		e.leaving = true
+	case Gone:
+		e.goneUntil = now + goneFor
+	}
+	d.entries[v] = e
 	if own {
-		d.reported = append(d.reported, v)
+		d.reported = append(slices.DeleteFunc(d.reported, func(o cataloger.Incarnation) bool { return o == v }), v)
 	}
 	d.logger.Info("server departs by its own word", zap.String("server", v.ID), zap.Int64("started-at", v.StartedAt), zap.Bool("gone", s == Gone), zap.Bool("heard-here", own))
 }
 
-// evict makes room for an entry if there are maxEntries. It removes those that are
-// older than retention or, if there are none, the oldest.
+// evict makes room for an entry if there are maxEntries. It removes those that do not apply
+// any more or, if there are none, the oldest.
 func (d *Departer) evict(now timer.Millis) {
 	if len(d.entries) < maxEntries {
 		return
@@ -131,7 +160,7 @@
 	oldest, at := cataloger.Incarnation{}, now
 	for v, e := range d.entries {
 		switch {
-		case now-e.at >= retention:
+		case now-e.at >= retention || !e.applies(now):
 			delete(d.entries, v)
 		case e.at <= at:
 			oldest, at = v, e.at
--- a/departer/departer_test.go
+++ b/departer/departer_test.go
@@ -48,7 +48,7 @@
 	require.False(t, far.IsLeaving(incarnation("s", 1)), "a host reports only what it received itself")
 	a.Record(incarnation("s", 1), departer.Gone)
 	a.Record(incarnation("s", 1), departer.Leaving)
-	require.Equal(t, departer.Gone, a.Notices()[0].Status)
+	require.ElementsMatch(t, []departer.Notice{{ID: "s", Born: 1, Status: departer.Leaving}, {ID: "s", Born: 1, Status: departer.Gone}}, a.Notices())
 	c.Time += 2 * timer.Second
 	require.Empty(t, a.Notices(), "reports end after a while")
 	b.Merge([]departer.Notice{{ID: "x", Born: 1, Status: 77}})
@@ -66,3 +66,26 @@
 	require.False(t, d.IsLeaving(incarnation("0", 1)), "the oldest are evicted")
 	require.True(t, d.IsLeaving(incarnation(fmt.Sprint(most), 1)))
 }
+
+// A refusal that was taken for the answer of another server took a server out of use for an
+// hour, on all hosts. What one answer tells ends within seconds, unless another one repeats
+// it; what the server itself has announced does not.
+func TestServerThatIsGoneIsUsedAgainUnlessItIsFoundGoneAgain(t *testing.T) {
+	const most = 5 * timer.Second
+	c := &harness.Clock{Time: 1000}
+	a, b := departer.New(c, zap.NewNop()), departer.New(c, zap.NewNop())
+	v := incarnation("s", 1)
+	for range 3 {
+		a.Record(v, departer.Gone)
+		b.Merge(a.Notices())
+		require.True(t, a.IsLeaving(v))
+		require.True(t, b.IsLeaving(v))
+		c.Time += most
+		require.False(t, a.IsLeaving(v))
+		require.False(t, b.IsLeaving(v))
+	}
+	a.Record(v, departer.Leaving)
+	a.Record(v, departer.Gone)
+	c.Time += most
+	require.True(t, a.IsLeaving(v), "it announced that it is leaving")
+}
--- a/executor/execute.go
+++ b/executor/execute.go
@@ -181,6 +181,7 @@
 		h.Set(name, value)
 	}
 	transporter.RemoveHopHeaders(h)
+	transporter.RefuseEncodings(h)
 	for _, name := range []string{names.Key, names.Workspace, names.ResumeAfter} {
 		h.Del(name)
 	}
@@ -253,9 +254,11 @@
 		reservation.Answered(answer.Header.Values(x.options.Names.Limit), answer.Status == http.StatusOK && answer.Header.Get(x.options.Names.Signature) != "")
 	}
 	switch {
-	case answer.Status == http.StatusMisdirectedRequest:
+	case answer.Status == http.StatusMisdirectedRequest && x.options.Names.MeansOtherServer(v.ID, t.header(x.options.Names), answer.Header):
 		x.options.Departer.Record(v.Incarnation(), departer.Gone)
 		return retry{reason: "address now belongs to another server"}
+	case answer.Status == http.StatusMisdirectedRequest:
+		return retry{reason: "server does not meet the item's expectation", backOff: true, interrupted: true}
 	case answer.Header.Get(x.options.Names.NotRun) != "":
 		if answer.Status == http.StatusTooManyRequests {
 			reservation.Paused(throttler.ParseRetryAfter(answer.Header.Get("Retry-After")))
@@ -265,9 +268,9 @@
 		return abandoned{reason: "server reported that the item can never succeed"}
 	case answer.Status == http.StatusInternalServerError:
 		return failed{status: answer.Status}
-	case answer.Status/100 == 4 && answer.Header.Get(x.options.Names.Signature) != "":
+	case isRejection(answer, x.options.Names):
 		return retry{reason: "server rejected the item: status " + strconv.Itoa(answer.Status), interrupted: true}
-	case answer.Status != http.StatusOK || answer.Header.Get(x.options.Names.Signature) == "" || !mayBeStream(answer):
+	case answer.Status != http.StatusOK || answer.Header.Get(x.options.Names.Signature) == "":
 		x.options.Ejector.CallBroken(v.ID)
 		return retry{reason: "unusable response: status " + strconv.Itoa(answer.Status), interrupted: true}
 	}
@@ -292,6 +295,16 @@
 	return completed{}
 }
 
+// isRejection reports whether an answer may be the consequence of what the item asks for: a
+// status of the classes 2 to 4 other than 200, or a success that is no stream. It says nothing
+// of the server.
+func isRejection(a *transporter.Answer, n namer.Names) bool {
+	if a.Status == http.StatusOK {
+		return a.Header.Get(n.Signature) != "" && !mayBeStream(a)
+	}
+	return a.Status < http.StatusInternalServerError
+}
+
 // mayBeStream reports whether an answer can be a stream of events. It may lack a type.
 func mayBeStream(a *transporter.Answer) bool {
 	contentType := a.Header.Get("Content-Type")
--- a/executor/fixture_test.go
+++ b/executor/fixture_test.go
@@ -42,7 +42,7 @@
 var names = namer.Names{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
 	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", ResumeAfter: "After",
-	Prompt: "Prompt", SharedParts: sharedParts,
+	Prompt: "Prompt", SharedParts: sharedParts, Server: "Server-Id", Expectations: []string{"Expect-Version"},
 }
 
 // sharedParts returns all parts of a comma-separated list but the last.
--- a/executor/header_test.go
+++ b/executor/header_test.go
@@ -1,7 +1,7 @@
 package executor_test
 
 import (
-	"net/http"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -43,14 +43,35 @@
 }
 
 // Items that servers answer with 404, say, counted as calls that the servers broke off: one
-// caller's items could eject every server of a service for all callers.
+// caller's items could eject every server of a service for all callers. With the header of
+// one item, all servers were taken for stopped ones.
 func TestItemsThatServersRejectDoNotEjectServers(t *testing.T) {
-	e := &engine{statuses: slices.Repeat([]int{http.StatusNotFound}, 12)}
-	f := start(t, e)
-	f.submit(4)
-	require.Eventually(t, func() bool {
-		require.True(t, f.options.Ejector.Usable("s0", false), "after %d runs", len(e.received()))
-		return len(e.received()) >= 12
-	}, waitTimeout, pollInterval)
-	require.Len(t, f.results(4), 4, "they are still owed")
+	for name, answer := range map[string]string{
+		"signed 404": response("404 X", "", ""), "431": unsigned("431 X", ""), "413": unsigned("413 X", ""), "304": unsigned("304 X", ""),
+		"206": response("206 X", "", "e"), "no stream": response("200 OK", "Content-Type: application/json\r\n", "{}"),
+		"other weights": unsigned("421 X", "Not-Run: 1\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &engine{answers: slices.Repeat([]string{answer}, 12)}
+			f := start(t, e)
+			var items []queuer.Item
+			for i := range 4 {
+				items = append(items, queuer.Item{ID: fmt.Sprint("i", i), Path: "/b/x", Headers: map[string]string{"Expect-Version": "2"}, Body: []byte("b")})
+			}
+			f.submitItems("j", items)
+			v := f.current().Servers["s0"]
+			require.Eventually(t, func() bool {
+				left := e.answersLeft()
+				require.True(t, f.options.Ejector.Usable("s0", false), "%d answers left", left)
+				require.False(t, f.options.Departer.IsLeaving(v.Incarnation()), "%d answers left", left)
+				return left == 0
+			}, waitTimeout, pollInterval)
+			require.Len(t, f.results(4), 4, "they are still owed")
+		})
+	}
+}
+
+// unsigned returns a response without a signature.
+func unsigned(status, headers string) string {
+	return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: 0\r\nConnection: close\r\n\r\n"
 }
--- a/namer/namer.go
+++ b/namer/namer.go
@@ -3,6 +3,8 @@
 // The rest of the module reads the names from there and never spells one out.
 package namer
 
+import "net/http"
+
 // Names holds the header names of one deployment's HTTP messages and the function
 // that recognizes its callers' batch job requests. It is immutable after startup,
 // so it may be read concurrently.
@@ -19,6 +21,11 @@
 	// ExpectServer carries the identifier of the only backend server that may run
 	// the call.
 	ExpectServer string
+	// Server carries the identifier of the backend server in its answers, if it states it.
+	Server string
+	// Expectations are headers by which a caller can make any backend server answer as if
+	// it was not the one that the call was meant for.
+	Expectations []string
 	// Signature carries a backend server's signature over its answer.
 	Signature string
 	// NotRun marks an answer whose call was not run.
@@ -44,6 +51,21 @@
 	ParseJobCall func(method, path, query string) (JobCall, bool)
 }
 
+// MeansOtherServer reports whether an answer with the status 421 to a request that was meant
+// for a server shows that another server uses its address now. Callers' expectations lead to
+// the same status, so the answer must name the other server, or the request must have none.
+func (n Names) MeansOtherServer(server string, request, answer http.Header) bool {
+	if at := answer.Get(n.Server); at != "" {
+		return at != server
+	}
+	for _, name := range n.Expectations {
+		if request.Get(name) != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // JobCall is a caller's request about an existing batch job: a ReadResults,
 // ReadBody or CancelJob.
 type JobCall interface{ jobCall() }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -35,6 +35,7 @@
 var names = namer.Names{
 	RequestID: "Id", Deadline: "Deadline", Key: "Key", Workspace: "Workspace", ExpectServer: "Expect",
 	Signature: "Signature", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", ResumeAfter: "After",
+	Server: "Server-Id", Expectations: []string{"Expect-Version"},
 }
 
 // memoryForAnswers is the memory of the fixture's host for answers, in bytes.
@@ -151,7 +152,7 @@
 	s := &sink{}
 	o := f.relayer.Run(f.t.Context(), relayer.Call{
 		ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{"Id": {"id"}, "Workspace": {"forged"}, "X": {"1"}},
-		Body: []byte("body"), Route: r, Service: "svc", Workspace: "w", Deadline: timer.System().Now() + 3*timer.Second,
+		Body: []byte("body"), Route: r, Service: "svc", Workspace: "w", Deadline: timer.System().Now() + 3*timer.Second, MaxWait: 3 * timer.Second,
 	}, s)
 	return o, s
 }
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -233,6 +233,7 @@
 func (u *run) request(r *picker.Reservation, left timer.Millis) *transporter.Request {
 	names := u.relayer.options.Names
 	h := u.call.Header.Clone()
+	transporter.RefuseEncodings(h)
 	h.Set(names.ExpectServer, r.Server.ID)
 	h.Set(names.Deadline, strconv.FormatInt(int64(left), 10))
 	h.Del(names.Workspace)
@@ -386,7 +387,7 @@
 	u.excluded = append(u.excluded, r.Server.ID)
 	u.relayer.options.Logger.Info("server refused", zap.String("request", u.call.ID), zap.String("server", r.Server.ID),
 		zap.Int("status", a.Status), zap.Int("online", r.Load.Online), zap.Int("batch", r.Load.Batch))
-	if a.Status == http.StatusMisdirectedRequest {
+	if a.Status == http.StatusMisdirectedRequest && u.relayer.options.Names.MeansOtherServer(r.Server.ID, u.call.Header, a.Header) {
 		u.misdirected++
 		u.relayer.options.Departer.Record(r.Server.Incarnation(), departer.Gone)
 		return u.giveUp("servers that were asked are gone", retryOverloaded), u.misdirected <= maxMisdirected
--- a/transporter/header.go
+++ b/transporter/header.go
@@ -26,6 +26,14 @@
 	}
 }
 
+// RefuseEncodings makes a request that states encodings of its answer ask for none. An
+// encoded answer is not the server's own, and counts as broken.
+func RefuseEncodings(h http.Header) {
+	if len(h["Accept-Encoding"]) > 0 {
+		h.Set("Accept-Encoding", "identity")
+	}
+}
+
 // splitList yields the non-empty elements of a comma-separated header value.
 func splitList(list string) iter.Seq[string] {
 	return func(yield func(string) bool) {
