--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -128,7 +128,7 @@
 		h.replicas = append(h.replicas, mirrorer.New(mirrorer.Options{
 			Group: n, Disk: disk, Incarnation: h.member.Incarnation, Log: log, Machine: q,
 			Ledger: h.platform.Ledger, Key: h.platform.GroupKey(n), Caller: h.messenger,
-			View: h.fleet.view, Address: h.fleet.address, Clock: h.clock, Logger: h.logger,
+			View: h.fleet.view, Address: h.fleet.address, HolderCondition: h.fleet.holderCondition, Clock: h.clock, Logger: h.logger,
 			CompactAfter: int64(h.settings.Disk.CompactAfter),
 		}))
 	}
--- a/hoster/fleet.go
+++ b/hoster/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
+	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -56,6 +57,17 @@
 	return m.PeerAddress, ok
 }
 
+// holderCondition returns a condition that is false once the host of a disk has been
+// reported as emptied.
+func (f *bulkFleet) holderCondition(disk string) (storer.Condition, bool) {
+	s := f.base.follower.Snapshot()
+	m, ok := s.MemberWithDisk(disk)
+	if !ok {
+		return storer.Condition{}, false
+	}
+	return storer.Condition{Key: f.base.platform.RetireStatusKey(m.Name), Revision: storer.Revision(s.RetireStatus[m.Name].Revision)}, true
+}
+
 // view returns the state of the hosts that mirrorer.Plan requires for a group.
 func (f *bulkFleet) view(g cataloger.Group) mirrorer.View {
 	f.mu.Lock()
@@ -75,7 +87,10 @@
 // refresh recomputes which bulk hosts are up.
 func (f *bulkFleet) refresh(now timer.Millis) {
 	s := f.base.follower.Snapshot()
-	v := mirrorer.View{MinHolders: f.minHolders, WantedHolders: f.minHolders + 1, Leaving: make(map[string]bool), Retiring: make(map[string]bool)}
+	v := mirrorer.View{
+		MinHolders: f.minHolders, WantedHolders: f.minHolders + 1,
+		Leaving: make(map[string]bool), Retiring: make(map[string]bool), Emptied: make(map[string]bool),
+	}
 	var up []cataloger.Member
 	for name, m := range s.Members {
 		if m.Role != cataloger.Bulk || name == f.base.member.Name || !f.isUp(m) {
@@ -90,8 +105,7 @@
 	for _, m := range up {
 		v.Reachable = append(v.Reachable, m.Disk)
 		f.silence.SetUp(m.Disk, now)
-		v.Retiring[m.Disk] = s.Retiring[m.Name]
-		v.Leaving[m.Disk] = m.Leaving || s.Retiring[m.Name]
+		v.Leaving[m.Disk], v.Retiring[m.Disk], v.Emptied[m.Disk] = m.Leaving, s.Retiring[m.Name], s.RetireStatus[m.Name].Empty
 	}
 	if !slices.Equal(v.Reachable, f.current.Reachable) {
 		f.changed = now
--- a/mirrorer/fleet_test.go
+++ b/mirrorer/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
+	"github.com/jackdawgate/jackdawgate/retirer"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
@@ -107,7 +108,9 @@
 	// cutFromStore reports whether the host cannot reach the store.
 	cutFromStore bool
 	leaving      bool
-	cut          map[string]bool
+	// retiring is set while the host is to be removed, removed once it was.
+	retiring, removed bool
+	cut               map[string]bool
 }
 
 // fleet is a set of hosts with disks that run in virtual time.
@@ -128,11 +131,8 @@
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{t: t, net: messenger.NewMemory(), clock: timer.System()}
 	f.ledger = storer.NewMemoryLedger(f.clock)
-	for i := range n {
-		h := &host{name: fmt.Sprintf("h%d", i), cut: make(map[string]bool)}
-		f.hosts = append(f.hosts, h)
-		f.wipe(h)
-		f.start(h)
+	for range n {
+		f.addHost()
 	}
 	t.Cleanup(func() {
 		for _, h := range f.hosts {
@@ -142,6 +142,16 @@
 	return f
 }
 
+// addHost starts a host with an empty disk.
+func (f *fleet) addHost() {
+	h := &host{name: fmt.Sprintf("h%d", len(f.hosts)), cut: make(map[string]bool)}
+	f.mu.Lock()
+	f.hosts = append(f.hosts, h)
+	f.mu.Unlock()
+	f.wipe(h)
+	f.start(h)
+}
+
 // wipe replaces a host's disk by an empty one.
 func (f *fleet) wipe(h *host) {
 	f.mu.Lock()
@@ -165,7 +175,7 @@
 		Group: 0, Disk: h.disk, Incarnation: incarnation, Log: log, Machine: h.machine, Ledger: &hostLedger{f, h}, Key: manifestKey,
 		Caller: slowCaller{end}, Clock: f.clock, Logger: zap.NewNop(), CompactAfter: compactAfter, MaxAppend: maxAppend,
 		View:    func(g cataloger.Group) mirrorer.View { return f.view(h, g, started) },
-		Address: f.address,
+		Address: f.address, HolderCondition: f.holderCondition,
 	})
 	replica := h.replica
 	mirrorer.Serve(end, func(int) (*mirrorer.Replica, bool) { return replica, true })
@@ -224,21 +234,74 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range f.hosts {
-		if h.disk == disk {
+		if h.disk == disk && !h.removed {
 			return h.name, true
 		}
 	}
 	return "", false
 }
 
+func statusKey(name string) string { return "status/" + name }
+
+// statusCondition returns the condition that a host's status is what it is now.
+func (f *fleet) statusCondition(name string) storer.Condition {
+	items, _, err := f.ledger.Range(context.Background(), statusKey(name))
+	require.NoError(f.t, err)
+	c := storer.Condition{Key: statusKey(name)}
+	if len(items) > 0 {
+		c.Revision = items[0].Revision
+	}
+	return c
+}
+
+func (f *fleet) holderCondition(disk string) (storer.Condition, bool) {
+	name, ok := f.address(disk)
+	if !ok {
+		return storer.Condition{}, false
+	}
+	return f.statusCondition(name), true
+}
+
+// removeEmptied removes each host that is to be removed and can be, with its disk, as
+// operators do once its status in the store says so.
+func (f *fleet) removeEmptied() {
+	for _, h := range f.hosts {
+		if !h.running || !h.retiring || h.cutFromStore {
+			continue
+		}
+		g, ok := f.manifest(f.ledger)
+		s := cataloger.Snapshot{}.WithRetiring(h.name, true)
+		for _, o := range f.hosts {
+			if !o.removed {
+				s = s.WithMember(cataloger.Member{Name: o.name, Role: cataloger.Bulk, Disk: o.disk})
+			}
+		}
+		if ok {
+			s = s.WithGroup(0, g)
+		}
+		if retirer.Plan(s, retirer.Self{Host: h.name, Disk: h.disk, MinHolders: 2}) != retirer.ReportEmpty {
+			continue
+		}
+		_, err := f.ledger.Commit(context.Background(), storer.Transaction{
+			Conditions: []storer.Condition{f.statusCondition(h.name), {Key: manifestKey, Revision: storer.Revision(g.Revision)}},
+			Set:        []storer.Item{{Key: statusKey(h.name), Value: []byte("empty")}},
+		})
+		if err == nil {
+			f.kill(h)
+			f.wipe(h)
+			h.removed = true
+		}
+	}
+}
+
 func (f *fleet) view(h *host, g cataloger.Group, started timer.Millis) mirrorer.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := mirrorer.View{MinHolders: 2, WantedHolders: 3, Stable: f.clock.Now()-f.changed > 3000, SilentFor: make(map[string]timer.Millis), Leaving: make(map[string]bool)}
+	v := mirrorer.View{MinHolders: 2, WantedHolders: 3, Stable: f.clock.Now()-f.changed > 3000, SilentFor: make(map[string]timer.Millis), Leaving: make(map[string]bool), Retiring: make(map[string]bool)}
 	for _, o := range f.hosts {
 		if o == h || (o.running && !h.cut[o.name]) {
 			v.Reachable = append(v.Reachable, o.disk)
-			v.Leaving[o.disk] = o.leaving
+			v.Leaving[o.disk], v.Retiring[o.disk] = o.leaving, o.retiring
 		}
 	}
 	for _, d := range append([]string{g.Owner}, g.Holders...) {
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -98,8 +98,12 @@
 	View func(g cataloger.Group) View
 	// Address returns the address of a disk's host.
 	Address func(disk string) (string, bool)
-	Clock   timer.Clock
-	Logger  *zap.Logger
+	// HolderCondition returns a condition that is false once the host of a disk has been
+	// reported as emptied. It is a condition of each transaction that makes the disk a
+	// holder, which may be carried out late. It may be nil.
+	HolderCondition func(disk string) (storer.Condition, bool)
+	Clock           timer.Clock
+	Logger          *zap.Logger
 	// The log is compacted when it has grown by CompactAfter bytes, or by its size
 	// after the last compaction if that is larger. Default 4 MB.
 	CompactAfter int64
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -314,13 +314,14 @@
 			}
 		}
 	}
+	t := storer.Transaction{
+		Conditions: append([]storer.Condition{{Key: r.options.Key, Revision: storer.Revision(before.Revision)}}, r.holderConditions(before, w.Group)...),
+		Set:        []storer.Item{{Key: r.options.Key, Value: value}},
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, storeTimeout.Duration())
 		defer cancel()
-		revision, err := r.options.Ledger.Commit(ctx, storer.Transaction{
-			Conditions: []storer.Condition{{Key: r.options.Key, Revision: storer.Revision(before.Revision)}},
-			Set:        []storer.Item{{Key: r.options.Key, Value: value}},
-		})
+		revision, err := r.options.Ledger.Commit(ctx, t)
 		r.post(func() { r.manifestWritten(before, w, revision, err) })
 	}()
 }
--- a/mirrorer/plan.go
+++ b/mirrorer/plan.go
@@ -17,14 +17,15 @@
 	Self string
 	// Reachable are the disks of the hosts that this host can reach, and its own, in
 	// an order that is the same on all hosts. Leaving are those of them whose hosts are
-	// about to stop or are being retired.
+	// about to stop.
 	Reachable []string
 	Leaving   map[string]bool
-	// Retiring are the disks of hosts being retired, from which all logs are moved;
-	// they are Leaving too.
-	Retiring map[string]bool
-	// CaughtUp are the disks that have the owner's entire log. It is empty unless
-	// this host owns the group.
+	// Retiring are the disks of hosts that operators want to remove, from which logs are
+	// moved if enough other disks are there. Emptied are those of hosts that were reported
+	// as empty and may be removed at any moment.
+	Retiring, Emptied map[string]bool
+	// CaughtUp are the disks that had the owner's entire log a moment ago. It is empty
+	// unless this host owns the group.
 	CaughtUp map[string]bool
 	// MinHolders is the least number of disks that must hold the log, WantedHolders
 	// the number that should.
@@ -60,6 +61,10 @@
 // Plan returns the next step of the host that v belongs to. It is a pure function.
 // Committed entries are on all holders, so any holder's host may succeed the owner.
 // The number of holders never falls below MinHolders.
+//
+// A host that is to be removed goes only when it has been emptied, however long that takes.
+// Until then it counts as any other if there are fewer than MinHolders others, and it
+// succeeds an owner that no other holder can succeed.
 func Plan(v View) Step {
 	switch {
 	case !slices.Contains(v.Reachable, v.Self):
@@ -72,9 +77,34 @@
 	return v.planOwned()
 }
 
-// notLeaving returns the reachable disks that are not leaving.
-func (v View) notLeaving() []string {
-	return slices.DeleteFunc(slices.Clone(v.Reachable), func(d string) bool { return v.Leaving[d] })
+// available returns the reachable disks that can hold the group: their hosts do not stop,
+// and were not reported as empty.
+func (v View) available() []string {
+	return slices.DeleteFunc(slices.Clone(v.Reachable), func(d string) bool { return v.Leaving[d] || v.Emptied[d] })
+}
+
+// staying returns the available disks whose hosts are not to be removed, and as many of the
+// others as are needed for MinHolders in all.
+func (v View) staying() []string {
+	list := v.available()
+	missing := v.MinHolders
+	for _, d := range list {
+		if !v.Retiring[d] {
+			missing--
+		}
+	}
+	return slices.DeleteFunc(list, func(d string) bool {
+		if !v.Retiring[d] {
+			return false
+		}
+		missing--
+		return missing < 0
+	})
+}
+
+// canGo reports whether the host of a disk is to be removed and is not needed.
+func (v View) canGo(disk string) bool {
+	return v.Emptied[disk] || (v.Retiring[disk] && !slices.Contains(v.staying(), disk))
 }
 
 // ranked returns list in the order of preference for this group.
@@ -87,7 +117,7 @@
 }
 
 func (v View) planCreate() Step {
-	candidates := v.ranked(v.notLeaving())
+	candidates := v.ranked(v.staying())
 	if len(candidates) < v.MinHolders || candidates[0] != v.Self || (len(candidates) < v.WantedHolders && !v.Stable) {
 		return NoStep{}
 	}
@@ -109,7 +139,7 @@
 	if !v.Group.Holds(v.Self) || slices.Contains(v.Reachable, v.Group.Owner) || v.Leaving[v.Self] {
 		return NoStep{}
 	}
-	successors := v.ranked(v.intersect(v.notLeaving(), v.Group.Holders))
+	successors := v.successors(v.Group.Holds)
 	rank := slices.Index(successors, v.Self)
 	if rank < 0 || v.SilentFor[v.Group.Owner] < silenceGrace+timer.Millis(rank)*successorDelay {
 		return NoStep{}
@@ -118,13 +148,25 @@
 	switch reachable := v.intersect(v.Group.Holders, v.Reachable); {
 	case len(reachable) >= v.MinHolders:
 		g.Holders = reachable
-	case len(v.notLeaving()) < v.MinHolders:
+	case len(v.available()) < v.MinHolders:
 		// As the owner, this host could not commit anything.
 		return NoStep{}
 	}
 	return WriteManifest{Group: g, Reason: "owner is silent"}
 }
 
+// successors returns the disks that may take the group over, in order of preference: those
+// of the staying hosts that qualify, or, if there are none, those of hosts to be removed.
+func (v View) successors(qualifies func(disk string) bool) []string {
+	for _, list := range [][]string{v.staying(), v.available()} {
+		qualified := slices.DeleteFunc(list, func(d string) bool { return !qualifies(d) })
+		if len(qualified) > 0 {
+			return v.ranked(qualified)
+		}
+	}
+	return nil
+}
+
 // intersect returns the elements of list that are also in other.
 func (v View) intersect(list, other []string) []string {
 	return slices.DeleteFunc(slices.Clone(list), func(d string) bool { return !slices.Contains(other, d) })
@@ -158,24 +200,28 @@
 		}
 	}
 	for _, d := range v.Group.Holders {
-		if d != v.Self && v.Retiring[d] {
+		if d != v.Self && v.canGo(d) {
 			return d
 		}
 	}
 	return ""
 }
 
-// planHandOver hands the group over when this host is leaving, or for balance to the
-// host that is preferred for the group.
+// planHandOver hands the group over when this host stops or can be removed, or for balance
+// to the host that is preferred for the group.
 func (v View) planHandOver() (Step, bool) {
-	successors := v.ranked(v.notLeaving())
-	successors = slices.DeleteFunc(successors, func(d string) bool { return d != v.Self && (!v.CaughtUp[d] || !v.Group.Holds(d)) })
-	if len(successors) == 0 || successors[0] == v.Self || (!v.Leaving[v.Self] && !v.Stable) {
-		return nil, false
-	}
+	successors := v.successors(func(d string) bool { return d == v.Self || (v.CaughtUp[d] && v.Group.Holds(d)) })
 	reason := "balance"
-	if v.Leaving[v.Self] {
+	switch goes := v.Leaving[v.Self] || v.canGo(v.Self); {
+	case len(successors) == 0 || successors[0] == v.Self:
+		return nil, false
+	case goes && slices.Contains(successors, v.Self):
+		// All possible successors are to be removed too.
+		return nil, false
+	case goes:
 		reason = "owner is leaving"
+	case !v.Stable:
+		return nil, false
 	}
 	return WriteManifest{Group: v.nextManifest(successors[0], v.Group.Holders), Reason: reason}, true
 }
@@ -184,14 +230,14 @@
 func (v View) planNewHolder() Step {
 	healthy := 0
 	for _, d := range v.Group.Holders {
-		if slices.Contains(v.Reachable, d) && !v.Retiring[d] {
+		if slices.Contains(v.Reachable, d) && !v.canGo(d) {
 			healthy++
 		}
 	}
 	if healthy >= v.WantedHolders {
 		return NoStep{}
 	}
-	for _, d := range v.ranked(v.notLeaving()) {
+	for _, d := range v.ranked(v.staying()) {
 		if v.Group.Holds(d) {
 			continue
 		}
--- a/mirrorer/replica_test.go
+++ b/mirrorer/replica_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -228,26 +229,25 @@
 }
 
 func randomFaults(t *testing.T, seed uint64) {
-	f := newFleet(t, 4)
 	r := rand.New(rand.NewPCG(seed, 1))
+	playSteps(t, 60, func(f *fleet) {
+		f.injectFault(r)
+		f.requireOneServing(timer.Millis(100 * r.IntN(20)))
+	})
+}
+
+// playSteps proposes a text and then calls disturb, this many times. In the end all faults
+// are healed, and the owner must have applied what was acknowledged.
+func playSteps(t *testing.T, steps int, disturb func(*fleet)) {
+	f := newFleet(t, 4)
 	f.awaitOwner(5000)
 	var acknowledged []string
 	uncertain := make(map[string]bool)
-	for step := range 60 {
+	for step := range steps {
 		if o := f.owner(); o != nil {
-			text := fmt.Sprint(step)
-			err := propose(o, text)
-			var notOwner *mirrorer.NotOwnerError
-			switch {
-			case err == nil:
-				acknowledged = append(acknowledged, text)
-			case !errors.As(err, &notOwner):
-				uncertain[text] = true
-			}
-			checkApplied(t, o.machine.list(), acknowledged, uncertain)
+			f.proposeStep(o, fmt.Sprint(step), &acknowledged, uncertain)
 		}
-		f.injectFault(r)
-		f.requireOneServing(timer.Millis(100 * r.IntN(20)))
+		disturb(f)
 	}
 	f.heal()
 	o := f.awaitOwner(20000)
@@ -258,8 +258,8 @@
 // injectFault starts or ends a fault. At most one host at a time is down or has
 // recently lost its disk.
 func (f *fleet) injectFault(r *rand.Rand) {
-	h := f.hosts[r.IntN(len(f.hosts))]
-	o := f.hosts[r.IntN(len(f.hosts))]
+	present := f.present()
+	h, o := present[r.IntN(len(present))], present[r.IntN(len(present))]
 	switch r.IntN(9) {
 	case 0:
 		f.heal()
@@ -297,13 +297,65 @@
 		for _, o := range f.hosts[i+1:] {
 			f.setCut(h, o, false)
 		}
-		if !h.running {
+		if !h.running && !h.removed {
 			f.start(h)
 		}
 	}
 	sleep(8000)
 }
 
+// Hosts are to be removed, one or more at a time, and requests are withdrawn, among the faults
+// above. Hosts that were emptied are removed with their disks, and others are added. No
+// acknowledged entry is lost, and the group is served in the end.
+func TestAcknowledgedEntriesSurviveRetirementsUnderFaults(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomRetirements(t, seed) })
+		})
+	}
+}
+
+func randomRetirements(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	playSteps(t, 80, func(f *fleet) {
+		if r.IntN(2) == 0 {
+			f.injectFault(r)
+		} else {
+			f.toggleRetirement(f.present()[r.IntN(len(f.present()))])
+		}
+		f.requireOneServing(timer.Millis(100 * r.IntN(20)))
+		f.removeEmptied()
+		if len(f.present()) < 3 {
+			f.addHost()
+		}
+	})
+}
+
+// present returns the hosts that were not removed.
+func (f *fleet) present() []*host {
+	return slices.DeleteFunc(slices.Clone(f.hosts), func(h *host) bool { return h.removed })
+}
+
+// toggleRetirement requests that a host be removed, or withdraws the request.
+func (f *fleet) toggleRetirement(h *host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h.retiring = !h.retiring
+}
+
+// proposeStep proposes a text at the owner and checks what the owner has applied.
+func (f *fleet) proposeStep(o *host, text string, acknowledged *[]string, uncertain map[string]bool) {
+	err := propose(o, text)
+	var notOwner *mirrorer.NotOwnerError
+	switch {
+	case err == nil:
+		*acknowledged = append(*acknowledged, text)
+	case !errors.As(err, &notOwner):
+		uncertain[text] = true
+	}
+	checkApplied(f.t, o.machine.list(), *acknowledged, uncertain)
+}
+
 func checkApplied(t *testing.T, applied, acknowledged []string, uncertain map[string]bool) {
 	t.Helper()
 	var certain []string
