Busy groups are handed over, and their lost disks replaced

Nobody reported it; found when guards of the mirrored log were dropped one at a time to see which tests notice. With five proposers that always have an entry under way, an owner that is to stop never handed its group over, and a lost disk was no holder again.

Cause: a disk counted as caught up if it had the entire log at the moment of the look. In a busy group there is no such moment.

Fix: it counts if a message sent within the serving lease brought it up to the log of the moment of sending. A disk that is to become a holder is required for each commit first, and named only once it has the log of the moment when that began.

--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -16,12 +16,14 @@
 //     owner's log. The truncated entries were never committed, because the owner
 //     has every committed entry.
 //   - Before an owner sends the transaction that adds a disk to the manifest, it
-//     starts to require that disk for every commit. It stops only when it has read
-//     a newer manifest that does not name the disk. A transaction whose outcome is
-//     unknown can still take effect while the manifest is unchanged, so the disks
-//     that it adds are required until the manifest has changed. For the same
-//     reason, a process that is already the owner when it starts changes the
-//     manifest first: its predecessor may have sent such a transaction.
+//     starts to require that disk for every commit, and waits until the disk has
+//     all entries from before. It stops only when it has read a newer manifest
+//     that does not name the disk, or if it has sent no such transaction. A
+//     transaction whose outcome is unknown can still take effect while the
+//     manifest is unchanged, so the disks that it adds are required until the
+//     manifest has changed. For the same reason, a process that is already the
+//     owner when it starts changes the manifest first: its predecessor may have
+//     sent such a transaction.
 //   - An owner serves reads only while every holder has acknowledged it within
 //     ServingLease. A new owner is a holder named by the old owner's manifest,
 //     refuses the old owner, and serves once the old owner's lease has ended: every
@@ -164,8 +166,8 @@
 	followers map[string]*follower
 	// learner is a disk that receives the log in order to become a holder, or "".
 	learner string
-	// pendingHolders are the disks that a transaction already sent adds as holders.
-	pendingHolders map[string]bool
+	// pendingHolders are the disks that are to become holders and are required already.
+	pendingHolders map[string]*pendingHolder
 	// priorWritesSettled is set once every transaction that an earlier process of
 	// this host sent has either taken effect or can no longer take effect.
 	priorWritesSettled bool
@@ -193,12 +195,15 @@
 // follower is the owner's view of another disk.
 type follower struct {
 	nextIndex, matchIndex uint64
-	inFlight              bool
+	// inFlight is set while a message is under way, sendsWhole if the disk has the entire
+	// log after it.
+	inFlight, sendsWhole bool
 	// probed reports whether nextIndex is based on a reply of the disk.
 	probed bool
 	// lastSent is when the last message was sent. lastAcked is when the last
-	// message that was answered had been sent.
-	lastSent, lastAcked timer.Millis
+	// message that was answered had been sent, lastWhole when the last one after which the
+	// disk had the entire log of that moment had been sent.
+	lastSent, lastAcked, lastWhole timer.Millis
 	// pausedUntil is when the next message may be sent after a failed one.
 	pausedUntil timer.Millis
 	// failures counts consecutive failures.
@@ -311,7 +316,7 @@
 	term := Term{Epoch: r.group.Epoch, Incarnation: r.options.Incarnation}
 	s := &session{
 		term: term, priorWritesSettled: priorWritesSettled, followers: make(map[string]*follower),
-		pendingHolders: make(map[string]bool), waiters: make(map[uint64]chan error), committed: r.options.Log.Base(),
+		pendingHolders: make(map[string]*pendingHolder), waiters: make(map[uint64]chan error), committed: r.options.Log.Base(),
 	}
 	if r.appendLocal([]Entry{{Term: term}}) != nil {
 		return
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -43,7 +43,7 @@
 // and the learner.
 func (r *Replica) recipients() []string {
 	out := r.requiredFollowers()
-	if l := r.session.learner; l != "" && !r.group.Holds(l) && !r.session.pendingHolders[l] {
+	if l := r.session.learner; l != "" && !r.group.Holds(l) && r.session.pendingHolders[l] == nil {
 		out = append(out, l)
 	}
 	return out
@@ -75,6 +75,7 @@
 		}
 	}
 	f.inFlight, f.lastSent = true, now
+	f.sendsWhole = m.last() == log.Last()
 	go r.sendAndHandle(s, disk, f, m)
 	return nil
 }
@@ -145,7 +146,10 @@
 		r.replicate()
 		return
 	}
-	f.matchIndex = max(f.matchIndex, m.Previous+uint64(len(m.Entries)))
+	if f.sendsWhole {
+		f.lastWhole = f.lastSent
+	}
+	f.matchIndex = max(f.matchIndex, m.last())
 	f.nextIndex = f.matchIndex + 1
 	r.replicate()
 }
@@ -229,7 +233,7 @@
 }
 
 // requiredFollowers returns the other disks that must have an entry before it is
-// committed: all holders, and the disks that a transaction already sent adds.
+// committed: all holders, and the disks that are to become holders.
 func (r *Replica) requiredFollowers() []string {
 	out := make([]string, 0, len(r.group.Holders))
 	for _, d := range r.group.Holders {
@@ -262,6 +266,7 @@
 	v.Group, v.GroupNumber, v.Self = r.group, r.options.Group, r.options.Disk
 	v.CaughtUp = r.caughtUp()
 	step := Plan(v)
+	r.dropPendingHolders(step)
 	if _, idle := step.(NoStep); idle && r.session != nil && (!r.session.priorWritesSettled || len(r.session.pendingHolders) > 0) {
 		step = WriteManifest{Group: v.nextManifest(r.options.Disk, r.group.Holders), Reason: "invalidate earlier transactions"}
 	}
@@ -278,15 +283,15 @@
 	}
 }
 
-// caughtUp returns the disks that have the owner's entire log and have answered
-// within ServingLease.
+// caughtUp returns the disks that had the owner's entire log within ServingLease. In a busy
+// group, more entries are always under way.
 func (r *Replica) caughtUp() map[string]bool {
 	out := make(map[string]bool)
 	if r.session == nil {
 		return out
 	}
 	for d, f := range r.session.followers {
-		out[d] = f.probed && f.matchIndex == r.options.Log.Last() && r.options.Clock.Now()-f.lastAcked < ServingLease
+		out[d] = f.lastWhole != 0 && r.options.Clock.Now()-f.lastWhole < ServingLease
 	}
 	return out
 }
@@ -306,14 +311,10 @@
 		return
 	}
 	before := r.group
-	r.writingManifest = true
-	if s := r.session; s != nil {
-		for _, d := range w.Group.Holders {
-			if d != r.options.Disk && !before.Holds(d) {
-				s.pendingHolders[d] = true
-			}
-		}
+	if s := r.session; s != nil && !r.requireNewHolders(s, w.Group) {
+		return
 	}
+	r.writingManifest = true
 	t := storer.Transaction{
 		Conditions: append([]storer.Condition{{Key: r.options.Key, Revision: storer.Revision(before.Revision)}}, r.holderConditions(before, w.Group)...),
 		Set:        []storer.Item{{Key: r.options.Key, Value: value}},
--- a/mirrorer/wire.go
+++ b/mirrorer/wire.go
@@ -22,6 +22,9 @@
 	Entries      []Entry
 }
 
+// last returns the index of the last entry that the disk has after m.
+func (m appendRequest) last() uint64 { return m.Previous + uint64(len(m.Entries)) }
+
 // appendReply reports which of the owner's entries the disk has.
 type appendReply struct {
 	_ struct{} `cbor:",toarray"`
