Tests that failed once: their causes, mended

- messenger: a call made as its connection ends found that connection again at both attempts.
- executor: the time for which an item avoids servers where it failed ran while its host was late or suspended.
It begins when the item is first considered (TestItemOfALateHostGoesToAnotherServer).
- server: TestIncompleteRequestsAreAnsweredAndAffectNoOther sends its complete request on a connection of its own.
- experimenter: a submission that a host answers with 503, not accepted, is sent again with its key, as callers do (submission_test.go).

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -32,8 +32,8 @@
 	maxPause timer.Millis = 2000
 	// commitRetryInterval is the pause before a result is proposed again.
 	commitRetryInterval timer.Millis = 150
-	// avoidDuration is how long, once its back-off is over, an item still waits
-	// for a server other than those where it failed.
+	// avoidDuration is how long, from when it is first considered after its back-off, an
+	// item still waits for a server other than those where it failed.
 	avoidDuration timer.Millis = 300
 	// commitTimeout bounds one proposal of a result.
 	commitTimeout = 3 * timer.Second
@@ -125,7 +125,7 @@
 func (x *Executor) requeue(t *task, result retry) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	t.running = false
+	t.running, t.readySince = false, 0
 	if result.interrupted {
 		t.interruptions++
 	}
@@ -133,7 +133,6 @@
 	if result.backOff || result.interrupted {
 		t.notBefore = max(t.notBefore, x.options.Clock.Now()+min(minPause<<min(t.interruptions, 5), maxPause))
 		t.failedAt[t.server] = true
-		t.avoidUntil = t.notBefore + avoidDuration
 	}
 	x.Wake()
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -90,11 +90,11 @@
 	server  string
 	started timer.Millis
 	cancel  context.CancelFunc
-	// notBefore is when the item may start again. Until avoidUntil it is not
+	// notBefore is when the item may start again. readySince is when that was first
+	// considered after its last run, or zero. For avoidDuration from then on it is not
 	// started on the servers in failedAt.
-	notBefore  timer.Millis
-	failedAt   map[string]bool
-	avoidUntil timer.Millis
+	notBefore, readySince timer.Millis
+	failedAt              map[string]bool
 	// failures counts the item's failed runs; loggedFailures of them are known to be
 	// in the log.
 	failures, loggedFailures int
@@ -232,7 +232,9 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	ready := x.refresh(s)
+	// All of a decision is about one instant, however long it takes.
+	now := x.options.Clock.Now()
+	ready := x.refresh(s, now)
 	x.backlog = len(ready)
 	byService := make(map[string][]*task)
 	for _, t := range ready {
@@ -242,11 +244,11 @@
 	}
 	heldBack := 0
 	for service, list := range byService {
-		heldBack += x.fill(ctx, s, service, list)
+		heldBack += x.fill(ctx, s, now, service, list)
 	}
 	for _, service := range x.servicesInUse(s) {
 		if _, ok := byService[service]; !ok {
-			x.fill(ctx, s, service, nil)
+			x.fill(ctx, s, now, service, nil)
 		}
 	}
 	if heldBack != x.limited {
@@ -257,10 +259,9 @@
 
 // refresh updates the tasks from the queues and returns those that could start,
 // earliest due first. It cancels running items that are no longer pending.
-func (x *Executor) refresh(s cataloger.Snapshot) []*task {
+func (x *Executor) refresh(s cataloger.Snapshot, now timer.Millis) []*task {
 	seen := make(map[key]bool)
 	var ready []*task
-	now := x.options.Clock.Now()
 	refusing := x.options.Tracker.RefusesParts()
 	for _, g := range x.options.Groups {
 		for _, p := range g.Queue.Pending() {
@@ -274,6 +275,9 @@
 				x.tasks[k] = t
 			}
 			if !t.running && now >= t.notBefore && !(refusing && x.heldBack(t)) {
+				if t.readySince == 0 {
+					t.readySince = now
+				}
 				ready = append(ready, t)
 			}
 		}
--- a/executor/fill.go
+++ b/executor/fill.go
@@ -27,23 +27,23 @@
 
 // fill starts and evicts items on the servers of one service as filler.Plan decides. It
 // returns how many of the ready items the limits of servers hold back.
-func (x *Executor) fill(ctx context.Context, s cataloger.Snapshot, service string, ready []*task) int {
+func (x *Executor) fill(ctx context.Context, s cataloger.Snapshot, now timer.Millis, service string, ready []*task) int {
 	in, servers := x.input(s, service, len(ready))
 	start, evict := filler.Plan(in)
 	for id, n := range evict {
 		x.evict(id, n)
 	}
-	rest := x.assign(ctx, start, ready, servers)
-	if avoided := x.avoided(rest); len(avoided) > 0 {
+	rest := x.assign(ctx, now, start, ready, servers)
+	if closed := avoided(rest, now); len(closed) > 0 {
 		// The remaining items avoid servers where they failed. Plan again without
 		// those servers: others may have free slots too.
 		for i, v := range in.Servers {
-			in.Servers[i].Closed = v.Closed || avoided[v.ID]
+			in.Servers[i].Closed = v.Closed || closed[v.ID]
 			v.Batch[x.options.Host] += start[v.ID]
 			in.Servers[i].Starts = max(0, v.Starts-start[v.ID])
 		}
 		more, _ := filler.Plan(in)
-		rest = x.assign(ctx, more, rest, servers)
+		rest = x.assign(ctx, now, more, rest, servers)
 	}
 	return min(len(rest), in.HeldBack())
 }
@@ -108,8 +108,7 @@
 
 // assign starts ready items on servers, as many as start says for each, and returns
 // those that it did not start. No item starts on a server that it avoids.
-func (x *Executor) assign(ctx context.Context, start filler.Counts, ready []*task, servers map[string]cataloger.Server) []*task {
-	now := x.options.Clock.Now()
+func (x *Executor) assign(ctx context.Context, now timer.Millis, start filler.Counts, ready []*task, servers map[string]cataloger.Server) []*task {
 	for id, n := range start {
 		for range n {
 			i := slices.IndexFunc(ready, func(t *task) bool { return !t.avoids(id, now) })
@@ -126,11 +125,10 @@
 }
 
 // avoided returns the servers that any item of list avoids.
-func (x *Executor) avoided(list []*task) map[string]bool {
+func avoided(list []*task, now timer.Millis) map[string]bool {
 	out := make(map[string]bool)
-	now := x.options.Clock.Now()
 	for _, t := range list {
-		if now < t.avoidUntil {
+		if t.avoidsAny(now) {
 			maps.Copy(out, t.failedAt)
 		}
 	}
@@ -140,9 +138,12 @@
 // avoids reports whether the item should not start on server because it recently
 // failed there.
 func (t *task) avoids(server string, now timer.Millis) bool {
-	return now < t.avoidUntil && t.failedAt[server]
+	return t.avoidsAny(now) && t.failedAt[server]
 }
 
+// avoidsAny reports whether the item still waits for servers where it did not fail.
+func (t *task) avoidsAny(now timer.Millis) bool { return now < t.readySince+avoidDuration }
+
 // evict cancels n items on a server: those due last, and among them those that
 // started last, which lose the least work.
 func (x *Executor) evict(server string, n int) {
--- a/experimenter/batch.go
+++ b/experimenter/batch.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackdawgate/jackdawgate/requester"
 
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -52,7 +53,11 @@
 		}
 		var answer submitter.Job
 		path := administrator.JobsPath + "?workspace=" + w + "&endpoint=" + requester.PathChat
-		if err := b.call(ctx, fasthttp.MethodPost, path, body.Bytes(), &answer); err != nil {
+		data, err := Submission{URL: b.url(path), Token: adminToken, Key: uuid.NewString(), Items: body.Bytes()}.Send(ctx, b.client)
+		if err == nil {
+			err = json.Unmarshal(data, &answer)
+		}
+		if err != nil {
 			return nil, eris.Wrap(err, "submit batch job")
 		}
 		j.id = answer.ID
@@ -80,25 +85,19 @@
 	return eris.Wrap(json.Unmarshal(data, v), "decode answer")
 }
 
+// url returns the URL of a path of the operators' interface.
+func (b *batchLoad) url(path string) string {
+	return "http://" + b.fleet.hosts[0].CallerAddress() + path
+}
+
 // fetch is like call but returns the body of the response.
 func (b *batchLoad) fetch(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(q)
-	defer fasthttp.ReleaseResponse(p)
-	q.Header.SetMethod(method)
-	q.SetRequestURI("http://" + b.fleet.hosts[0].CallerAddress() + path)
-	q.Header.Set("Authorization", "Bearer "+adminToken)
-	q.SetBodyRaw(body)
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-	if err := b.client.DoTimeout(q, p, adminTimeout); err != nil {
-		return nil, eris.Wrap(err, "ask host")
-	}
-	if p.StatusCode() != fasthttp.StatusOK {
-		return nil, eris.Errorf("status %d: %.300s", p.StatusCode(), p.Body())
-	}
-	return append([]byte(nil), p.Body()...), nil
+	return fetch(ctx, b.client, func(q *fasthttp.Request) {
+		q.Header.SetMethod(method)
+		q.SetRequestURI(b.url(path))
+		q.Header.Set("Authorization", "Bearer "+adminToken)
+		q.SetBodyRaw(body)
+	})
 }
 
 // counts returns the sums of the jobs' done, failed and running items.
--- a/messenger/host.go
+++ b/messenger/host.go
@@ -220,14 +220,17 @@
 func (h *Host) Call(ctx context.Context, address string, m Method, body []byte, each func([]byte) error) error {
 	r := route{address: address, lane: laneOf(m)}
 	for attempt := 0; ; attempt++ {
-		c, reused, err := h.connection(ctx, r)
+		d, reused, err := h.connection(ctx, r)
 		if err != nil {
 			return &NotSentError{Address: address, Err: err}
 		}
-		err = c.do(ctx, address, m, body, each)
+		err = d.conn.do(ctx, address, m, body, each)
 		if !reused || attempt > 0 || !isNotSent(err) || ctx.Err() != nil {
 			return err
 		}
+		// A connection that has just ended may still be listed, and the second attempt
+		// must not find it again.
+		h.remove(r, d)
 	}
 }
 
@@ -236,9 +239,9 @@
 	return errors.As(err, &n)
 }
 
-// connection returns a connection for r, and whether it existed or was being dialled
-// before.
-func (h *Host) connection(ctx context.Context, r route) (*connection, bool, error) {
+// connection returns a dial for r that has succeeded, and whether it was made or had
+// begun before.
+func (h *Host) connection(ctx context.Context, r route) (*pendingDial, bool, error) {
 	h.mu.Lock()
 	if h.closed {
 		h.mu.Unlock()
@@ -253,7 +256,7 @@
 	h.mu.Unlock()
 	select {
 	case <-d.ready:
-		return d.conn, reused, d.err
+		return d, reused, d.err
 	case <-ctx.Done():
 		return nil, reused, ctx.Err()
 	}
--- a/messenger/host_test.go
+++ b/messenger/host_test.go
@@ -225,6 +225,54 @@
 	require.NoError(t, a.Call(t.Context(), r.listener.Addr().String(), "test/stream", nil, nil))
 }
 
+// Guards against calls that failed as not sent although the peer was reachable: both
+// attempts found the connection that had just ended, which was still listed.
+func TestCallsMadeAsTheConnectionEndsUseANewOne(t *testing.T) {
+	const callers, rounds = 200, 5
+	var waiting sync.WaitGroup
+	_, address := startHost(t, "b", map[messenger.Method]messenger.Handler{
+		"test/wait": func(ctx context.Context, _ messenger.Peer, _ []byte, _ func([]byte) error) error {
+			waiting.Done()
+			<-ctx.Done()
+			return ctx.Err()
+		},
+		"test/stream": stream(1),
+	})
+	r := startRelay(t, address)
+	a, _ := startHost(t, "a", nil)
+	// Other users of the host delay the removal of a connection that has ended.
+	ctx, cancel := context.WithCancel(t.Context())
+	var users sync.WaitGroup
+	for range 16 {
+		users.Go(func() {
+			for ctx.Err() == nil {
+				a.Handle("test/other", stream(1))
+			}
+		})
+	}
+	defer users.Wait()
+	defer cancel()
+	for range rounds {
+		results := make(chan error, callers)
+		waiting.Add(callers)
+		for range callers {
+			go func() {
+				var l *messenger.LostError
+				err := a.Call(t.Context(), r.listener.Addr().String(), "test/wait", nil, nil)
+				if errors.As(err, &l) {
+					err = a.Call(t.Context(), r.listener.Addr().String(), "test/stream", nil, nil)
+				}
+				results <- err
+			}()
+		}
+		waiting.Wait()
+		r.silence()
+		for range callers {
+			require.NoError(t, <-results)
+		}
+	}
+}
+
 func TestMemoryNetworkStreamsAndReportsErrors(t *testing.T) {
 	m := messenger.NewMemory()
 	b := m.Host("b:1", messenger.Peer{Name: "b"})
--- a/server/life_test.go
+++ b/server/life_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -136,6 +137,7 @@
 func TestIncompleteRequestsAreAnsweredAndAffectNoOther(t *testing.T) {
 	h := newHarness(t, answerWith("{}"), func(o *server.Options) { o.ReadTimeout = 1000 })
 	authorization := "Host: host\r\nAuthorization: Bearer " + testKey + "\r\n"
+	complete := "POST /v1/chat/completions HTTP/1.1\r\n" + authorization + "Content-Length: " + strconv.Itoa(len(chatBody)) + "\r\n\r\n" + chatBody
 	for name, c := range map[string]struct {
 		text   string
 		status int
@@ -158,7 +160,8 @@
 			require.Equal(t, c.status, a.StatusCode, string(b))
 			require.Contains(t, string(b), `"code":"`+c.code+`"`)
 			require.Equal(t, "true", a.Header.Get("jackdawgate-not-run"))
-			require.Equal(t, 200, h.do(h.request("POST", "/v1/chat/completions", chatBody)).status)
+			// Kept connections may be unused for as long as the host waits for a request.
+			require.Equal(t, 200, h.sendRaw(complete).StatusCode)
 		})
 	}
 	t.Cleanup(func() { require.NotContains(t, h.logs.String(), testKey[:10]) })
