Limits of servers: hosts that are cut off pay back; buckets are refilled first

What servers saw: when every host is cut off from all others at once, each used the whole limit until it noticed, and then its share as if it had not: 386 requests in 20 s at a limit that allows 240, with 24 hosts.

Second fault, found by writing the package's example: others' counts were subtracted from a bucket before it was refilled, so the refill made up for them and a burst was there once more. The refill comes first.

Tests: rationer -run 'PayBack|PaidBack|RefilledBefore'.

--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -21,7 +21,9 @@
 //
 // The limits of servers may be lower than one request a second for the whole fleet, and
 // every host sees the same token at the same time. So the hosts take turns at them: only
-// few hosts at a time may take a token (Claim).
+// few hosts at a time may take a token (Claim). Hosts that are cut off from one another divide
+// the tokens that are there, and pay back what they took beyond their share until they
+// noticed.
 package rationer
 
 import (
@@ -184,7 +186,7 @@
 	if b, ok := r.buckets[workspace]; ok && b.admitted > 0 {
 		b.level++
 		b.admitted--
-		b.taken = b.taken[:max(0, len(b.taken)-1)]
+		b.returnTaken()
 	}
 }
 
@@ -204,8 +206,12 @@
 func (r *Rationer) Merge(host, incarnation string, spent map[string]uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
 	for workspace, count := range spent {
-		r.bucketFor(workspace).merge(host, incarnation, count)
+		b := r.bucketFor(workspace)
+		// What is taken now must not be made up for by the time before.
+		r.refill(b, now)
+		b.merge(host, incarnation, count)
 	}
 }
 
@@ -247,6 +253,9 @@
 		r.reserve(b, now, seconds)
 	}
 	reachable := r.reachableShare(now)
+	if b.limit.Turns {
+		b.keepShare(reachable, now)
+	}
 	rate, capacity := b.limit.Rate*reachable, b.limit.capacity(reachable)
 	b.level += rate * seconds
 	switch {
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// A host subtracted what others had admitted from a bucket that it had last refilled before,
+// and then refilled it for that time: the burst was there once more.
+func TestBucketIsRefilledBeforeOthersRequestsAreSubtracted(t *testing.T) {
+	c := &harness.Clock{Time: 1000}
+	h, l := rationer.New(c), rationer.Limit{Rate: 20, Burst: 10}
+	h.Merge("a", "1", map[string]uint64{workspace: 0})
+	c.Time += 10 * timer.Second
+	h.SetPeers([]rationer.Peer{{Name: "a", LastReceived: c.Time}})
+	require.True(t, h.Admit(workspace, l).Admitted)
+	c.Time += timer.Second / 2
+	h.Merge("a", "1", map[string]uint64{workspace: 10})
+	require.False(t, h.Admit(workspace, l).Admitted, "the burst was used up by another host")
+}
+
 func TestPartitionedHostsTogetherStayWithinTheRate(t *testing.T) {
 	for seed := range uint64(5) {
 		f := newFleet(9)
@@ -152,6 +166,28 @@
 	}
 }
 
+// Guards against requests that are taken from a bucket twice: what hosts admitted of their
+// shares while they were cut off was reserved for them already.
+func TestNothingWithinTheRateIsRefusedAfterHostsWereCutOff(t *testing.T) {
+	f := newFleet(2)
+	for range 300 {
+		f.tick()
+	}
+	ask := func(ticks int) {
+		for i := range ticks {
+			f.tick()
+			if i%3 == 0 {
+				require.True(t, f.admit(i%2), "tick %d", i)
+			}
+		}
+	}
+	ask(300)
+	f.partitioned[[2]int{0, 1}], f.partitioned[[2]int{1, 0}] = true, true
+	ask(1000)
+	clear(f.partitioned)
+	ask(600)
+}
+
 func TestRestartedHostsDoNotSpendTheBurstAgain(t *testing.T) {
 	f := newFleet(9)
 	r := rand.New(rand.NewPCG(4, 1))
--- a/rationer/turns.go
+++ b/rationer/turns.go
@@ -61,6 +61,70 @@
 	lastTaken timer.Millis
 	// taken are the times within reportWindow at which this host took a token.
 	taken []timer.Millis
+	// reachable is the share of the hosts that was reachable at the last refill.
+	reachable float64
+	// used counts the tokens that were taken lately, as far as known, by slots of usageSlot.
+	// The newest slot is slot.
+	used [usageSlots]float64
+	slot timer.Millis
+}
+
+// The tokens that were taken within silentTimeout are counted in slots.
+const (
+	usageSlots = 8
+	usageSlot  = silentTimeout / usageSlots
+)
+
+// returnTaken takes back the count of the token that this host took last.
+func (b *bucket) returnTaken() {
+	last := len(b.taken) - 1
+	if last < 0 {
+		return
+	}
+	if slot := b.taken[last] / usageSlot; slot > b.slot-usageSlots {
+		b.used[slot%usageSlots]--
+	}
+	b.taken = b.taken[:last]
+}
+
+// addUsed counts tokens that were taken, or were returned if negative.
+func (b *bucket) addUsed(tokens float64, now timer.Millis) {
+	b.dropOldSlots(now)
+	b.used[b.slot%usageSlots] += tokens
+}
+
+// usedLately returns how many tokens were taken within silentTimeout, as far as known.
+func (b *bucket) usedLately(now timer.Millis) float64 {
+	b.dropOldSlots(now)
+	sum := 0.0
+	for _, n := range b.used {
+		sum += n
+	}
+	return sum
+}
+
+func (b *bucket) dropOldSlots(now timer.Millis) {
+	newest := now / usageSlot
+	for s := max(b.slot+1, newest-usageSlots+1); s <= newest; s++ {
+		b.used[s%usageSlots] = 0
+	}
+	b.slot = max(b.slot, newest)
+}
+
+// keepShare adapts the level to the share of the hosts that is reachable now. Hosts that are
+// cut off from one another all have the same tokens, and go on to use the whole rate until
+// they notice. So the tokens are divided, and what the hosts on this side took beyond their
+// share until they noticed is paid back.
+func (b *bucket) keepShare(reachable float64, now timer.Millis) {
+	if reachable < b.reachable {
+		if b.level > 0 {
+			b.level *= reachable / b.reachable
+		}
+		whole := b.limit.Rate * float64(silentTimeout) / float64(timer.Second)
+		used := b.usedLately(now)
+		b.level -= max(0, used-whole*reachable) - max(0, used-whole*b.reachable)
+	}
+	b.reachable = reachable
 }
 
 // Claim describes a request for a token of a limit with turns.
@@ -122,6 +186,7 @@
 	b.level--
 	b.admitted++
 	b.turn++
+	b.addUsed(1, now)
 	b.fullSince, b.lastTaken = 0, now
 	b.taken = append(b.taken, now)
 	return d
@@ -133,6 +198,7 @@
 		now := r.clock.Now()
 		b := r.bucketFor(c.Key)
 		b.refilledAt, b.lastTaken = now, now
+		b.reachable = r.reachableShare(now)
 	}
 	return r.refilledBucket(c.Key, c.Limit)
 }
@@ -255,6 +321,7 @@
 	if delta > 0 {
 		b.lastTaken = now
 	}
+	b.addUsed(delta, now)
 	b.subtract(host, delta)
 	b.approach(u.Level, float64(min(now-previous.at, levelPeriod))/float64(levelPeriod)/float64(max(1, len(r.peers))))
 }
--- a/rationer/turns_test.go
+++ b/rationer/turns_test.go
@@ -296,6 +296,79 @@
 	require.GreaterOrEqual(t, len(l.sent), 3*40*8/10, "cut off hosts use their shares")
 }
 
+// Every host is cut off from all others at the same moment, and has callers. Until they
+// noticed, each of them used the whole limit, and then its share as if it had not: 386
+// requests in 20 s reached a server that takes 240, with 24 hosts.
+func TestHostsThatAreCutOffPayBackWhatTheyTookUntilTheyNoticed(t *testing.T) {
+	const seconds = 20
+	for _, hosts := range []int{2, 6, 12, 24} {
+		for _, rate := range []float64{0.4, 1, 3, 12} {
+			for seed := range uint64(3) {
+				l := newLane(seed, hosts, rate, 60)
+				for i := range 1000 + 100*seconds {
+					if i == 1000 {
+						l.sent = nil
+						l.side = func(host int) int { return host }
+					}
+					l.tick()
+					for h := range hosts {
+						l.send(h, rationer.Claim{})
+					}
+				}
+				savedUp := bound(l.limit) - int(4*rate)
+				require.LessOrEqual(t, len(l.sent), int(seconds*rate)+savedUp, "%d hosts, limit %g, seed %d", hosts, rate, seed)
+			}
+		}
+	}
+}
+
+// Tokens that were returned counted as taken, so hosts that were cut off paid for requests
+// that no server got.
+func TestReturnedTokensAreNotPaidBack(t *testing.T) {
+	const hosts, cut = 4, 1000
+	for _, keptFor := range []int{0, 1, 5, 20} {
+		l := newLane(1, hosts, 12, 60)
+		returned := make(map[int]int)
+		for i := range cut + 200 {
+			if i == cut {
+				l.side = func(host int) int { return host }
+			}
+			l.tick()
+			if l.send(0, rationer.Claim{}) {
+				returned[i+keptFor]++
+			}
+			for range returned[i] {
+				l.hosts[0].Refund(server)
+			}
+			if i < cut {
+				continue
+			}
+			for _, h := range l.hosts {
+				d := h.Peek(rationer.Claim{Key: server, Limit: l.limit})
+				require.GreaterOrEqual(t, d.Level, 0.0, "%s, kept for %d ticks", h.name, keptFor)
+			}
+		}
+	}
+}
+
+// The same for tokens that another host reports as taken and then as returned, while a third
+// host is cut off. At most one token is out at a time.
+func TestReturnedTokensOfOtherHostsAreNotPaidBack(t *testing.T) {
+	c := &harness.Clock{Time: 100000}
+	h, l := rationer.New(c), serverLimit(8)
+	h.Peek(rationer.Claim{Key: server, Limit: l})
+	cut := c.Time + 5*timer.Second
+	for i := range 160 {
+		c.Time += 50
+		h.SetPeers([]rationer.Peer{{Name: "a", LastReceived: c.Time}, {Name: "b", LastReceived: min(c.Time, cut)}})
+		d := h.Peek(rationer.Claim{Key: server, Limit: l})
+		h.MergeUsage("a", "1", server, rationer.Usage{Taken: uint64(7 + i%2), Recent: 1, Level: d.Level})
+		if c.Time > cut {
+			require.GreaterOrEqual(t, d.Level, d.Capacity-1, "report %d", i)
+		}
+	}
+}
+
 // Less urgent requests get what the more urgent ones leave, and all of it if there are none.
 func TestUrgentRequestsGoFirstWhenALimitIsShort(t *testing.T) {
 	l := newLane(5, 12, 3, 60)
