--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -26,6 +26,29 @@
 	require.True(t, e.Usable("s", false))
 }
 
+// Guards against a server that counts as silent for the time before a call, in which it had
+// none.
+func TestSilenceIsCountedFromTheFirstCallThatWaits(t *testing.T) {
+	c, e := start()
+	e.Begin("s")
+	e.BytesReceived("s")
+	e.End("s")
+	c.Time += 10 * ejector.SilenceTimeout
+	e.Begin("s")
+	require.True(t, e.Usable("s", false))
+	c.Time += ejector.SilenceTimeout + 1
+	require.False(t, e.Usable("s", false))
+}
+
+// Guards against a server that stays ejected although it answers.
+func TestServerThatSendsBytesIsUsableAtOnce(t *testing.T) {
+	_, e := start()
+	e.Unreachable("s")
+	require.False(t, e.Usable("s", false))
+	e.BytesReceived("s")
+	require.True(t, e.Usable("s", false))
+}
+
 // A burst fills every server, and calls wait for slots without receiving a byte. That
 // is not a failure of the servers.
 func TestFullServerIsNotTreatedAsSilent(t *testing.T) {
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -136,6 +136,50 @@
 	require.False(t, f.gate.Permitted())
 }
 
+// Guards against a call that runs on after its caller has given up.
+func TestDeadlineOfACallerThatWaitsLessThanTheRouteHolds(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	q := httptest.NewRequest(http.MethodPost, "http://h/chat/1", strings.NewReader("{}"))
+	q.Header.Set("Key", "k")
+	q.Header.Set("Deadline", "300")
+	f.gate.ServeHTTP(httptest.NewRecorder(), q)
+	require.Equal(t, f.clock.Time+300, f.relay.calls[0].Deadline)
+}
+
+// Guards against one workspace's calls that are refused for the crashes of another's.
+func TestEqualCallsOfTwoWorkspacesAreNotTakenForOne(t *testing.T) {
+	f := newFixture()
+	f.snapshot = f.snapshot.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{
+		Version:    1,
+		Routes:     []cataloger.Route{{Name: "chat", Host: "h", Prefix: "/chat/", Kind: cataloger.Stream, Timeout: 5000, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1}},
+		Workspaces: []cataloger.Workspace{{Name: "w", Rate: 10, Burst: 10}, {Name: "x", Rate: 10, Burst: 10}},
+		Keys:       map[string]string{"k": "w", "l": "x"},
+	})).WithConfirmed(f.clock.Time)
+	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
+	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
+	require.Equal(t, http.StatusOK, f.call("/chat/1", "l").Code)
+	prints := make([]uint64, 0, 3)
+	for _, c := range f.relay.calls {
+		prints = append(prints, c.Suspect.Fingerprint)
+	}
+	require.Equal(t, prints[0], prints[1])
+	require.NotEqual(t, prints[0], prints[2])
+}
+
+// Guards against jobs that are shown under a host that no route has.
+func TestCallAboutAJobNeedsAHostOfARoute(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	for host, status := range map[string]int{"h": http.StatusOK, "h:80": http.StatusOK, "other": http.StatusNotFound} {
+		q := httptest.NewRequest(http.MethodGet, "http://"+host+"/jobs/j", http.NoBody)
+		q.Header.Set("Key", "k")
+		w := httptest.NewRecorder()
+		f.gate.ServeHTTP(w, q)
+		require.Equal(t, status, w.Code, host)
+	}
+}
+
 func TestRequestIsRelayedForItsWorkspaceWithoutItsKey(t *testing.T) {
 	f := newFixture()
 	f.configure()
--- a/relayer/budget_test.go
+++ b/relayer/budget_test.go
@@ -30,3 +30,20 @@
 	}
 	require.LessOrEqual(t, len(f.seen()), calls+calls/4+3)
 }
+
+// Guards against a budget that is never earned: retries would end after the first few
+// failures of a service that is well on the whole.
+func TestEachCallEarnsAPartOfARetry(t *testing.T) {
+	f := newFixture(t, 6)
+	const rounds, callsPerFailure = 20, 5
+	for range rounds {
+		f.scripts = append(f.scripts, breakOff)
+		for range callsPerFailure {
+			f.scripts = append(f.scripts, text("200 OK", signed, "ok"))
+		}
+	}
+	for i := range rounds * callsPerFailure {
+		o, _ := f.run(route(cataloger.Idempotent, false, 2))
+		require.IsType(t, relayer.Delivered{}, o, "call %d", i)
+	}
+}
--- a/relayer/limit_test.go
+++ b/relayer/limit_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/relayer"
+	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/stretchr/testify/require"
 )
 
@@ -67,6 +68,15 @@
 	require.LessOrEqual(t, f.countTo("s0"), 4)
 }
 
+// Guards against a limit that another server at the address names, and that is taken for that
+// of the server that was meant.
+func TestAnswerOfAnotherServerNamesNoLimit(t *testing.T) {
+	f := newFixture(t, 1, text("421 Misdirected Request", "Limit: 1\r\n", ""))
+	_, _ = f.run(route(cataloger.Idempotent, false, 1))
+	require.Equal(t, 1, f.countTo("s0"))
+	require.False(t, f.throttler.Room(f.current().Servers["s0"].Incarnation(), throttler.Online{}).Limited)
+}
+
 // A server refused a call and said when to come back. It got the next call at once.
 func TestServerThatSaysWhenToComeBackIsLeftAlone(t *testing.T) {
 	refusal := text("429 X", signed+"Not-Run: 1\r\nRetry-After: 20\r\n"+closing, "")
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -76,6 +76,28 @@
 	require.False(t, ok)
 }
 
+// Guards against less urgent requests, and batch items that yield, which take what more urgent
+// ones need when a limit is short.
+func TestLessUrgentRequestsLeaveAPartOfALimit(t *testing.T) {
+	taken := make(map[string]int)
+	for name, class := range map[string]throttler.Class{
+		"urgent": throttler.Online{}, "less urgent": throttler.Online{Rank: 2}, "item that yields": throttler.Batch{Yield: true}, "item": throttler.Batch{},
+	} {
+		h, c := newThrottler()
+		hear(h, "40")
+		c.Time += 10 * timer.Second
+		for {
+			if _, ok := h.Take(server, class); !ok {
+				break
+			}
+			taken[name]++
+		}
+	}
+	require.Greater(t, taken["urgent"], taken["less urgent"])
+	require.Greater(t, taken["less urgent"], taken["item that yields"])
+	require.Equal(t, taken["urgent"], taken["item"])
+}
+
 func TestLimitIsLoweredAtOnceAndRaisedByTwoAnswers(t *testing.T) {
 	h, _ := newThrottler()
 	hear(h, "4")
