--- a/follower/apply.go
+++ b/follower/apply.go
@@ -6,11 +6,13 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/recoverer"
 	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
 
-// load reads all keys from the store, in one request if they fit into one answer.
-func (f *Follower) load(ctx context.Context, s cataloger.Snapshot) (cataloger.Snapshot, error) {
+// load reads all keys from the store, in one request if they fit into one answer. sent is
+// when it was sent.
+func (f *Follower) load(ctx context.Context, s cataloger.Snapshot, sent timer.Millis) (cataloger.Snapshot, error) {
 	items, from, err := f.options.Ledger.Range(ctx, "")
 	if err != nil {
 		return s, err
@@ -47,7 +49,7 @@
 		}
 	}
 	f.cursor, f.loaded = from, true
-	f.changeLog.restart(from)
+	f.changeLog.restart(from, sent)
 	return fresh.WithRevision(uint64(from)), nil
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (f.options.WatchWait + f.options.Timeout).Duration())
 	defer cancel()
 	if !f.loaded {
-		s, err := f.load(ctx, f.Snapshot())
+		s, err := f.load(ctx, f.Snapshot(), sent)
 		if err == nil {
 			f.confirm(s, sent)
 		}
@@ -219,7 +219,7 @@
 			s = f.apply(s, c)
 		}
 	}
-	f.changeLog.add(changes)
+	f.changeLog.add(changes, confirmed)
 	f.cursor = max(f.cursor, changes.Current)
 	f.confirm(s.WithRevision(uint64(f.cursor)), confirmed)
 }
@@ -234,7 +234,6 @@
 		f.confirmedSince.Store(int64(at))
 		f.options.Logger.Info("store answers again", zap.Int64("away-ms", int64(at-s.ConfirmedAt)))
 	}
-	f.changeLog.confirm(at)
 	f.publish(f.withoutExpired(s).WithConfirmed(at))
 }
 
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -160,16 +160,19 @@
 	confirmed      timer.Millis
 }
 
-// restart discards all changes up to a revision.
-func (m *changeLog) restart(at storer.Revision) {
+// restart discards all changes up to a revision, which was confirmed at an instant.
+func (m *changeLog) restart(at storer.Revision, confirmed timer.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.changes, m.floor, m.current, m.confirmed = nil, at, at, 0
+	m.changes, m.floor, m.current, m.confirmed = nil, at, at, confirmed
 }
 
-func (m *changeLog) add(c storer.Changes) {
+// add adds changes and the instant at which they were confirmed. Both are taken in at once:
+// a host that asked in between would get a confirmation without its changes.
+func (m *changeLog) add(c storer.Changes, confirmed timer.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.confirmed = max(m.confirmed, confirmed)
 	for _, v := range c.List {
 		if v.Revision > m.current {
 			m.changes = append(m.changes, v)
@@ -182,12 +185,6 @@
 	}
 }
 
-func (m *changeLog) confirm(at timer.Millis) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.confirmed = max(m.confirmed, at)
-}
-
 // answer returns the changes after a revision.
 func (m *changeLog) answer(after storer.Revision, now timer.Millis) changesReply {
 	m.mu.Lock()
--- a/spec/mirror.pml
+++ b/spec/mirror.pml
@@ -9,6 +9,11 @@
  * other log equal to the owner's, which is what the exchange of package mirrorer
  * comes to. An entry is named by its session and place.
  *
+ * With RETIRE, hosts that operators want to remove are removed with their disks once they
+ * are reported as empty; who is to be removed is not modelled, any host may be at any
+ * moment. The report depends on the manifest, which must not name the disk and must have
+ * enough others. A transaction that makes a disk a holder depends on its host's report.
+ *
  * What only the model knows: com and comEntry, what was committed.
  *
  * Constants set by spec/check: R revisions, L entries, S sessions, CRASHES, and
@@ -33,7 +38,8 @@
 byte seenHold[N];
 byte session[N];          /* a host's session as owner; zero is none */
 bit settled[N];
-byte pledged[N];          /* disks that a transaction sent by it makes holders */
+byte pledged[N];          /* disks that it is to make holders, and requires already */
+byte optional[N];         /* its entries when it began to require them */
 byte high[N];             /* highest epoch that it knows */
 byte match[N * N];        /* entries that disk o acknowledged to owner h */
 byte size[N];
@@ -42,6 +48,8 @@
 byte sessions;
 byte epoch[S + 1];        /* of each session, when it began */
 byte crashes = CRASHES;
+byte gone;                /* disks that were removed with their hosts */
+byte report;              /* hosts whose report that they are empty is under way */
 
 byte com;
 byte comEntry[L];
@@ -65,18 +73,20 @@
 	session[h] = 0;
 	settled[h] = 0;
 	pledged[h] = 0;
+	optional[h] = 0;
 	match[h * N + 0] = 0;
 	match[h * N + 1] = 0;
 	match[h * N + 2] = 0;
 }
 
-/* Every holder has all that was committed. */
+/* Every holder that is there has all that was committed, and enough of them are there. */
 inline check() {
+	assert(COUNT(hold & ~gone) >= 2);
 	i = 0;
 	do
 	:: i < N ->
 		if
-		:: HAS(hold, i) ->
+		:: HAS(hold, i) && !HAS(gone, i) ->
 			assert(size[i] >= com);
 			j = 0;
 			do
@@ -110,7 +120,8 @@
 #endif
 	:: own == h && session[h] != 0 && seenOwn[h] == h ->
 		settled[h] = 1;
-		pledged[h] = 0
+		pledged[h] = 0;
+		optional[h] = 0
 	:: else -> forget(h)
 	fi;
 	seenRev[h] = rev;
@@ -163,6 +174,24 @@
 	fi
 }
 
+#ifdef M_LATE_EMPTY
+#define EMPTY(k) HAS(report, k)
+#else
+#define EMPTY(k) (!HAS(hold, k) && own != k && COUNT(hold & ~gone) >= 2)
+#endif
+#ifdef M_LATE_HOLDER
+#define MAYHOLD(k) true
+#else
+#define MAYHOLD(k) ((txHold[k] & ~hold & gone) == 0)
+#endif
+#define THERE(h) (!HAS(gone, h))
+
+/* A disk has all that was committed before it was required. */
+#ifdef M_EARLY_HOLDER
+#define HASALL(h, o) true
+#else
+#define HASALL(h, o) (match[h * N + o] >= optional[h])
+#endif
 #define FREE (txCond[0] == 0 || txCond[1] == 0)
 #ifdef M_STRANGER
 #define HEIR(h) (seenRev[h] != 0)
@@ -181,29 +210,30 @@
 		select(i : 0 .. 2);
 		select(k : 0 .. 2);
 		if
-		:: seenRev[i] != rev && (own != i || (size[i] < L && sessions < S)) -> learn(i)
+		:: THERE(i) && seenRev[i] != rev && (own != i || (size[i] < L && sessions < S)) -> learn(i)
 		:: session[i] != 0 && size[i] < L -> entry[i * L + size[i]] = session[i]; size[i]++
-		:: session[i] != 0 && k != i && TAKES(k, i) && (session[k] == 0 || seenRev[k] < seenRev[i]) -> copy(i, k)
+		:: session[i] != 0 && k != i && THERE(k) && TAKES(k, i) && (session[k] == 0 || seenRev[k] < seenRev[i]) -> copy(i, k)
 		:: session[i] != 0 && settled[i] -> commit(i)
 		/* A holder follows the owner; what it cannot hear it may drop. */
-		:: rev < R && FREE && seenOwn[i] != i && HEIR(i) -> send(i, seenHold[i])
-		:: rev < R && FREE && seenOwn[i] != i && HEIR(i) && k != i && COUNT(seenHold[i] & ~BIT(k)) >= 2 -> send(i, seenHold[i] & ~BIT(k))
+		:: THERE(i) && rev < R && FREE && seenOwn[i] != i && HEIR(i) -> send(i, seenHold[i])
+		:: THERE(i) && rev < R && FREE && seenOwn[i] != i && HEIR(i) && k != i && COUNT(seenHold[i] & ~BIT(k)) >= 2 -> send(i, seenHold[i] & ~BIT(k))
 		/* An owner makes earlier transactions void, drops or adds a holder, or hands over. */
 		:: rev < R && FREE && session[i] != 0 && (!settled[i] || pledged[i] != 0) -> send(i, seenHold[i])
 		:: rev < R && FREE && session[i] != 0 && k != i && HAS(seenHold[i], k) && COUNT(seenHold[i]) > 2 -> send(i, seenHold[i] & ~BIT(k))
-		:: rev < R && FREE && session[i] != 0 && k != i && !HAS(seenHold[i], k) && match[i * N + k] == size[i] && size[i] > 0 ->
-			send(i, seenHold[i] | BIT(k));
-			pledged[i] = pledged[i] | BIT(k)
-		:: rev < R && FREE && session[i] != 0 && k != i && HAS(seenHold[i], k) && match[i * N + k] == size[i] -> send(k, seenHold[i])
+		:: rev < R && session[i] != 0 && k != i && !HAS(seenHold[i], k) && pledged[i] == 0 && size[i] > 0 ->
+			pledged[i] = BIT(k);
+			optional[i] = size[i]
+		:: rev < R && FREE && session[i] != 0 && k != i && HAS(pledged[i], k) && HASALL(i, k) -> send(i, seenHold[i] | BIT(k))
+		:: rev < R && FREE && session[i] != 0 && k != i && HAS(seenHold[i], k) -> send(k, seenHold[i])
 		/* A transaction is carried out, or refused. */
 		:: k < T && txCond[k] != 0 ->
 			if
-			:: txCond[k] == rev -> rev++; own = txOwn[k]; hold = txHold[k]
+			:: txCond[k] == rev && MAYHOLD(k) -> rev++; own = txOwn[k]; hold = txHold[k]
 			:: else
 			fi;
 			txCond[k] = 0
 		/* A process ends and starts again; its disk stays. */
-		:: crashes > 0 ->
+		:: THERE(i) && crashes > 0 ->
 			crashes--;
 			if
 			:: creator == i -> creator = N
@@ -218,6 +248,21 @@
 			:: size[i] > 0 -> high[i] = epoch[entry[i * L + size[i] - 1]]
 			:: else -> high[i] = 0
 			fi
+#ifdef RETIRE
+		/* A host sees that no manifest names its disk, and reports that it is empty. */
+		:: THERE(i) && !HAS(report, i) && seenRev[i] != 0 && !HAS(seenHold[i], i) && seenOwn[i] != i && COUNT(seenHold[i]) >= 2 ->
+			report = report | BIT(i)
+		/* The report is carried out, and the host is removed; or it is refused. */
+		:: HAS(report, i) && EMPTY(i) ->
+			gone = gone | BIT(i);
+			report = report & ~BIT(i);
+			forget(i);
+			seenRev[i] = 0;
+			seenOwn[i] = 0;
+			seenHold[i] = 0;
+			size[i] = 0
+		:: HAS(report, i) && !EMPTY(i) -> report = report & ~BIT(i)
+#endif
 		:: else -> skip
 		fi;
 		check();
