mirrorer: a session serves only once its first entry is on all disks: a test

It matters: a holder that has an uncommitted entry of the former session more than the new owner asks for that whole session again and acknowledges it from its first entry on, a message at a time. If that takes longer than the former owner's lease, an owner without the guard serves a state that lacks committed entries: accepted jobs would be unknown for a moment.

The test plays this in virtual time, with one entry a message.

--- a/mirrorer/guard_test.go
+++ b/mirrorer/guard_test.go
@@ -1,6 +1,7 @@
 package mirrorer_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
 
@@ -145,3 +147,32 @@
 		require.False(t, g.Holds(third.disk))
 	})
 }
+
+// Guards against a session that serves before it has applied all that was committed. The other
+// disk has an entry that the owner lacks, and so asks for all entries of that session again: it
+// acknowledges them from the first one on, one with each message. That takes longer than the
+// lease of the owner before.
+func TestNewOwnerServesOnlyOnceItsFirstEntryIsOnAllDisks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		maxAppend = 1
+		defer func() { maxAppend = 0 }()
+		f := newFleet(t, 3)
+		first := f.awaitOwner(5000)
+		sleep(6000)
+		var want []string
+		for i := range int(2 * mirrorer.ServingLease / callDelay) {
+			want = append(want, fmt.Sprint(i))
+			require.NoError(t, propose(first, want[i]))
+		}
+		others := slices.DeleteFunc(slices.Clone(f.hosts), func(h *host) bool { return h == first })
+		second, third := others[0], others[1]
+		f.setCutFromStore(third, true)
+		f.setCut(first, second, true)
+		require.Error(t, propose(first, "not committed"), "a holder does not answer")
+		f.kill(first)
+		for until := f.clock.Now() + 12*timer.Second; !second.replica.Serving(t.Context()); sleep(1) {
+			require.Less(t, f.clock.Now(), until, "nobody serves the group")
+		}
+		require.Equal(t, want, second.machine.list())
+	})
+}
