--- a/messenger/host_test.go
+++ b/messenger/host_test.go
@@ -32,6 +32,11 @@
 	for m, f := range handlers {
 		h.Handle(m, f)
 	}
+	return h, serve(t, h)
+}
+
+// serve serves h on a free loopback port until the test ends, and returns its address.
+func serve(t *testing.T, h *messenger.Host) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	served := make(chan error, 1)
@@ -40,7 +45,7 @@
 		require.NoError(t, h.Close())
 		require.NoError(t, <-served)
 	})
-	return h, l.Addr().String()
+	return l.Addr().String()
 }
 
 func stream(n int) messenger.Handler {
--- a/messenger/memory_bound_test.go
+++ b/messenger/memory_bound_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -22,15 +21,7 @@
 	h.Handle("test/length", func(_ context.Context, _ messenger.Peer, body []byte, send func([]byte) error) error {
 		return send([]byte{byte(len(body) >> 20)})
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	served := make(chan error, 1)
-	go func() { served <- h.Serve(l) }()
-	t.Cleanup(func() {
-		require.NoError(t, h.Close())
-		require.NoError(t, <-served)
-	})
-	address := l.Addr().String()
+	address := serve(t, h)
 	length := func(from *messenger.Host, n int) (got int, err error) {
 		err = from.Call(t.Context(), address, "test/length", make([]byte, n), func(f []byte) error {
 			got = int(f[0])
--- a/messenger/tls_test.go
+++ b/messenger/tls_test.go
@@ -1,7 +1,6 @@
 package messenger_test
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -24,15 +23,7 @@
 		Self: messenger.Peer{Name: name, Incarnation: "1"}, ServerTLS: c.MutualServerConfig(), ClientTLS: c.MutualClientConfig(),
 	})
 	h.Handle("test/stream", stream(1))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	served := make(chan error, 1)
-	go func() { served <- h.Serve(l) }()
-	t.Cleanup(func() {
-		require.NoError(t, h.Close())
-		require.NoError(t, <-served)
-	})
-	return h, l.Addr().String()
+	return h, serve(t, h)
 }
 
 func TestMutualTLSAdmitsOnlyHostsOfTheAuthorityUnderTheirNames(t *testing.T) {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -47,7 +47,9 @@
 // fixture is a service whose backend servers share one list of scripts. Each request
 // consumes the next script, whichever server receives it.
 type fixture struct {
-	t         *testing.T
+	t *testing.T
+	// options are those of relayer.
+	options   relayer.Options
 	relayer   *relayer.Relayer
 	picker    *picker.Picker
 	tracker   *suspector.Tracker
@@ -82,7 +84,11 @@
 	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock, Memory: f.memory})
 	t.Cleanup(c.Close)
 	f.tracker = suspector.NewTracker(clock, zap.NewNop(), nil)
-	f.relayer = relayer.New(relayer.Options{Names: names, Transporter: c, Picker: f.picker, Throttler: f.throttler, Ejector: e, Tracker: f.tracker, Departer: f.departer, Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop()})
+	f.options = relayer.Options{
+		Names: names, Transporter: c, Picker: f.picker, Throttler: f.throttler, Ejector: e, Tracker: f.tracker, Departer: f.departer,
+		Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop(),
+	}
+	f.relayer = relayer.New(f.options)
 	return f
 }
 
