enroller: an entry under an earlier lease is written again: a test

No test noticed when this guard was dropped: an entry that a conflict shows counts as written only if it is under the lease that the process renews.

--- a/enroller/late_test.go
+++ b/enroller/late_test.go
@@ -128,11 +128,15 @@
 	// store is what the processes reach; it is memory by default.
 	store storer.Ledger
 	calls atomic.Int64
+	// hosts is how many hosts the processes know.
+	hosts atomic.Int64
 }
 
 func newHostFixture(t *testing.T) *hostFixture {
 	m := storer.NewMemoryLedger(timer.System())
-	return &hostFixture{t: t, memory: m, store: m}
+	x := &hostFixture{t: t, memory: m, store: m}
+	x.hosts.Store(1)
+	return x
 }
 
 // start starts a process; with delay, its first write of the entry is late.
@@ -144,7 +148,7 @@
 	p.ledger.delay.Store(delay)
 	p.follower = follower.New(follower.Options{Ledger: x.memory, Decoder: memberDecoder{}, Clock: timer.System(), Logger: zap.NewNop()})
 	p.enroller = enroller.New(enroller.Options{
-		Ledger: p.ledger, Key: entryKey, TTL: ttl, Hosts: func() int { return 1 }, StoreUnavailable: func() bool { return false }, Logger: zap.NewNop(),
+		Ledger: p.ledger, Key: entryKey, TTL: ttl, Hosts: func() int { return int(x.hosts.Load()) }, StoreUnavailable: func() bool { return false }, Logger: zap.NewNop(),
 	}, p.member)
 	p.follower.Notify(p.enroller.Observe)
 	return p
@@ -259,6 +263,21 @@
 	}
 }
 
+// Guards against an entry that ends with a lease that nobody renews: a write took effect without
+// an answer, and the process has requested a longer lease since, for a larger fleet. The same
+// entry has to be written once more, under that lease.
+func TestEntryUnderAnEarlierLeaseIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newHostFixture(t)
+		p := x.start("1", address, true)
+		defer p.close()
+		pass(50)
+		p.ledger.carryOutLate(t)
+		x.hosts.Store(100)
+		x.requireNamed(p, 0, 20*timer.Second)
+	})
+}
+
 // A process that has just started finds an entry that cannot be read.
 func TestUnreadableEntryIsReplacedAtStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
