forecaster: a call is refused only if it cannot end by its deadline

Callers who wait 5 s were refused with 4,985 ms left, since they would have had to wait 140 ms for a slot: a call was refused if its answer was not expected to begin within half of the route's sloMs, or within all of it if its caller was taken to be there for the second time, by having less than 0.93 of the longest time that any caller had. A call without the value was never refused, and a second send of ours was never asked.

Now a call is refused if its wait for a slot, the time to its first event and its run are not expected to end by its deadline. All sends of a call are asked, a resumed stream for the rest of its work only. Who asks for the second time is not looked at. A service that was not observed takes two calls for each slot, so that a host which has just started does not join a long queue. sloMs and gapAimMs decide nothing any more, so they are not read.

Ruled out: another share of sloMs (what callers wait is their deadline).

Evidence, on the code before: TestCallThatCanEndByItsDeadlineWaitsForASlot (refused with 3 s left, 2 s of work), TestCallThatCannotEndByItsDeadlineIsRefused (sent, as the route names no sloMs), TestResentCallThatCannotEndByItsDeadlineIsGivenUpAtOnce (1,501 ms) fail. Two properties hold now: more time left never turns an admission into a refusal (rapid), and configurations that differ in sloMs and gapAimMs only are the same. TestRetryingCallersMayWaitLonger and TestCallWithoutAnObjectiveMayWait held the old behaviour; in their place stand the bound at the deadline to the millisecond, and the properties.

--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -38,9 +38,6 @@
 	// Shares has at least one service. All weights are positive.
 	Shares  []Share
 	Timeout timer.Millis
-	// Objective is the time within which the answer to a request should begin.
-	Objective timer.Millis
-	GapBound  timer.Millis
 	// Priority is 0 for the most urgent requests.
 	Priority    int
 	MaxAttempts int
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -1,12 +1,15 @@
-// Package forecaster predicts whether a call can still be answered in time by a backend
-// server whose slots are all taken.
+// Package forecaster predicts whether a call can end within the time that its caller has
+// left, at a backend server whose slots may all be taken.
 //
 // It implements early rejection under overload. Engines admit calls in the order of
-// arrival. When demand exceeds what they can run, their queues grow until every answer
-// is late and no caller is served well. So a call that would wait for longer than its
-// objective allows is refused before it is sent, with a retry delay after which the
-// peak may be over. Callers that were refused before may wait somewhat longer than
-// new ones, so that they get the places that refused new calls leave free.
+// arrival. A call that cannot be expected to end by its deadline keeps its caller waiting
+// for nothing and takes a place from a call that could end, so it is refused before it is
+// sent. Any other call is sent, however long it will have to wait: how long a caller is
+// willing to wait is what its deadline says.
+//
+// The decision depends on the time that is left, on the calls ahead and on how long calls
+// of the service run. With all else alike, more time left never turns an admission into a
+// refusal, and a caller's second request is decided like its first.
 //
 // The prediction uses the average time that recent calls of a service ran, which grows
 // with load by itself, and the number of calls that are known to be at the server.
@@ -19,20 +22,14 @@
 )
 
 const (
-	// firstAttemptShare and retryShare are the shares of the objective within which the
-	// answer to a new call and to a retried call must be expected to begin.
-	firstAttemptShare = 0.5
-	retryShare        = 1.0
 	// sampleWeight is the weight of the newest call in the averages.
 	sampleWeight = 0.05
-	// A call counts as retried if its remaining time is below retryTimeoutRatio of the
-	// longest one of its service: its caller spent the rest on an earlier attempt.
-	// timeoutDecay is the factor by which that longest time decays with each call.
-	retryTimeoutRatio = 0.93
-	timeoutDecay      = 0.9995
+	// unobservedAhead is how many calls for each slot may be ahead of a call of a service
+	// of which no call was observed, those that run included.
+	unobservedAhead = 2
 )
 
-// Forecaster predicts the waits of calls from averages of each service. It is safe for
+// Forecaster predicts the ends of calls from averages of each service. It is safe for
 // concurrent use.
 type Forecaster struct {
 	mu       sync.Mutex
@@ -44,12 +41,9 @@
 	// toFirstByte is the time until an answer began without a wait for a slot,
 	// streaming the time from then until the end of the call.
 	toFirstByte, streaming float64
-	// longestTimeout is the longest time that callers were willing to wait, with decay.
-	longestTimeout float64
 }
 
-// New returns a Forecaster without observations. It takes the calls of a service that it
-// has not observed to run for as long as their objective.
+// New returns a Forecaster without observations.
 func New() *Forecaster {
 	return &Forecaster{services: make(map[string]*average)}
 }
@@ -73,71 +67,67 @@
 // Call describes a call that is about to be sent to a server.
 type Call struct {
 	Service string
-	// Objective is the time within which its answer should begin; zero for no limit.
-	Objective timer.Millis
-	// Timeout is the remaining time that its caller is willing to wait. Callers that
-	// were refused before have less of it left than others.
+	// Timeout is the time that its caller is willing to wait.
 	Timeout timer.Millis
 	// Ahead is the number of calls at the server that are not preempted for it, Slots the
 	// number of calls that the server runs at once.
 	Ahead, Slots int
+	// Done is how long the call ran at other servers, where it made a part of the answer
+	// that need not be made again.
+	Done timer.Millis
 }
 
-// Wait returns the predicted wait of the call for a slot.
+// Wait returns the predicted wait of the call for a slot. It is zero for a call of a service
+// that was not observed.
 func (f *Forecaster) Wait(c Call) timer.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.wait(c)
+	if a, ok := f.services[c.Service]; ok {
+		return timer.Millis(a.wait(c))
+	}
+	return 0
 }
 
-// wait implements Wait. The caller holds f.mu.
-func (f *Forecaster) wait(c Call) timer.Millis {
+// wait returns the predicted wait of a call for a slot.
+func (a *average) wait(c Call) float64 {
 	if c.Slots <= 0 || c.Ahead < c.Slots {
 		return 0
 	}
-	run := float64(c.Objective)
-	if a, ok := f.services[c.Service]; ok {
-		run = a.streaming
-	}
-	return timer.Millis(float64(c.Ahead-c.Slots+1) * run / float64(c.Slots))
+	return float64(c.Ahead-c.Slots+1) * a.streaming / float64(c.Slots)
+}
+
+// end returns the predicted time until the call ends.
+func (a *average) end(c Call) float64 {
+	return a.wait(c) + a.toFirstByte + max(0, a.streaming-float64(c.Done))
 }
 
-// InTime reports whether the answer to the call is expected to begin in time. It also
-// records the remaining time of the caller.
-func (f *Forecaster) InTime(c Call) bool {
+// EndsWithin reports whether the call is expected to end within left, the time that its
+// caller has left. If no call of the service was observed, that is taken to suffice for a
+// wait for as many calls as the server runs at once.
+func (f *Forecaster) EndsWithin(c Call, left timer.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var a average
-	if known, ok := f.services[c.Service]; ok {
-		known.longestTimeout = max(known.longestTimeout*timeoutDecay, float64(c.Timeout))
-		a = *known
-	}
-	wait := f.wait(c)
-	if wait == 0 || c.Objective == 0 {
-		return true
-	}
-	share := firstAttemptShare
-	if float64(c.Timeout) < retryTimeoutRatio*a.longestTimeout {
-		share = retryShare
+	a, ok := f.services[c.Service]
+	if !ok {
+		return c.Ahead < unobservedAhead*c.Slots
 	}
-	return float64(wait)+a.toFirstByte <= share*float64(c.Objective)
+	return a.end(c) <= float64(left)
 }
 
-// endsWithin is how many times as long as the average a call may take and still be expected
-// to end in time.
-const endsWithin = 2
+// endsSurelyWithin is how many times as long as the average a call may take and still be
+// expected to end in any case.
+const endsSurelyWithin = 2
 
-// EndsWithin reports whether the whole call is expected to end within left. A call of a
-// service that was not observed is expected to take as long as its caller waits.
-func (f *Forecaster) EndsWithin(c Call, left timer.Millis) bool {
+// EndsSurelyWithin reports whether the whole call can be relied on to end within left. A
+// call of a service that was not observed is expected to take as long as its caller waits.
+func (f *Forecaster) EndsSurelyWithin(c Call, left timer.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a, ok := f.services[c.Service]
 	if !ok {
 		return c.Timeout <= left
 	}
-	expected := endsWithin * (float64(f.wait(c)) + a.toFirstByte + a.streaming)
-	return min(expected, float64(c.Timeout)) <= float64(left)
+	return min(endsSurelyWithin*a.end(c), float64(c.Timeout)) <= float64(left)
 }
 
 // Retain drops the averages of services for which known returns false.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -71,8 +71,10 @@
 	sentAt     timer.Millis
 	// flight is the current attempt as the tracker knows it.
 	flight *suspector.Flight
-	// firstEvent is when the first event of the current attempt came, or 0.
+	// firstEvent is when the first event of the current attempt came, or 0. streamed is how
+	// long earlier attempts streamed what the current one does not repeat.
 	firstEvent timer.Millis
+	streamed   timer.Millis
 }
 
 // Run runs c and passes its answer to s. It returns when ctx ends or c.Deadline
@@ -108,10 +110,10 @@
 		return u.handleNoServer(ctx, err, left)
 	}
 	defer reservation.Release()
-	if f := u.forecastInput(reservation); u.attempts == 0 && !o.Forecaster.InTime(f) {
+	if f := u.forecastInput(reservation); !o.Forecaster.EndsWithin(f, u.call.Deadline-o.Clock.Now()) {
 		o.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID), zap.Int("ahead", f.Ahead), zap.Int("slots", f.Slots),
-			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("objective-ms", int64(f.Objective)), zap.Int64("timeout-ms", int64(f.Timeout)))
-		return NotRun{Reason: "servers are overloaded and cannot answer in time", RetryAfter: u.overloadRetryAfter(left)}, false
+			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
+		return u.giveUp("servers are overloaded and cannot answer before the caller's time is over", u.overloadRetryAfter(left)), false
 	}
 	if u.isFresh() && !u.endsBeforeStop(reservation) {
 		return NotRun{Reason: reasonStopping, RetryAfter: retryElsewhere}, false
@@ -121,7 +123,7 @@
 	}
 	o.Ejector.Begin(reservation.Server.ID)
 	defer o.Ejector.End(reservation.Server.ID)
-	u.eventCount, u.sentAt = 0, o.Clock.Now()
+	u.eventCount, u.firstEvent, u.sentAt = 0, 0, o.Clock.Now()
 	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID),
 		zap.Int("online", reservation.Load.Online), zap.Int("batch", reservation.Load.Batch), zap.Int("tried", len(u.excluded)),
 		zap.Int64("left-ms", int64(left)), zap.Int64("after-event", u.lastEvent))
@@ -143,7 +145,6 @@
 	if answer.Status != http.StatusMisdirectedRequest {
 		reservation.Answered(answer.Header.Values(o.Names.Limit), u.validate(answer) == nil && answer.Status/100 == 2)
 	}
-	u.firstEvent = 0
 	return u.handleAnswer(ctx, reservation, answer)
 }
 
@@ -157,7 +158,7 @@
 		return true
 	}
 	o := u.relayer.options
-	return o.Forecaster.EndsWithin(u.forecastInput(r), at-o.Clock.Now())
+	return o.Forecaster.EndsSurelyWithin(u.forecastInput(r), at-o.Clock.Now())
 }
 
 // handleNoServer handles a call for which there is no server now. Its results are those
@@ -193,13 +194,11 @@
 	return u.giveUp("servers failed lately under this call or a part of its prompt", retryAfter)
 }
 
-// forecastInput returns the input for deciding whether the call can be answered in
-// time at r's server. Only online calls count as ahead of it, since batch items are
-// evicted in its favour.
+// forecastInput returns the input for deciding whether the call can end in time at r's
+// server. Only online calls count as ahead of it, since batch items are evicted in its
+// favour.
 func (u *run) forecastInput(r *picker.Reservation) forecaster.Call {
-	return forecaster.Call{
-		Service: u.call.Service, Objective: u.call.Route.Objective, Timeout: u.call.MaxWait, Ahead: r.Load.Online, Slots: r.Slots,
-	}
+	return forecaster.Call{Service: u.call.Service, Timeout: u.call.MaxWait, Ahead: r.Load.Online, Slots: r.Slots, Done: u.streamed}
 }
 
 // overloadRetryAfter returns the retry-after of a call that the servers could not
@@ -257,6 +256,9 @@
 	if sent {
 		u.attempts++
 	}
+	if u.headSent && u.firstEvent != 0 {
+		u.streamed += o.Clock.Now() - u.firstEvent
+	}
 	if u.flight.Revoked() {
 		retryAfter, _ := o.Tracker.Refused(u.call.Suspect)
 		return u.refuseSuspect(retryAfter), false
