forecaster: whether a host that stops takes a call does not depend on the caller's time

Seen by reading: a host that is about to stop sent a call of a caller who waits for 1 s and refused the same call of one who waits for 3 s, since it took the shorter of twice the average and the caller's time for the call's. A service that was not observed was taken by the caller's time alone. More time left must never turn an admission into a refusal.

Now the call is sent if it would end before the stop even if it took as long as the longest call of its service lately, after its wait for a slot. That is what a cut would cost: a caller who may not repeat the call loses it, while other hosts can take it at once. A service that was not observed is refused, as before for callers who wait longer than the stop takes.

Ruled out: the average (half of the calls take longer), a multiple of it (outputs differ in length by more than twice).

Evidence: TestStopDoesNotDependOnTheTimeOfTheCaller fails on the code before (NotRun with 3 s left, sent with 1 s). TestServiceThatTakesTooLongIsForeseen held the old rule; in its place stands TestCallSurelyEndsIfTheLongestLatelyWould, to the millisecond on both sides.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -22,8 +22,10 @@
 )
 
 const (
-	// sampleWeight is the weight of the newest call in the averages.
-	sampleWeight = 0.05
+	// sampleWeight is the weight of the newest call in the averages, longestWeight that of a
+	// call which did not take longer than the longest one lately.
+	sampleWeight  = 0.05
+	longestWeight = 0.01
 	// unobservedAhead is how many calls for each slot may be ahead of a call of a service
 	// of which no call was observed, those that run included.
 	unobservedAhead = 2
@@ -41,6 +43,8 @@
 	// toFirstByte is the time until an answer began without a wait for a slot,
 	// streaming the time from then until the end of the call.
 	toFirstByte, streaming float64
+	// longest is the time that the longest call lately took without a wait for a slot.
+	longest float64
 }
 
 // New returns a Forecaster without observations.
@@ -55,20 +59,29 @@
 	defer f.mu.Unlock()
 	a, ok := f.services[service]
 	if !ok {
-		f.services[service] = &average{toFirstByte: float64(first), streaming: float64(run)}
+		f.services[service] = &average{toFirstByte: float64(first), streaming: float64(run), longest: float64(first + run)}
 		return
 	}
 	a.streaming += sampleWeight * (float64(run) - a.streaming)
 	if first > 0 {
 		a.toFirstByte += sampleWeight * (float64(first) - a.toFirstByte)
 	}
+	a.observeLongest(a.toFirstByte + float64(run))
+}
+
+// observeLongest records how long a call took without a wait for a slot. The longest time
+// is kept for the next 100 calls or so.
+func (a *average) observeLongest(took float64) {
+	if took >= a.longest {
+		a.longest = took
+		return
+	}
+	a.longest += longestWeight * (took - a.longest)
 }
 
 // Call describes a call that is about to be sent to a server.
 type Call struct {
 	Service string
-	// Timeout is the time that its caller is willing to wait.
-	Timeout timer.Millis
 	// Ahead is the number of calls at the server that are not preempted for it, Slots the
 	// number of calls that the server runs at once.
 	Ahead, Slots int
@@ -114,20 +127,14 @@
 	return a.end(c) <= float64(left)
 }
 
-// endsSurelyWithin is how many times as long as the average a call may take and still be
-// expected to end in any case.
-const endsSurelyWithin = 2
-
-// EndsSurelyWithin reports whether the whole call can be relied on to end within left. A
-// call of a service that was not observed is expected to take as long as its caller waits.
+// EndsSurelyWithin reports whether the call can be relied on to end within left: even if it
+// runs for as long as the longest of its service lately. A call of a service that was not
+// observed cannot.
 func (f *Forecaster) EndsSurelyWithin(c Call, left timer.Millis) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a, ok := f.services[c.Service]
-	if !ok {
-		return c.Timeout <= left
-	}
-	return min(endsSurelyWithin*a.end(c), float64(c.Timeout)) <= float64(left)
+	return ok && a.wait(c)+a.longest <= float64(left)
 }
 
 // Retain drops the averages of services for which known returns false.
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -26,7 +26,7 @@
 }
 
 func call(ahead int) forecaster.Call {
-	return forecaster.Call{Service: service, Ahead: ahead, Slots: slots, Timeout: 5 * timer.Second}
+	return forecaster.Call{Service: service, Ahead: ahead, Slots: slots}
 }
 
 func TestCallWithAFreeSlotEndsInItsOwnTime(t *testing.T) {
@@ -78,7 +78,6 @@
 		Ahead:   rapid.IntRange(0, 200).Draw(t, "ahead"),
 		Slots:   rapid.IntRange(1, 32).Draw(t, "slots"),
 		Done:    timer.Millis(rapid.IntRange(0, 3000).Draw(t, "done")),
-		Timeout: timer.Millis(rapid.IntRange(1, 10000).Draw(t, "timeout")),
 	}
 }
 
@@ -86,16 +85,30 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := newWarm(timer.Millis(rapid.IntRange(0, 1000).Draw(t, "first")), timer.Millis(rapid.IntRange(0, 5000).Draw(t, "run")))
 		c := drawCall(t)
-		left := timer.Millis(rapid.IntRange(0, int(c.Timeout)).Draw(t, "left"))
+		left := timer.Millis(rapid.IntRange(0, 10000).Draw(t, "left"))
 		more := timer.Millis(rapid.IntRange(0, 5000).Draw(t, "more"))
-		longer := c
-		longer.Timeout += more
-		if f.EndsWithin(c, left) {
-			require.True(t, f.EndsWithin(longer, left+more))
-		}
+		require.False(t, f.EndsWithin(c, left) && !f.EndsWithin(c, left+more))
+		require.False(t, f.EndsSurelyWithin(c, left) && !f.EndsSurelyWithin(c, left+more))
 	})
 }
 
+// A call that its host's stop would cut off is lost for a caller that may not repeat it, so
+// the longest one lately counts, and not the average.
+func TestCallSurelyEndsIfTheLongestLatelyWould(t *testing.T) {
+	f := newWarm(100, 400)
+	require.True(t, f.EndsSurelyWithin(call(0), 500))
+	f.Observe(service, 100, 1900)
+	require.True(t, f.EndsWithin(call(0), 600))
+	require.False(t, f.EndsSurelyWithin(call(0), 1999))
+	require.True(t, f.EndsSurelyWithin(call(0), 2000))
+	require.False(t, f.EndsSurelyWithin(call(slots), 2000), "it waits for a slot first")
+	for range 500 {
+		f.Observe(service, 100, 400)
+	}
+	require.True(t, f.EndsSurelyWithin(call(0), 600), "that was long ago")
+	require.False(t, forecaster.New().EndsSurelyWithin(call(0), 5*timer.Second), "not observed")
+}
+
 // A peak of twice the capacity is followed by a quiet period. There is one server, which
 // runs calls in the order of arrival. Callers wait for as long as a fifth of the peak lasts
 // and leave then; a call whose caller left before it began does not run.
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -214,7 +214,6 @@
 		ID: x.id, Method: x.request.Method, Target: target(x.request), Host: x.request.Host, Header: h, Body: body,
 		Route: x.route, Service: x.route.Pick(rand.Float64()), Deadline: x.deadline(), Prompt: strings.Join(parts, ","),
 	}
-	c.MaxWait = c.Deadline - x.started
 	c.Rank = x.snapshot.Config.Rank(x.workspace, x.route)
 	c.Workspace = x.workspaceName()
 	c.Suspect = suspector.Call{
--- a/relayer/caller_test.go
+++ b/relayer/caller_test.go
@@ -15,7 +15,7 @@
 func (f *fixture) runWith(h http.Header) relayer.Outcome {
 	return f.relayer.Run(f.t.Context(), relayer.Call{
 		ID: "id", Method: "POST", Target: "/p", Host: "h", Header: h, Body: []byte("odd"), Route: route(cataloger.Idempotent, false, 3),
-		Service: "svc", Workspace: "other", Deadline: f.clock.Now() + 3*timer.Second, MaxWait: 3 * timer.Second,
+		Service: "svc", Workspace: "other", Deadline: f.clock.Now() + 3*timer.Second,
 	}, &sink{})
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -47,8 +47,6 @@
 	Workspace string
 	// Deadline is the instant at which the call's time is over.
 	Deadline timer.Millis
-	// MaxWait is the time from the arrival of the request to Deadline.
-	MaxWait timer.Millis
 	// Suspect identifies the call by its content, for finding calls that crash
 	// servers.
 	Suspect suspector.Call
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -155,10 +155,15 @@
 }
 
 func (f *fixture) run(r *cataloger.Route) (relayer.Outcome, *sink) {
+	return f.runFor(3*timer.Second, r)
+}
+
+// runFor runs a call whose caller waits this long.
+func (f *fixture) runFor(wait timer.Millis, r *cataloger.Route) (relayer.Outcome, *sink) {
 	s := &sink{}
 	o := f.relayer.Run(f.t.Context(), relayer.Call{
 		ID: "id", Method: "POST", Target: "/p", Host: "h", Header: http.Header{"Id": {"id"}, "Workspace": {"forged"}, "X": {"1"}},
-		Body: []byte("body"), Route: r, Service: "svc", Workspace: "w", Deadline: timer.System().Now() + 3*timer.Second, MaxWait: 3 * timer.Second,
+		Body: []byte("body"), Route: r, Service: "svc", Workspace: "w", Deadline: f.clock.Now() + wait,
 	}, s)
 	return o, s
 }
--- a/relayer/stop_test.go
+++ b/relayer/stop_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
-	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
@@ -51,7 +50,7 @@
 	f := newFixture(t, 1, text("200 OK", signed, "ok"), text("200 OK", signed, "ok"))
 	f.relayer.StopAt(f.clock.Now() + 2*timer.Second)
 	o, _ := f.run(route(cataloger.NonIdempotent, false, 1))
-	require.IsType(t, relayer.NotRun{}, o, "the service was not observed, and the caller waits for 3 s")
+	require.IsType(t, relayer.NotRun{}, o, "the service was not observed")
 	require.Positive(t, o.(relayer.NotRun).RetryAfter)
 	require.Empty(t, f.seen())
 
@@ -63,6 +62,18 @@
 	require.IsType(t, relayer.Delivered{}, o, "the first call was answered at once")
 }
 
+// A host that is about to stop sent a call whose caller waits for 1 s, and refused the same
+// call with more time left.
+func TestStopDoesNotDependOnTheTimeOfTheCaller(t *testing.T) {
+	for _, wait := range []timer.Millis{timer.Second, 3 * timer.Second} {
+		f := newFixture(t, 1, text("200 OK", signed, "ok"))
+		f.options.Forecaster.Observe("svc", 100, 600)
+		f.relayer.StopAt(f.clock.Now() + 1200)
+		o, _ := f.runFor(wait, route(cataloger.NonIdempotent, false, 1))
+		require.IsType(t, relayer.Delivered{}, o, "no call took longer than 700 ms")
+	}
+}
+
 // Servers are told how long the host will wait.
 func TestDeadlineOfACallIsThatOfTheStop(t *testing.T) {
 	f := newFixture(t, 1, text("200 OK", signed, "ok"), text("200 OK", signed, "ok"))
@@ -77,17 +88,3 @@
 		require.InDelta(t, most-250, ms, 250)
 	}
 }
-
-func TestServiceThatTakesTooLongIsForeseen(t *testing.T) {
-	f := forecaster.New()
-	call := forecaster.Call{Service: "s", Timeout: 5000, Slots: 8}
-	require.True(t, f.EndsSurelyWithin(call, 5000))
-	require.False(t, f.EndsSurelyWithin(call, 4999), "not observed")
-	f.Observe("s", 100, 900)
-	require.True(t, f.EndsSurelyWithin(call, 2000), "twice the average")
-	require.False(t, f.EndsSurelyWithin(call, 1999))
-	call.Timeout = 1500
-	require.True(t, f.EndsSurelyWithin(call, 1500), "its caller waits no longer")
-	call.Timeout, call.Ahead = 5000, 8
-	require.False(t, f.EndsSurelyWithin(call, 2000), "it waits for a slot first")
-}
