forecaster: calls that were given up on, and waits, count in the prediction

The averages consisted of calls that were answered to the end, and of a call's wait nothing was learned. So of a service that had become too slow for its callers no call was observed any more and all were sent as before; and where more calls were ahead than a host knew of (other hosts' calls on the way, items that go on until they are evicted), each wait was foretold too short, again and again. With the caller's deadline as the bound, a wait that is foretold badly ends as a failure at the deadline.

Now a call whose time was over, or whose caller left, counts with the time that it took, if that is more than expected; and predicted waits are multiplied by the ratio of what calls waited to what was predicted for them, between 0.5 and 4.

Ruled out: servers' own reports (they lag, and are priced); a correction by server (a host sees too few calls of each).

Evidence: with either part dropped, as before, TestCallsThatAreGivenUpCount or TestPredictedWaitsAreCorrectedByThoseObserved (both cases) fails; without the bounds TestCorrectionOfWaitsIsBounded does.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -12,7 +12,10 @@
 // refusal, and a caller's second request is decided like its first.
 //
 // The prediction uses the average time that recent calls of a service ran, which grows
-// with load by itself, and the number of calls that are known to be at the server.
+// with load by itself, and the number of calls that are known to be at the server. It is corrected by how long recent calls waited, compared with what was
+// predicted for them: other hosts' calls may be on the way, and batch items may go on for a
+// while. Calls that were given up on count too, as they took at least as long. Otherwise the
+// averages would consist of those calls only that ended in time.
 package forecaster
 
 import (
@@ -29,6 +32,10 @@
 	// unobservedAhead is how many calls for each slot may be ahead of a call of a service
 	// of which no call was observed, those that run included.
 	unobservedAhead = 2
+	// minWaitRatio and maxWaitRatio bound the correction of predicted waits, so that a few
+	// odd calls neither fill the queues nor refuse everything.
+	minWaitRatio = 0.5
+	maxWaitRatio = 4.0
 )
 
 // Forecaster predicts the ends of calls from averages of each service. It is safe for
@@ -45,6 +52,9 @@
 	toFirstByte, streaming float64
 	// longest is the time that the longest call lately took without a wait for a slot.
 	longest float64
+	// waited and predicted are the time for which calls waited for a slot, and the prediction
+	// of that without a correction.
+	waited, predicted float64
 }
 
 // New returns a Forecaster without observations.
@@ -52,21 +62,61 @@
 	return &Forecaster{services: make(map[string]*average)}
 }
 
-// Observe records a call of a service. first is the time until its answer began, or zero
-// if the call had to wait for a slot; run is the time from then until its end.
-func (f *Forecaster) Observe(service string, first, run timer.Millis) {
+// Sample describes a call that was sent to a server and has ended.
+type Sample struct {
+	// Call is the call as it was predicted.
+	Call Call
+	// First is the time until its answer began, or until it was given up on before; zero if
+	// it is not known how long it waited. Run is the time from then until its end.
+	First, Run timer.Millis
+	// Full is set if it found all slots taken, be it by batch items.
+	Full bool
+	// GivenUp is set if its time was over, or its caller left, before its end. Run is zero if
+	// its answer had not begun.
+	GivenUp bool
+}
+
+// Observe records a call of a service.
+func (f *Forecaster) Observe(m Sample) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	a, ok := f.services[service]
+	a, ok := f.services[m.Call.Service]
 	if !ok {
-		f.services[service] = &average{toFirstByte: float64(first), streaming: float64(run), longest: float64(first + run)}
+		if m.GivenUp {
+			return
+		}
+		a = &average{toFirstByte: float64(m.First), streaming: float64(m.Run)}
+		f.services[m.Call.Service] = a
+	}
+	a.observeWait(m)
+	a.observeRun(m)
+	if !m.Full && !m.GivenUp {
+		a.toFirstByte += sampleWeight * (float64(m.First) - a.toFirstByte)
+	}
+}
+
+// observeRun records how long a call ran.
+func (a *average) observeRun(m Sample) {
+	run := float64(m.Run)
+	if m.GivenUp && run <= a.streaming {
 		return
 	}
-	a.streaming += sampleWeight * (float64(run) - a.streaming)
-	if first > 0 {
-		a.toFirstByte += sampleWeight * (float64(first) - a.toFirstByte)
+	a.streaming += sampleWeight * (run - a.streaming)
+	a.observeLongest(a.toFirstByte + float64(m.Run))
+}
+
+// observeWait records how long a call waited that was expected to wait.
+func (a *average) observeWait(m Sample) {
+	predicted := a.queue(m.Call)
+	if predicted == 0 || m.First == 0 {
+		return
 	}
-	a.observeLongest(a.toFirstByte + float64(run))
+	waited := max(0, float64(m.First)-a.toFirstByte)
+	if m.GivenUp && waited <= a.wait(m.Call) {
+		return
+	}
+	a.waited += sampleWeight * (waited - a.waited)
+	a.predicted += sampleWeight * (predicted - a.predicted)
 }
 
 // observeLongest records how long a call took without a wait for a slot. The longest time
@@ -101,14 +151,23 @@
 	return 0
 }
 
-// wait returns the predicted wait of a call for a slot.
-func (a *average) wait(c Call) float64 {
+// queue returns the time in which the calls ahead of a call leave a slot to it.
+func (a *average) queue(c Call) float64 {
 	if c.Slots <= 0 || c.Ahead < c.Slots {
 		return 0
 	}
 	return float64(c.Ahead-c.Slots+1) * a.streaming / float64(c.Slots)
 }
 
+// wait returns the predicted wait of a call for a slot.
+func (a *average) wait(c Call) float64 {
+	ratio := 1.0
+	if a.predicted > 0 {
+		ratio = min(max(a.waited/a.predicted, minWaitRatio), maxWaitRatio)
+	}
+	return ratio * a.queue(c)
+}
+
 // end returns the predicted time until the call ends.
 func (a *average) end(c Call) float64 {
 	return a.wait(c) + a.toFirstByte + max(0, a.streaming-float64(c.Done))
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -20,11 +20,16 @@
 func newWarm(first, run timer.Millis) *forecaster.Forecaster {
 	f := forecaster.New()
 	for range 200 {
-		f.Observe(service, first, run)
+		f.Observe(ended(0, first, run))
 	}
 	return f
 }
 
+// ended returns a call that found ahead others at its server and was answered.
+func ended(ahead int, first, run timer.Millis) forecaster.Sample {
+	return forecaster.Sample{Call: call(ahead), First: first, Run: run, Full: ahead >= slots}
+}
+
 func call(ahead int) forecaster.Call {
 	return forecaster.Call{Service: service, Ahead: ahead, Slots: slots}
 }
@@ -97,18 +102,70 @@
 func TestCallSurelyEndsIfTheLongestLatelyWould(t *testing.T) {
 	f := newWarm(100, 400)
 	require.True(t, f.EndsSurelyWithin(call(0), 500))
-	f.Observe(service, 100, 1900)
+	f.Observe(ended(0, 100, 1900))
 	require.True(t, f.EndsWithin(call(0), 600))
 	require.False(t, f.EndsSurelyWithin(call(0), 1999))
 	require.True(t, f.EndsSurelyWithin(call(0), 2000))
 	require.False(t, f.EndsSurelyWithin(call(slots), 2000), "it waits for a slot first")
 	for range 500 {
-		f.Observe(service, 100, 400)
+		f.Observe(ended(0, 100, 400))
 	}
 	require.True(t, f.EndsSurelyWithin(call(0), 600), "that was long ago")
 	require.False(t, forecaster.New().EndsSurelyWithin(call(0), 5*timer.Second), "not observed")
 }
 
+// The averages consisted of calls that ended in time only: of a service that had become too
+// slow for its callers, no call was observed any more, and all were sent as before.
+func TestCallsThatAreGivenUpCount(t *testing.T) {
+	f := newWarm(50, 400)
+	c := call(0)
+	require.True(t, f.EndsWithin(c, timer.Second))
+	for range 60 {
+		f.Observe(forecaster.Sample{Call: c, First: 50, Run: 950, GivenUp: true})
+	}
+	require.False(t, f.EndsWithin(c, 900))
+	for range 200 {
+		f.Observe(forecaster.Sample{Call: c, First: 50, Run: 100, GivenUp: true})
+	}
+	require.False(t, f.EndsWithin(c, 900), "callers who leave early tell nothing")
+	for range 100 {
+		f.Observe(ended(0, 50, 400))
+	}
+	require.True(t, f.EndsWithin(c, 900), "it is fast again")
+}
+
+// A server has more calls ahead than its host knows of, so all wait twice as long as
+// predicted. Later calls are predicted by what those before them waited.
+func TestPredictedWaitsAreCorrectedByThoseObserved(t *testing.T) {
+	for name, givenUp := range map[string]bool{"answered": false, "given-up": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newWarm(50, 400)
+			require.EqualValues(t, 250, f.Wait(call(slots+4)))
+			for range 100 {
+				m := ended(slots+4, 550, 400)
+				m.GivenUp = givenUp
+				f.Observe(m)
+			}
+			require.InDelta(t, 500, int(f.Wait(call(slots+4))), 30)
+			require.InDelta(t, 200, int(f.Wait(call(slots+1))), 15)
+			require.Zero(t, f.Wait(call(slots-1)))
+		})
+	}
+}
+
+// One odd call among many, or a whole minute of them, neither refuses all calls nor makes
+// queues look empty.
+func TestCorrectionOfWaitsIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newWarm(50, 400)
+		for _, first := range rapid.SliceOfN(rapid.IntRange(0, 1<<30), 1, 200).Draw(t, "firsts") {
+			f.Observe(ended(slots+4, timer.Millis(first), 400))
+		}
+		require.GreaterOrEqual(t, int(f.Wait(call(slots+4))), 250/2)
+		require.LessOrEqual(t, int(f.Wait(call(slots+4))), 250*4)
+	})
+}
+
 // A peak of twice the capacity is followed by a quiet period. There is one server, which
 // runs calls in the order of arrival. Callers wait for as long as a fifth of the peak lasts
 // and leave then; a call whose caller left before it began does not run.
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/jackdawgate/jackdawgate/comparer"
+	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/splitter"
@@ -51,16 +52,18 @@
 		if a.Status/100 == 2 {
 			u.relayer.options.Tracker.Completed(u.call.Suspect)
 		}
-		u.recordTimes(r)
+		u.recordTimes(r, false)
 		u.recordRate(r)
 		return Delivered{Status: a.Status, Server: r.Server.ID, Servers: u.attempts + 1}, false
 	case errors.Is(err, errCallerGone):
 		u.recordUnanswered(r)
+		u.recordTimes(r, true)
 		return CallerGone{}, false
 	case u.headSent && !u.resumable && !u.flight.Revoked():
 		u.attempts++
 		if ctx.Err() != nil {
 			u.recordUnanswered(r)
+			u.recordTimes(r, true)
 			return u.outcomeOfContext(ctx), false
 		}
 		u.recordFailure(r, err)
@@ -69,26 +72,26 @@
 	return u.handleFailure(ctx, r, err)
 }
 
-// recordTimes reports to the forecaster how long the call waited and ran, if it
-// ran at one server from beginning to end.
-func (u *run) recordTimes(r *picker.Reservation) {
-	if u.attempts > 0 {
+// recordTimes reports to the forecaster how long the current attempt waited and ran.
+// givenUp is set if its time was over, or its caller left, before its end. The rest of a
+// stream that began elsewhere tells nothing.
+func (u *run) recordTimes(r *picker.Reservation, givenUp bool) {
+	if u.resuming {
 		return
 	}
 	now := u.relayer.options.Clock.Now()
-	began, first := u.sentAt, u.firstEvent
-	if first == 0 {
-		// Without events, the first byte is not observed: the whole time since sending
-		// is reported as running and, unless the server was full, also as waiting.
-		first = now
-	} else {
-		began = first
-	}
-	wait := first - u.sentAt
-	if r.ServerFull() {
-		wait = 0
-	}
-	u.relayer.options.Forecaster.Observe(u.call.Service, wait, now-began)
+	m := forecaster.Sample{Call: u.forecastInput(r), First: now - u.sentAt, Full: r.ServerFull(), GivenUp: givenUp}
+	switch {
+	case u.firstEvent != 0:
+		m.First, m.Run = u.firstEvent-u.sentAt, now-u.firstEvent
+	case !givenUp && m.Full:
+		// Without events it is not known how long the call waited.
+		m.Run = max(0, m.First-u.relayer.options.Forecaster.Wait(m.Call))
+		m.First = 0
+	case !givenUp:
+		m.Run = m.First
+	}
+	u.relayer.options.Forecaster.Observe(m)
 }
 
 // recordRate reports the rate of the events of the current attempt to the
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -118,6 +118,11 @@
 	}
 }
 
+// observe records a call of the service that took this long.
+func (f *fixture) observe(first, run timer.Millis) {
+	f.options.Forecaster.Observe(forecaster.Sample{Call: forecaster.Call{Service: "svc"}, First: first, Run: run})
+}
+
 func (f *fixture) seen() []*http.Request {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -110,12 +110,13 @@
 		return u.handleNoServer(ctx, err, left)
 	}
 	defer reservation.Release()
-	if f := u.forecastInput(reservation); !o.Forecaster.EndsWithin(f, u.call.Deadline-o.Clock.Now()) {
+	f := u.forecastInput(reservation)
+	if !o.Forecaster.EndsWithin(f, u.call.Deadline-o.Clock.Now()) {
 		o.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID), zap.Int("ahead", f.Ahead), zap.Int("slots", f.Slots),
 			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
 		return u.giveUp("servers are overloaded and cannot answer before the caller's time is over", u.overloadRetryAfter(left)), false
 	}
-	if u.isFresh() && !u.endsBeforeStop(reservation) {
+	if u.isFresh() && !u.endsBeforeStop(f) {
 		return NotRun{Reason: reasonStopping, RetryAfter: retryElsewhere}, false
 	}
 	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
@@ -152,13 +153,13 @@
 func (u *run) isFresh() bool { return u.attempts == 0 && !u.headSent }
 
 // endsBeforeStop reports whether the call can be expected to end before the host stops.
-func (u *run) endsBeforeStop(r *picker.Reservation) bool {
+func (u *run) endsBeforeStop(c forecaster.Call) bool {
 	at := timer.Millis(u.relayer.stopAt.Load())
 	if at == 0 {
 		return true
 	}
 	o := u.relayer.options
-	return o.Forecaster.EndsSurelyWithin(u.forecastInput(r), at-o.Clock.Now())
+	return o.Forecaster.EndsSurelyWithin(c, at-o.Clock.Now())
 }
 
 // handleNoServer handles a call for which there is no server now. Its results are those
@@ -266,6 +267,7 @@
 	if ctx.Err() != nil {
 		if sent {
 			u.recordUnanswered(r)
+			u.recordTimes(r, true)
 		}
 		return u.outcomeOfContext(ctx), false
 	}
--- a/relayer/stop_test.go
+++ b/relayer/stop_test.go
@@ -67,7 +67,7 @@
 func TestStopDoesNotDependOnTheTimeOfTheCaller(t *testing.T) {
 	for _, wait := range []timer.Millis{timer.Second, 3 * timer.Second} {
 		f := newFixture(t, 1, text("200 OK", signed, "ok"))
-		f.options.Forecaster.Observe("svc", 100, 600)
+		f.observe(100, 600)
 		f.relayer.StopAt(f.clock.Now() + 1200)
 		o, _ := f.runFor(wait, route(cataloger.NonIdempotent, false, 1))
 		require.IsType(t, relayer.Delivered{}, o, "no call took longer than 700 ms")
