forecaster: calls at slow servers are predicted to wait and run longer

A server that takes three times as long as the others of its service (`comparer` knows) was predicted like them, so its callers waited until their deadline for an answer that could not come. Its slowdown now multiplies the time in which the calls ahead leave a slot and the time that the call itself runs; what its calls took counts in the service's average as if it were not slow.

Evidence: without the factor, as before, TestSlowServersTakeLonger fails.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -12,7 +12,8 @@
 // refusal, and a caller's second request is decided like its first.
 //
 // The prediction uses the average time that recent calls of a service ran, which grows
-// with load by itself, and the number of calls that are known to be at the server. It is corrected by how long recent calls waited, compared with what was
+// with load by itself, the number of calls that are known to be at the server, and the
+// server's slowdown. It is corrected by how long recent calls waited, compared with what was
 // predicted for them: other hosts' calls may be on the way, and batch items may go on for a
 // while. Calls that were given up on count too, as they took at least as long. Otherwise the
 // averages would consist of those calls only that ended in time.
@@ -85,7 +86,7 @@
 		if m.GivenUp {
 			return
 		}
-		a = &average{toFirstByte: float64(m.First), streaming: float64(m.Run)}
+		a = &average{toFirstByte: float64(m.First), streaming: m.run()}
 		f.services[m.Call.Service] = a
 	}
 	a.observeWait(m)
@@ -95,9 +96,12 @@
 	}
 }
 
+// run returns the time for which the call would have run at a server that is not slow.
+func (m Sample) run() float64 { return float64(m.Run) / m.Call.slowdown() }
+
 // observeRun records how long a call ran.
 func (a *average) observeRun(m Sample) {
-	run := float64(m.Run)
+	run := m.run()
 	if m.GivenUp && run <= a.streaming {
 		return
 	}
@@ -135,6 +139,9 @@
 	// Ahead is the number of calls at the server that are not preempted for it, Slots the
 	// number of calls that the server runs at once.
 	Ahead, Slots int
+	// Slowdown is the server's slowdown factor, a multiple of the service's mean time. Zero
+	// counts as one.
+	Slowdown float64
 	// Done is how long the call ran at other servers, where it made a part of the answer
 	// that need not be made again.
 	Done timer.Millis
@@ -151,12 +158,15 @@
 	return 0
 }
 
+// slowdown returns the server's slowdown factor.
+func (c Call) slowdown() float64 { return max(c.Slowdown, 1) }
+
 // queue returns the time in which the calls ahead of a call leave a slot to it.
 func (a *average) queue(c Call) float64 {
 	if c.Slots <= 0 || c.Ahead < c.Slots {
 		return 0
 	}
-	return float64(c.Ahead-c.Slots+1) * a.streaming / float64(c.Slots)
+	return float64(c.Ahead-c.Slots+1) * a.streaming * c.slowdown() / float64(c.Slots)
 }
 
 // wait returns the predicted wait of a call for a slot.
@@ -170,7 +180,7 @@
 
 // end returns the predicted time until the call ends.
 func (a *average) end(c Call) float64 {
-	return a.wait(c) + a.toFirstByte + max(0, a.streaming-float64(c.Done))
+	return a.wait(c) + a.toFirstByte + max(0, a.streaming*c.slowdown()-float64(c.Done))
 }
 
 // EndsWithin reports whether the call is expected to end within left, the time that its
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -79,10 +79,11 @@
 // drawCall draws a call of the service or of one that was not observed.
 func drawCall(t *rapid.T) forecaster.Call {
 	return forecaster.Call{
-		Service: rapid.SampledFrom([]string{service, "unobserved"}).Draw(t, "service"),
-		Ahead:   rapid.IntRange(0, 200).Draw(t, "ahead"),
-		Slots:   rapid.IntRange(1, 32).Draw(t, "slots"),
-		Done:    timer.Millis(rapid.IntRange(0, 3000).Draw(t, "done")),
+		Service:  rapid.SampledFrom([]string{service, "unobserved"}).Draw(t, "service"),
+		Ahead:    rapid.IntRange(0, 200).Draw(t, "ahead"),
+		Slots:    rapid.IntRange(1, 32).Draw(t, "slots"),
+		Slowdown: rapid.Float64Range(0, 8).Draw(t, "slowdown"),
+		Done:     timer.Millis(rapid.IntRange(0, 3000).Draw(t, "done")),
 	}
 }
 
@@ -166,6 +167,21 @@
 	})
 }
 
+// A server that takes three times as long as the others of its service also takes three
+// times as long to serve those ahead.
+func TestSlowServersTakeLonger(t *testing.T) {
+	f := newWarm(50, 400)
+	c := call(slots)
+	c.Slowdown = 3
+	require.EqualValues(t, 150, f.Wait(c))
+	require.True(t, f.EndsWithin(c, 150+50+1200))
+	require.False(t, f.EndsWithin(c, 150+50+1199))
+	for range 100 {
+		f.Observe(forecaster.Sample{Call: forecaster.Call{Service: service, Slots: slots, Slowdown: 3}, First: 50, Run: 1200})
+	}
+	require.True(t, f.EndsWithin(call(0), 450), "its calls tell how long they run at the others")
+}
+
 // A peak of twice the capacity is followed by a quiet period. There is one server, which
 // runs calls in the order of arrival. Callers wait for as long as a fifth of the peak lasts
 // and leave then; a call whose caller left before it began does not run.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -61,9 +61,11 @@
 type Reservation struct {
 	Server cataloger.Server
 	// Load counts the other calls at the server at the time of the choice. It is
-	// zero, as are Slots, in a Reservation that Reserve returns.
+	// zero, as are Slots and Slowdown, in a Reservation that Reserve returns.
 	Load  gossiper.Load
 	Slots int
+	// Slowdown is the server's slowdown factor at that time.
+	Slowdown float64
 
 	picker *Picker
 	batch  bool
@@ -198,7 +200,7 @@
 func (p *Picker) newReservation(s cataloger.Snapshot, c selector.Candidate, batch bool) *Reservation {
 	return &Reservation{
 		Server: c.Server, Load: gossiper.Load{Online: c.Online, Batch: c.Batch},
-		Slots: Slots(s, c.Server), picker: p, batch: batch, mark: p.options.Throttler.Mark(c.Server.Incarnation()),
+		Slots: Slots(s, c.Server), Slowdown: c.Slowdown, picker: p, batch: batch, mark: p.options.Throttler.Mark(c.Server.Incarnation()),
 	}
 }
 
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -199,7 +199,7 @@
 // server. Only online calls count as ahead of it, since batch items are evicted in its
 // favour.
 func (u *run) forecastInput(r *picker.Reservation) forecaster.Call {
-	return forecaster.Call{Service: u.call.Service, Ahead: r.Load.Online, Slots: r.Slots, Done: u.streamed}
+	return forecaster.Call{Service: u.call.Service, Ahead: r.Load.Online, Slots: r.Slots, Slowdown: r.Slowdown, Done: u.streamed}
 }
 
 // overloadRetryAfter returns the retry-after of a call that the servers could not
