postponer: callers whose calls have no room come again when there is room, one after the other

Whom full servers refused was told 60 ms, whatever the queue. For servers' limits the same question had another answer, places one after the other (`throttler.RefuseUntil`).

Now there is one answer, `postponer`: the first place is when the servers have room (when a call with as much time left would be taken; when a full server leaves a slot; when a limit has a token), the next ones follow at this host's share of the rate, in the order of the refusals. A caller that is not willing to wait for its place, by the third that callers honour, leaves it to the next. A call that could not be served from its place any more is refused with a reason that says so. Places are reserved for nobody, so a second request is like a first.

Ruled out: places that are kept for those who were refused (it would have to be guessed who returns); a random spread (callers meet by chance where there is room for one).

Evidence, on the code before: TestCallersOfBusyServersAreToldOfPlacesOneAfterTheOther (967 ms in place of 60) and TestCallersOfFullServersAreToldOfPlacesOneAfterTheOther (60 ms in place of 500, 1,000, 1,500) fail.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -169,6 +169,28 @@
 	return float64(c.Ahead-c.Slots+1) * a.streaming * c.slowdown() / float64(c.Slots)
 }
 
+// End returns the predicted time until the call ends. It is zero for a call of a service that
+// was not observed.
+func (f *Forecaster) End(c Call) timer.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a, ok := f.services[c.Service]; ok {
+		return timer.Millis(a.end(c))
+	}
+	return 0
+}
+
+// Interval returns the average time in which this many slots, all taken, leave one to the
+// next call. It is zero for a service that was not observed.
+func (f *Forecaster) Interval(service string, slots int) timer.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a, ok := f.services[service]; ok {
+		return timer.Millis(a.streaming / float64(max(1, slots)))
+	}
+	return 0
+}
+
 // wait returns the predicted wait of a call for a slot.
 func (a *average) wait(c Call) float64 {
 	ratio := 1.0
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -217,6 +217,19 @@
 	return defaultSlots
 }
 
+// TotalSlots returns how many calls of a service run at the same time on all its servers
+// that take calls.
+func (p *Picker) TotalSlots(service string) int {
+	s := p.options.Snapshot()
+	n := 0
+	for _, v := range s.ServersOf(service) {
+		if !v.Draining && !p.options.Leaving(v.Incarnation()) {
+			n += Slots(s, v)
+		}
+	}
+	return n
+}
+
 // Candidates returns the servers of a service with the calls that all hosts are known
 // to have in flight there, and the room that their limits leave for a batch item.
 func (p *Picker) Candidates(service string, class throttler.Batch) []selector.Candidate {
--- /dev/null
+++ b/postponer/postponer.go
@@ -0,0 +1,63 @@
+// Package postponer tells callers whose calls were refused when to come again.
+//
+// What a call lacked, a token of a limit or a place in a queue, becomes free at a certain
+// rate. Callers that are all told of the first time would come together, and all but one
+// would be refused again, most of them for good. So each gets a place of its own, one after
+// the other in the order in which they were refused, at this host's share of the rate.
+//
+// Places are promised to nobody: whoever comes first takes what is free, so that a caller's
+// second request is treated like any other's first. They are where a request has the best
+// chance.
+package postponer
+
+import (
+	"maps"
+	"sync"
+
+	"github.com/jackdawgate/jackdawgate/timer"
+)
+
+// Opening is what a host knows of the places that a limit or a queue gives.
+type Opening struct {
+	// First is the time until the first place, Interval the time between two places of this
+	// host.
+	First, Interval timer.Millis
+	// Patience is how long the caller is willing to stay away. A caller that is not willing
+	// to wait for its place leaves it to the next one.
+	Patience timer.Millis
+}
+
+// Postponer gives out places. It is safe for concurrent use.
+type Postponer struct {
+	clock timer.Clock
+
+	mu sync.Mutex
+	// last holds the last place given out, by key, if it lies ahead.
+	last map[string]timer.Millis
+}
+
+// New returns a Postponer that has given out nothing.
+func New(c timer.Clock) *Postponer {
+	return &Postponer{clock: c, last: make(map[string]timer.Millis)}
+}
+
+// Postpone returns the time until the next place of a limit or queue, which it gives out. It
+// may be longer than the caller is willing to wait.
+func (p *Postponer) Postpone(key string, o Opening) timer.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	maps.DeleteFunc(p.last, func(_ string, at timer.Millis) bool { return at < now })
+	place := now + o.First
+	if last, ok := p.last[key]; ok {
+		place = max(place, last+o.Interval)
+	}
+	if place-now <= o.Patience {
+		p.last[key] = place
+	}
+	return place - now
+}
+
+// CallerPatience returns how long callers with this time left stay away at most when they
+// are told to come again: a third of it, by the platform's protocol.
+func CallerPatience(left timer.Millis) timer.Millis { return max(0, left/3) }
--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -77,6 +77,43 @@
 	require.Empty(t, f.seen())
 }
 
+// Callers were told to come again after a third of their time, whatever the queue was, and
+// all of them within the same tenth of a second.
+func TestCallersOfBusyServersAreToldOfPlacesOneAfterTheOther(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1 })
+	taken, err := f.picker.Pick("svc", selector.Request{})
+	require.NoError(t, err)
+	defer taken.Release()
+	f.observe(50, 1500)
+	for _, want := range []int{60, 1550} {
+		o, _ := f.run(route(cataloger.Idempotent, false, 1))
+		require.IsType(t, relayer.NotRun{}, o)
+		require.InDelta(t, want, int(o.(relayer.NotRun).RetryAfter), 100, "a place each 1.5 s, the first when 3,050 ms of work are 3 s")
+		require.Contains(t, o.(relayer.NotRun).Reason, "cannot answer before")
+	}
+}
+
+// Callers whom full servers refused were all told to come again after 60 ms. One that could
+// not be served from its place any more is told so.
+func TestCallersOfFullServersAreToldOfPlacesOneAfterTheOther(t *testing.T) {
+	full := text("503 Service Unavailable", "Not-Run: 1\r\n", "")
+	f := newFixture(t, 1, full, full, full, full, full)
+	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 2 })
+	f.observe(50, 1000)
+	var reasons []string
+	for i := range 4 {
+		o, _ := f.run(route(cataloger.Idempotent, false, 1))
+		require.IsType(t, relayer.NotRun{}, o)
+		require.InDelta(t, 500+min(i, 2)*500, int(o.(relayer.NotRun).RetryAfter), 100, "two slots leave a place each 500 ms; callers stay away for a second at most")
+		reasons = append(reasons, o.(relayer.NotRun).Reason)
+	}
+	require.Equal(t, "servers refused it", reasons[0])
+	o, _ := f.runFor(1200, route(cataloger.Idempotent, false, 1))
+	require.IsType(t, relayer.NotRun{}, o)
+	require.Contains(t, o.(relayer.NotRun).Reason, "cannot answer before")
+}
+
 // Callers with seconds left were refused since they would have had to wait for a few tenths
 // of one.
 func TestCallThatCanEndByItsDeadlineWaitsForASlot(t *testing.T) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,6 +24,7 @@
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/postponer"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -126,6 +127,9 @@
 // Relayer runs calls. It is safe for concurrent use.
 type Relayer struct {
 	options Options
+	// queues gives places to callers for whose calls servers had no room, limits to those
+	// whom the limits of servers held back.
+	queues, limits *postponer.Postponer
 	// stopAt is the instant at which all calls must have ended, or zero. ended is cancelled
 	// by End.
 	stopAt atomic.Int64
@@ -135,7 +139,7 @@
 
 // New returns a Relayer.
 func New(o Options) *Relayer {
-	r := &Relayer{options: o}
+	r := &Relayer{options: o, queues: postponer.New(o.Clock), limits: postponer.New(o.Clock)}
 	r.ended, r.end = context.WithCancel(context.Background())
 	return r
 }
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 
@@ -12,6 +11,7 @@
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/postponer"
 	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/throttler"
@@ -23,11 +23,14 @@
 const (
 	// minTimeLeft is how much time a call must have left to be sent to a server.
 	minTimeLeft timer.Millis = 30
-	// retryNoServer and retryOverloaded are the retry-after of refused calls, and
-	// retryElsewhere that of calls that other hosts can take at once.
-	retryNoServer   timer.Millis = 300
-	retryOverloaded timer.Millis = 60
-	retryElsewhere  timer.Millis = 10
+	// retryNoServer is the retry-after of calls for which no server is known: a host learns
+	// of new ones within this time, retryElsewhere that of calls that other hosts can take
+	// at once.
+	retryNoServer  timer.Millis = 300
+	retryElsewhere timer.Millis = 10
+	// minRetry is the shortest retry-after of calls for which servers had no room: what
+	// hosts tell one another of their calls arrives within that time.
+	minRetry timer.Millis = 60
 	// resumeAfter is how long a resumable stream waits for the next event before
 	// it is resumed at another server. It also bounds the wait for the first byte
 	// if the call may be sent to another server and this one has free slots.
@@ -112,9 +115,7 @@
 	defer reservation.Release()
 	f := u.forecastInput(reservation)
 	if !o.Forecaster.EndsWithin(f, u.call.Deadline-o.Clock.Now()) {
-		o.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID), zap.Int("ahead", f.Ahead), zap.Int("slots", f.Slots),
-			zap.Int64("wait-ms", int64(o.Forecaster.Wait(f))), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
-		return u.giveUp("servers are overloaded and cannot answer before the caller's time is over", u.overloadRetryAfter(left)), false
+		return u.refuseOverloaded(reservation, f, left), false
 	}
 	if u.isFresh() && !u.endsBeforeStop(f) {
 		return NotRun{Reason: reasonStopping, RetryAfter: retryElsewhere}, false
@@ -180,7 +181,11 @@
 		}
 		return nil, true
 	}
-	retryAfter := o.Throttler.RefuseUntil(u.call.Service, held.Rate, held.RetryAfter, left/3)
+	o.Throttler.CountRefusal()
+	retryAfter := u.relayer.limits.Postpone(u.call.Service, postponer.Opening{
+		First: held.RetryAfter, Patience: postponer.CallerPatience(left),
+		Interval: timer.Millis(float64(timer.Second) * float64(o.Throttler.SendingHosts()) / max(held.Rate, throttler.MinRate)),
+	})
 	o.Logger.Info("held back by servers' limits", zap.String("request", u.call.ID), zap.String("service", held.Service), zap.Int("limited", held.Servers),
 		zap.Float64("limits", held.Rate), zap.Int64("age-ms", int64(held.Age)), zap.Int64("room-in-ms", int64(held.RetryAfter)), zap.Int64("retry-after-ms", int64(retryAfter)))
 	return u.giveUp("the limits of the servers leave no room", retryAfter), false
@@ -202,14 +207,39 @@
 	return forecaster.Call{Service: u.call.Service, Ahead: r.Load.Online, Slots: r.Slots, Slowdown: r.Slowdown, Done: u.streamed}
 }
 
-// overloadRetryAfter returns the retry-after of a call that the servers could not
-// answer in time. Callers accept a wait of up to a third of their remaining time. The
-// later they return, the fewer of them have to be refused at a time: those that returned
-// take the places of new ones. The values are spread, so that callers do not retry at
-// the same moment.
-func (u *run) overloadRetryAfter(left timer.Millis) timer.Millis {
-	const earliest, latest = 0.85, 1.0
-	return timer.Millis(float64(left) / 3 * (earliest + (latest-earliest)*rand.Float64()))
+// refuseOverloaded ends a call that cannot be expected to end in time at the best server. Its
+// caller is told when a call with as much time left would be taken.
+func (u *run) refuseOverloaded(r *picker.Reservation, c forecaster.Call, left timer.Millis) Outcome {
+	o := u.relayer.options
+	retryAfter := u.postpone(o.Forecaster.End(c)-left, left)
+	o.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Int("ahead", c.Ahead), zap.Int("slots", c.Slots),
+		zap.Int64("wait-ms", int64(o.Forecaster.Wait(c))), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
+	return u.giveUp(reasonTooLate, retryAfter)
+}
+
+// refuseFull ends a call that servers refused since they were full. Its caller is told of
+// the next place that becomes free. If it could not be served from there in time, the
+// reason says so.
+func (u *run) refuseFull(r *picker.Reservation) Outcome {
+	f := u.relayer.options.Forecaster
+	left := u.relayer.timeLeft(u.call.Deadline)
+	retryAfter := u.postpone(f.Interval(u.call.Service, r.Slots), left)
+	if !f.EndsWithin(forecaster.Call{Service: u.call.Service, Done: u.streamed}, left-retryAfter) {
+		return u.giveUp(reasonTooLate, retryAfter)
+	}
+	return u.giveUp("servers refused it", retryAfter)
+}
+
+// reasonTooLate is the reason for calls that no server can be expected to answer in time.
+const reasonTooLate = "servers are overloaded and cannot answer before the caller's time is over"
+
+// postpone returns when a caller for whose call the servers have no room should come again.
+// first is the time until they have room for one such call.
+func (u *run) postpone(first, left timer.Millis) timer.Millis {
+	o := u.relayer.options
+	interval := o.Forecaster.Interval(u.call.Service, o.Picker.TotalSlots(u.call.Service)) * timer.Millis(o.Throttler.SendingHosts())
+	place := u.relayer.queues.Postpone(u.call.Service, postponer.Opening{First: max(first, 0), Interval: interval, Patience: postponer.CallerPatience(left)})
+	return max(place, minRetry)
 }
 
 // firstByteTimeout returns how long the server may take to send its first byte.
@@ -394,12 +424,14 @@
 	if a.Status == http.StatusMisdirectedRequest && u.relayer.options.Names.MeansOtherServer(r.Server.ID, u.call.Header, a.Header) {
 		u.misdirected++
 		u.relayer.options.Departer.Record(r.Server.Incarnation(), departer.Gone)
-		return u.giveUp("servers that were asked are gone", retryOverloaded), u.misdirected <= maxMisdirected
+		return u.giveUp("servers that were asked are gone", minRetry), u.misdirected <= maxMisdirected
 	}
 	if a.Status == http.StatusTooManyRequests {
 		r.Paused(throttler.ParseRetryAfter(a.Header.Get("Retry-After")))
 	}
 	u.refusals++
-	retry := u.refusals <= maxRefusals && u.call.Route.MaxAttempts > u.refusals+u.attempts
-	return u.giveUp("servers refused it", retryOverloaded), retry
+	if u.refusals <= maxRefusals && u.call.Route.MaxAttempts > u.refusals+u.attempts {
+		return nil, true
+	}
+	return u.refuseFull(r), false
 }
--- a/throttler/admit.go
+++ b/throttler/admit.go
@@ -1,8 +1,6 @@
 package throttler
 
 import (
-	"maps"
-
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -146,27 +144,8 @@
 	return out
 }
 
-// RefuseUntil returns the time after which a caller whose call was held back should come
-// again, and counts the call. The calls that this host holds back for a service get its
-// share of the places there, one after the other, so that they do not all come for the
-// first one. rate is the sum of the limits and first the time until one of them has room.
-// A caller that is not willing to wait for its place gets none.
-func (t *Throttler) RefuseUntil(service string, rate float64, first, patience timer.Millis) timer.Millis {
-	t.refused.Add(1)
-	interval := timer.Millis(float64(timer.Second) * float64(t.counts.Order().Hosts) / max(rate, minRate))
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	maps.DeleteFunc(t.places, func(_ string, at timer.Millis) bool { return at < now })
-	place := now + first
-	if last, ok := t.places[service]; ok {
-		place = max(place, last+interval)
-	}
-	if place-now <= patience {
-		t.places[service] = place
-	}
-	return place - now
-}
+// CountRefusal counts a call that was refused since limits held it back.
+func (t *Throttler) CountRefusal() { t.refused.Add(1) }
 
 // Refused returns how many calls were held back.
 func (t *Throttler) Refused() uint64 { return t.refused.Load() }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -33,9 +33,9 @@
 )
 
 const (
-	// minRate is the lowest rate that is kept, in requests a second. A server that
+	// MinRate is the lowest rate that is kept, in requests a second. A server that
 	// takes none gets that, so that it is noticed when it takes requests again.
-	minRate = 0.1
+	MinRate = 0.1
 	// maxRate is the highest rate that counts as a limit, in requests a second.
 	maxRate = 1e6
 	// minBurst and burstPeriod determine how many requests may be saved up: what the rate
@@ -69,8 +69,6 @@
 	reported   map[*entry]struct{}
 	rotation   rotation
 	unreadable lastLogged
-	// places holds the last place that a caller was told of, by service.
-	places map[string]timer.Millis
 }
 
 // entry is what is known of the limit of one incarnation of a server.
@@ -111,7 +109,7 @@
 
 // New returns a Throttler that knows no limits.
 func New(c timer.Clock, l *zap.Logger) *Throttler {
-	return &Throttler{clock: c, logger: l, counts: rationer.New(c), entries: make(map[cataloger.Incarnation]*entry), reported: make(map[*entry]struct{}), places: make(map[string]timer.Millis)}
+	return &Throttler{clock: c, logger: l, counts: rationer.New(c), entries: make(map[cataloger.Incarnation]*entry), reported: make(map[*entry]struct{})}
 }
 
 // SetHosts sets the other hosts that send requests to servers, and the place of this host
@@ -121,6 +119,10 @@
 	t.counts.SetOrder(o)
 }
 
+// SendingHosts returns the number of hosts that send callers' requests to servers, as far as
+// this host hears them; at least 1.
+func (t *Throttler) SendingHosts() int { return max(1, t.counts.Order().Hosts) }
+
 // Mark returns what is known of the limit of a server, for a request that is about to be
 // sent to it.
 func (t *Throttler) Mark(v cataloger.Incarnation) Mark {
@@ -137,7 +139,7 @@
 
 // limit returns the limit in force, as the rationer keeps it.
 func (e *entry) limit() rationer.Limit {
-	rate := min(max(e.word.rate, minRate), maxRate)
+	rate := min(max(e.word.rate, MinRate), maxRate)
 	return rationer.Limit{Rate: rate, Burst: max(minBurst, 1+rate*burstPeriod), Turns: true}
 }
 
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -6,7 +6,6 @@
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
-	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -212,22 +211,6 @@
 	require.Zero(t, h.InForce())
 }
 
-// Callers that are refused get different times to come back, as places become free.
-func TestRefusedCallersAreToldOfDifferentPlaces(t *testing.T) {
-	h, c := newThrottler()
-	h.SetHosts(nil, rationer.Order{Index: 0, Hosts: 2})
-	require.EqualValues(t, 100, h.RefuseUntil("svc", 4, 100, 1600))
-	require.EqualValues(t, 600, h.RefuseUntil("svc", 4, 100, 1600), "every other place at four a second")
-	require.EqualValues(t, 100, h.RefuseUntil("other", 4, 100, 1600))
-	for range 5 {
-		h.RefuseUntil("svc", 4, 100, 1600)
-	}
-	require.EqualValues(t, 2100, h.RefuseUntil("svc", 4, 100, 1600), "nobody waits for that place, so it stays free")
-	c.Time += 5 * timer.Second
-	require.EqualValues(t, 100, h.RefuseUntil("svc", 4, 100, 1600))
-	require.EqualValues(t, 10, h.Refused())
-}
-
 // Hosts exchange what they heard, in any order and with losses. All of them end with the
 // newest limit, and none is freed before the server has said so.
 func TestHostsAgreeOnTheNewestLimit(t *testing.T) {
