gatekeeper: callers over a quota come again as tokens come, one after the other

All who were refused within the same time were told of the same token, came together, and all but one were refused again, after which callers give up.

The same question as for servers without room gets the same answer, `postponer`: the first place is when there is a token, the next ones follow at this host's share of the rate.

Evidence: TestCallersOverTheQuotaAreToldOfTokensOneAfterTheOther fails on the code before (0.100 for all in place of 0.100, 0.200, 0.300).

--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -11,6 +11,8 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/namer"
+	"github.com/jackdawgate/jackdawgate/postponer"
+	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -186,7 +188,7 @@
 		if d := o.Rationer.Admit(x.workspace.Name, limit); !d.Admitted {
 			x.log("over quota", zap.Float64("left", d.Level), zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
 				zap.Int("silent-hosts", d.Silent), zap.Int("hosts", d.Hosts))
-			x.refuse(&refusal{http.StatusTooManyRequests, "over the workspace's quota", d.RetryAfter})
+			x.refuse(&refusal{http.StatusTooManyRequests, "over the workspace's quota", x.postpone(d, limit)})
 			return
 		}
 	}
@@ -194,6 +196,15 @@
 	x.finish(outcome)
 }
 
+// postpone returns when the caller of a request over the workspace's quota should come
+// again: when there will be a token for it, after those for whom this host refused requests
+// before.
+func (x *exchange) postpone(d rationer.Decision, l rationer.Limit) timer.Millis {
+	interval := timer.Millis(float64(timer.Second) * float64(d.Hosts-d.Silent) / l.Rate)
+	left := x.deadline() - x.gatekeeper.options.Clock.Now()
+	return x.gatekeeper.quotas.Postpone(x.workspace.Name, postponer.Opening{First: d.RetryAfter, Interval: interval, Patience: postponer.CallerPatience(left)})
+}
+
 // target returns the path and query of a request as the caller sent them, without the scheme
 // and host that a caller may put before them.
 func target(q *http.Request) string {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -30,6 +30,7 @@
 	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/namer"
+	"github.com/jackdawgate/jackdawgate/postponer"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -69,6 +70,8 @@
 type Gatekeeper struct {
 	options  Options
 	draining atomic.Bool
+	// quotas gives places to callers whose requests are over the quota of their workspace.
+	quotas *postponer.Postponer
 	// admission is cancelled by StopAdmitting.
 	admission     context.Context
 	stopAdmitting context.CancelFunc
@@ -86,7 +89,7 @@
 	if o.Memory == nil {
 		o.Memory = &holder.Holder{}
 	}
-	g := &Gatekeeper{options: o}
+	g := &Gatekeeper{options: o, quotas: postponer.New(o.Clock)}
 	g.admission, g.stopAdmitting = context.WithCancel(context.Background())
 	return g
 }
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -277,3 +277,23 @@
 	require.Equal(t, http.StatusOK, w.Code)
 	require.Equal(t, "close", w.Header().Get("Connection"))
 }
+
+// All callers over a quota were told of the next token, came together, and all but one were
+// refused for good.
+func TestCallersOverTheQuotaAreToldOfTokensOneAfterTheOther(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	f.snapshot = f.snapshot.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{
+		Version: 2, Keys: map[string]string{"k": "w"},
+		Routes:     []cataloger.Route{{Name: "chat", Host: "h", Prefix: "/chat/", Kind: cataloger.Stream, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1}},
+		Workspaces: []cataloger.Workspace{{Name: "w", Rate: 10, Burst: 3}},
+	}))
+	for range 3 {
+		require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
+	}
+	for _, want := range []string{"0.100", "0.200", "0.300"} {
+		w := f.call("/chat/1", "k")
+		require.Equal(t, http.StatusTooManyRequests, w.Code)
+		require.Equal(t, want, w.Header().Get("Retry-After"))
+	}
+}
