relayer: a call that may have run waits for a limit as long as it can end in time

A call that broke at one server, or a stream that was begun, was given up after a second in which the limits of the other servers left no room, whatever time its caller had: one with 4 s left got 502 after a second, one with a second left was held until its time was over.

Now it waits as long as it can still be expected to end in time after the limit's next token, and is given up at once otherwise. It is not refused like a call that no server had, as its caller can't be told that it was not run and may not be able to repeat it; that reason stands in the comment now.

Evidence: both cases of TestCallThatMayHaveRunWaitsForALimitWhileItCanEnd fail on the code before (given up after 1.06 s with 4 s; held for 1 s with 1 s).

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -137,7 +137,7 @@
 type Call struct {
 	Service string
 	// Ahead is the number of calls at the server that are not preempted for it, Slots the
-	// number of calls that the server runs at once.
+	// number of calls that the server runs at once; both are zero if there is no wait.
 	Ahead, Slots int
 	// Slowdown is the server's slowdown factor, a multiple of the service's mean time. Zero
 	// counts as one.
@@ -213,7 +213,7 @@
 	defer f.mu.Unlock()
 	a, ok := f.services[c.Service]
 	if !ok {
-		return c.Ahead < unobservedAhead*c.Slots
+		return left > 0 && (c.Slots <= 0 || c.Ahead < unobservedAhead*c.Slots)
 	}
 	return a.end(c) <= float64(left)
 }
--- a/relayer/limit_test.go
+++ b/relayer/limit_test.go
@@ -8,6 +8,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/throttler"
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
 
@@ -87,3 +88,27 @@
 	}
 	require.Equal(t, 1, f.countTo(f.targets()[0]))
 }
+
+// A call that broke at one server was given up after a second of waiting for another one's
+// limit, although its caller had more than two left: its caller can't be told that it was not
+// run. If the caller has less time than the limit needs, it is given up at once.
+func TestCallThatMayHaveRunWaitsForALimitWhileItCanEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		wait    timer.Millis
+		outcome relayer.Outcome
+		within  timer.Millis
+	}{
+		"enough": {4 * timer.Second, relayer.Delivered{}, 4 * timer.Second},
+		"less":   {timer.Second, relayer.Unknown{}, 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, breakOff, limitedAt("s1", "0.6"))
+			v := f.current().Servers["s1"].Incarnation()
+			f.throttler.Heard(v, f.throttler.Mark(v), []string{"0.6"}, true)
+			began := f.clock.Now()
+			o, _ := f.runFor(c.wait, route(cataloger.Idempotent, false, 3))
+			require.IsType(t, c.outcome, o)
+			require.Less(t, f.clock.Now()-began, c.within)
+		})
+	}
+}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -40,9 +40,8 @@
 	// at which another server answered.
 	maxRefusals    = 2
 	maxMisdirected = 8
-	// maxHeldBack is how long a call that cannot be refused any more waits for a server
-	// whose limit leaves room, heldBackInterval how often it looks for one.
-	maxHeldBack      = timer.Second
+	// heldBackInterval is how often a call that cannot be refused any more looks for a server
+	// whose limit leaves room.
 	heldBackInterval = timer.Millis(50)
 )
 
@@ -66,8 +65,6 @@
 	// resuming is set if the current attempt continues a stream of another one.
 	resuming  bool
 	resumable bool
-	// heldSince is when the limits of servers first left no room, or 0.
-	heldSince timer.Millis
 	// eventCount counts the events of the current attempt, which was sent at
 	// sentAt.
 	eventCount int
@@ -164,18 +161,17 @@
 }
 
 // handleNoServer handles a call for which there is no server now. Its results are those
-// of attempt. A call that may have run, or whose answer has begun, waits for a moment if
-// only the limits of servers hold it back; another one is refused at once.
+// of attempt. If only the limits of servers hold it back, a call that may have run, or whose
+// answer has begun, waits for room as long as it can then end in time: its caller cannot be
+// told that it was not run, and so may not be able to repeat it. Any other call is refused at
+// once, and its caller may go to any host.
 func (u *run) handleNoServer(ctx context.Context, err error, left timer.Millis) (Outcome, bool) {
 	o := u.relayer.options
 	var held *picker.HeldBackError
 	if !errors.As(err, &held) {
 		return u.giveUp("no server to send to", retryNoServer), false
 	}
-	if u.heldSince == 0 {
-		u.heldSince = o.Clock.Now()
-	}
-	if (u.headSent || u.attempts > 0) && o.Clock.Now()-u.heldSince < maxHeldBack {
+	if !u.isFresh() && u.endsAfter(held.RetryAfter, left) {
 		if !timer.Sleep(ctx, min(held.RetryAfter, heldBackInterval)) {
 			return u.outcomeOfContext(ctx), false
 		}
@@ -224,12 +220,18 @@
 	f := u.relayer.options.Forecaster
 	left := u.relayer.timeLeft(u.call.Deadline)
 	retryAfter := u.postpone(f.Interval(u.call.Service, r.Slots), left)
-	if !f.EndsWithin(forecaster.Call{Service: u.call.Service, Done: u.streamed}, left-retryAfter) {
+	if !u.endsAfter(retryAfter, left) {
 		return u.giveUp(reasonTooLate, retryAfter)
 	}
 	return u.giveUp("servers refused it", retryAfter)
 }
 
+// endsAfter reports whether the call can be expected to end in the time that is left if it
+// begins after a wait.
+func (u *run) endsAfter(wait, left timer.Millis) bool {
+	return u.relayer.options.Forecaster.EndsWithin(forecaster.Call{Service: u.call.Service, Done: u.streamed}, left-wait)
+}
+
 // reasonTooLate is the reason for calls that no server can be expected to answer in time.
 const reasonTooLate = "servers are overloaded and cannot answer before the caller's time is over"
 
