hoster: a host admits requests until a withdrawn key must stop working

While the store was away or cut off, a host refused all requests with a key from 3.6 s after its last confirmation on, 0.72 of the time in which a withdrawn key must stop working.

A confirmation counts from when its question was sent, so a key that the answer holds was withdrawn later, and a request that has arrived within the bound was sent within it, however long it takes afterwards. What is left is the rate of the host's clock: a twentieth. So it is 4.75 s of 5 now: callers are refused for 1.15 s less in each outage.

Ruled out: no margin (clocks); a margin for the way to the server (the rule counts from when the caller sent).

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -54,7 +54,7 @@
 	Logger   *zap.Logger
 	Measurer *measurer.Measurer
 	// MaxConfigAge bounds the age of the configuration: requests that need a key are
-	// refused if the Snapshot was confirmed longer ago than this; default 3.6 s.
+	// refused if the Snapshot was confirmed longer ago than this; default 4.75 s.
 	MaxConfigAge timer.Millis
 	// FreshConfigAge decides how unknown routes and keys are answered: with 503
 	// instead of 404 or 401 if the Snapshot was confirmed longer ago than this;
@@ -84,7 +84,7 @@
 
 // New returns a Gatekeeper.
 func New(o Options) *Gatekeeper {
-	defaulter.Set(&o.MaxConfigAge, 3600)
+	defaulter.Set(&o.MaxConfigAge, 4750)
 	defaulter.Set(&o.FreshConfigAge, 1500)
 	if o.Memory == nil {
 		o.Memory = &holder.Holder{}
--- /dev/null
+++ b/hoster/bounds.go
@@ -0,0 +1,16 @@
+package hoster
+
+import "github.com/jackdawgate/jackdawgate/timer"
+
+// clockRateMargin is the share by which the rates of two machines' clocks may differ.
+const clockRateMargin = 0.05
+
+// MaxConfigAge returns how long a host admits requests that need a key after its
+// configuration was last confirmed, if a withdrawn key must stop working within revoke.
+//
+// A confirmation counts from when the question to the store was sent. So a key that the
+// configuration holds was withdrawn after that, and a request that arrives within revoke
+// was sent early enough. What is left is the margin for the host's clock.
+func MaxConfigAge(revoke timer.Millis) timer.Millis {
+	return timer.Millis(float64(revoke) * (1 - clockRateMargin))
+}
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -35,11 +35,6 @@
 	answerTime      timer.Millis = 300
 )
 
-// maxConfigAgeShare sets how long a configuration may be used after its last
-// confirmation: MaxConfigAge is this share of Bounds.Revoke, the time within which a
-// withdrawn key must stop working.
-const maxConfigAgeShare = 0.72
-
 // EntryHost accepts callers' requests.
 type EntryHost struct {
 	*base
@@ -81,7 +76,7 @@
 		Names: p.Names, Snapshot: b.follower.Snapshot, Relay: e.relayer, Rationer: e.rationer, Clock: b.clock, Logger: l,
 		Measurer:     p.Measurer,
 		Jobs:         jobs,
-		MaxConfigAge: timer.Millis(float64(s.Bounds.Revoke) * maxConfigAgeShare),
+		MaxConfigAge: MaxConfigAge(s.Bounds.Revoke),
 		Memory:       memoryFor(s, bodyShare),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -188,7 +183,7 @@
 
 // Stop stops the host gracefully: callers are referred to other hosts, requests are
 // still accepted for drainShare of the grace period from callers that use an earlier
-// directory answer, if they can be expected to end in time, and all requests that were read
+// directory answer, if they surely end in time, and all requests that were read
 // are answered before the grace period ends.
 func (e *EntryHost) Stop() {
 	grace := e.settings.Bounds.Grace
