hoster: a host that stops takes requests as long as callers keep its address

So it is 3 s now, or what the grace period leaves before calls must have ended. Whether a call is taken within that time still depends on whether it surely ends before the stop.

Ruled out: taking requests until no call could end any more (only callers that can't get a new answer come that late; they find the port closed and go elsewhere).

Evidence: TestHostTakesRequestsAsLongAsCallersKeepItsAddress; with the share it fails at 60 s (22.8 s) and 2 s (0.76 s).

--- a/hoster/bounds.go
+++ b/hoster/bounds.go
@@ -14,3 +14,14 @@
 func MaxConfigAge(revoke timer.Millis) timer.Millis {
 	return timer.Millis(float64(revoke) * (1 - clockRateMargin))
 }
+
+// addressRetention is how many times as long as directoryTTL some callers keep an address,
+// by the platform's protocol.
+const addressRetention = 3
+
+// DrainTime returns for how long a host that is about to stop, with this grace period, still
+// takes requests: as long as callers that can get a new directory answer may come by an
+// earlier one, if the grace period is long enough.
+func DrainTime(grace timer.Millis) timer.Millis {
+	return min(addressRetention*directoryTTL, max(0, grace-shutdownReserve))
+}
--- a/hoster/bounds_test.go
+++ b/hoster/bounds_test.go
@@ -23,3 +23,11 @@
 		require.GreaterOrEqual(t, age, 0.94*float64(revoke)-1)
 	})
 }
+
+// Callers keep a directory answer for three times its second at most.
+func TestHostTakesRequestsAsLongAsCallersKeepItsAddress(t *testing.T) {
+	require.EqualValues(t, 3000, hoster.DrainTime(8*timer.Second))
+	require.EqualValues(t, 3000, hoster.DrainTime(60*timer.Second), "a longer grace period makes callers keep addresses no longer")
+	require.EqualValues(t, 1100, hoster.DrainTime(2*timer.Second))
+	require.Zero(t, hoster.DrainTime(500))
+}
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -26,9 +26,6 @@
 
 // Parts of the grace period in which a host stops.
 const (
-	// drainShare is the share of the grace period for which the host still accepts
-	// requests, for callers that have its address from an earlier answer.
-	drainShare = 0.38
 	// shutdownReserve is left at the end of the grace period, from when all calls have ended,
 	// and answerTime is the part of it for their answers.
 	shutdownReserve timer.Millis = 900
@@ -182,7 +179,7 @@
 }
 
 // Stop stops the host gracefully: callers are referred to other hosts, requests are
-// still accepted for drainShare of the grace period from callers that use an earlier
+// still accepted for DrainTime from callers that use an earlier
 // directory answer, if they surely end in time, and all requests that were read
 // are answered before the grace period ends.
 func (e *EntryHost) Stop() {
@@ -194,7 +191,7 @@
 	e.gatekeeper.Drain()
 	e.relayer.StopAt(endAt)
 	e.logger.Info("leaving", zap.Int64("grace-ms", int64(grace)))
-	timer.Sleep(context.Background(), timer.Millis(float64(grace)*drainShare))
+	timer.Sleep(context.Background(), DrainTime(grace))
 	e.gatekeeper.StopAdmitting()
 	e.finishCalls(endAt)
 	e.cancel()
