gatekeeper: callers of a host without confirmation come when they have the best chance

A host whose configuration was not confirmed told callers to come again after 150 ms, whatever the reason. When the store was away, all hosts refused them then as well, and callers who repeat once were refused for good; when this host alone was cut off, they waited for nothing.

The 250 ms of a host without a configuration stay: it is what reading it takes when the store answers, and the comment says so.

Evidence: TestCallersOfAnUnconfirmedHostComeWhenTheyHaveTheBestChance (0.150 before, for both).

--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -21,14 +21,12 @@
 )
 
 const (
-	// retrySoon is the retry-after of a host without a fresh configuration. It
-	// is also that of a request whose body stalled.
+	// retrySoon is the retry-after of a host that has no configuration yet, or an old one:
+	// within this time it reads it, if the store answers. It is also that of a request whose
+	// body stalled, or found no memory.
 	retrySoon timer.Millis = 250
-	// retryElsewhere is the retry-after of a host that is about to stop.
+	// retryElsewhere is the retry-after of requests that other hosts take at once.
 	retryElsewhere timer.Millis = 10
-	// retryUnconfirmed is the retry-after of a host that may not admit requests
-	// because its configuration has not been confirmed within Options.MaxConfigAge.
-	retryUnconfirmed timer.Millis = 150
 	// defaultTimeout applies if neither the route nor the caller states one.
 	defaultTimeout = 30 * timer.Second
 )
@@ -99,11 +97,23 @@
 	}
 	x.workspace = w
 	if x.gatekeeper.age(x.snapshot) > x.gatekeeper.options.MaxConfigAge {
-		return &refusal{http.StatusServiceUnavailable, "configuration not confirmed lately", retryUnconfirmed}
+		return &refusal{http.StatusServiceUnavailable, "configuration not confirmed lately", x.retryUnconfirmed()}
 	}
 	return nil
 }
 
+// retryUnconfirmed returns the retry-after of a request with a key on a host whose
+// configuration has not been confirmed for so long that keys may have been withdrawn. If
+// other hosts admit requests, its caller may go there at once. If none does, the store is
+// away, nobody knows for how long: the caller has the best chance as late as it is willing to
+// come.
+func (x *exchange) retryUnconfirmed() timer.Millis {
+	if x.gatekeeper.options.OthersReady() {
+		return retryElsewhere
+	}
+	return max(retryElsewhere, postponer.CallerPatience(x.timeLeft()))
+}
+
 // resolve finds the route or job that the request addresses.
 func (x *exchange) resolve(c *cataloger.Config) *refusal {
 	host, url := stripPort(x.request.Host), x.request.URL
@@ -201,8 +211,7 @@
 // before.
 func (x *exchange) postpone(d rationer.Decision, l rationer.Limit) timer.Millis {
 	interval := timer.Millis(float64(timer.Second) * float64(d.Hosts-d.Silent) / l.Rate)
-	left := x.deadline() - x.gatekeeper.options.Clock.Now()
-	return x.gatekeeper.quotas.Postpone(x.workspace.Name, postponer.Opening{First: d.RetryAfter, Interval: interval, Patience: postponer.CallerPatience(left)})
+	return x.gatekeeper.quotas.Postpone(x.workspace.Name, postponer.Opening{First: d.RetryAfter, Interval: interval, Patience: postponer.CallerPatience(x.timeLeft())})
 }
 
 // target returns the path and query of a request as the caller sent them, without the scheme
@@ -237,7 +246,7 @@
 // whichever is shorter.
 func (x *exchange) deadline() timer.Millis {
 	wait := defaultTimeout
-	if x.route.Timeout > 0 {
+	if x.route != nil && x.route.Timeout > 0 {
 		wait = x.route.Timeout
 	}
 	if ms, err := strconv.ParseInt(x.request.Header.Get(x.gatekeeper.options.Names.Deadline), 10, 64); err == nil && ms > 0 {
@@ -246,6 +255,11 @@
 	return x.started + wait
 }
 
+// timeLeft returns the time until the deadline.
+func (x *exchange) timeLeft() timer.Millis {
+	return x.deadline() - x.gatekeeper.options.Clock.Now()
+}
+
 // finish answers the caller unless the relay has done so, and logs the outcome. It
 // aborts the connection if an answer was interrupted or the caller has disconnected.
 func (x *exchange) finish(outcome relayer.Outcome) {
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -49,6 +49,8 @@
 	Relay    Relay
 	Rationer *rationer.Rationer
 	Jobs     Jobs
+	// OthersReady reports whether another host is known to admit requests that need a key.
+	OthersReady func() bool
 	// Clock must also count the time that the machine is suspended.
 	Clock    timer.Clock
 	Logger   *zap.Logger
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -60,6 +60,8 @@
 	jobs     *jobs
 	gate     *gatekeeper.Gatekeeper
 	memory   *holder.Holder
+	// othersReady is set if another host admits requests.
+	othersReady bool
 }
 
 // memoryForBodies is the memory of the fixture's host for bodies, in bytes.
@@ -73,7 +75,7 @@
 	f.clock.Time += 10 * timer.Second
 	f.gate = gatekeeper.New(gatekeeper.Options{
 		Names:    namer.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", SharedParts: platform.Names().SharedParts, ParseJobCall: jobCall},
-		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs,
+		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs, OthersReady: func() bool { return f.othersReady },
 		Clock: f.clock, Logger: l, MaxConfigAge: 3600, Memory: f.memory,
 	})
 	return f
@@ -226,6 +228,18 @@
 	require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code, "admitted again at once")
 }
 
+// While the store was away, callers were told to come again after 150 ms, and were refused
+// for good then; on a host that alone was cut off from it, they waited for nothing.
+func TestCallersOfAnUnconfirmedHostComeWhenTheyHaveTheBestChance(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	f.clock.Time += 10 * timer.Second
+	require.Equal(t, "1.333", f.call("/chat/1", "k").Header().Get("Retry-After"), "a third of 4 s")
+	require.Equal(t, "1.333", f.call("/jobs/1", "k").Header().Get("Retry-After"))
+	f.othersReady = true
+	require.Equal(t, "0.010", f.call("/chat/1", "k").Header().Get("Retry-After"))
+}
+
 func TestQuotaRefusalHasRetryAfterAndNotRunIsRefunded(t *testing.T) {
 	f := newFixture()
 	f.configure()
--- a/hoster/directory.go
+++ b/hoster/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/resolver"
@@ -17,7 +18,7 @@
 	hostTimeout timer.Millis = 700
 )
 
-// entryHosts returns the entry hosts in this host's snapshot, itself included.
+// entryHosts returns the entry hosts in this host's snapshot, itself first.
 func (e *EntryHost) entryHosts() []resolver.Host {
 	now := e.clock.Now()
 	out := []resolver.Host{{Address: e.member.CallerAddress, Reachable: true, Ready: e.ready(), Leaving: e.leaving.Load()}}
@@ -35,6 +36,11 @@
 	return out
 }
 
+// othersReady reports whether another entry host is known to admit requests.
+func (e *EntryHost) othersReady() bool {
+	return slices.ContainsFunc(e.entryHosts()[1:], func(h resolver.Host) bool { return h.Reachable && h.Ready && !h.Leaving })
+}
+
 // serveDirectory answers a caller with the addresses to connect to.
 func (e *EntryHost) serveDirectory(w http.ResponseWriter, _ *http.Request) {
 	body, err := e.platform.Addresses(resolver.Choose(e.entryHosts()), directoryTTL)
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -73,6 +73,7 @@
 		Names: p.Names, Snapshot: b.follower.Snapshot, Relay: e.relayer, Rationer: e.rationer, Clock: b.clock, Logger: l,
 		Measurer:     p.Measurer,
 		Jobs:         jobs,
+		OthersReady:  e.othersReady,
 		MaxConfigAge: MaxConfigAge(s.Bounds.Revoke),
 		Memory:       memoryFor(s, bodyShare),
 	})
