filler: items leave servers' limits to online calls by the slots that these need

Items leave a number of slots of each server to online calls, so that the next calls need not wait until items are evicted. The same number decides now: limits are left to online calls once the servers without one have no more slots free of online calls than that. The decision moved from executor to filler, which needs no network.

Evidence: TestItemsLeaveLimitsToOnlineCallsOnceTheOthersAreNearlyFull; with the share it fails at 32 slots and 20 online calls (0.625: limits left, though 12 slots are free), and at 2 slots and none.

--- a/executor/fill.go
+++ b/executor/fill.go
@@ -8,7 +8,6 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/filler"
 	"github.com/jackdawgate/jackdawgate/picker"
-	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
@@ -60,7 +59,6 @@
 	servers := make(map[string]cataloger.Server)
 	online := 0
 	candidates := x.options.Picker.Candidates(service, x.class(service))
-	x.yielding[service] = needsLimited(candidates)
 	for _, c := range candidates {
 		v := filler.Server{
 			ID: c.Server.ID, Slots: picker.Slots(s, c.Server), Online: c.Online,
@@ -81,26 +79,11 @@
 		in.Servers = append(in.Servers, v)
 		online += v.Online
 	}
+	x.yielding[service] = in.OnlineNeedsLimits()
 	in.Policy = in.Policy.WithDemand(x.peakOnline(service, online), len(in.Servers))
 	return in, servers
 }
 
-// yieldShare is the share of the slots of servers without a limit from which on online
-// calls need the servers with one.
-const yieldShare = 0.6
-
-// needsLimited reports whether online calls need what the limits of servers leave.
-func needsLimited(list []selector.Candidate) bool {
-	online, slots := 0, 0
-	for _, c := range list {
-		if !c.Room.Limited && c.Usable && !c.Server.Draining {
-			online += c.Online
-			slots += c.Slots
-		}
-	}
-	return float64(online) >= yieldShare*float64(slots)
-}
-
 // class returns the class of the items of a service, as of the last decision.
 func (x *Executor) class(service string) throttler.Batch {
 	return throttler.Batch{Yield: x.yielding[service]}
--- a/filler/filler.go
+++ b/filler/filler.go
@@ -102,6 +102,19 @@
 	return start, evict
 }
 
+// OnlineNeedsLimits reports whether online calls need what the limits of servers leave:
+// servers without a limit have no more slots free of online calls than items leave to them.
+func (in Input) OnlineNeedsLimits() bool {
+	free, reserved := 0, 0
+	for _, s := range in.Servers {
+		if !s.Limited && !s.Closed {
+			free += s.Slots - s.Online
+			reserved += in.Policy.FreeAfterStart
+		}
+	}
+	return free <= reserved
+}
+
 // HeldBack returns the number of slots that are free for items on servers whose limits let
 // no item start.
 func (in Input) HeldBack() int {
--- a/filler/filler_test.go
+++ b/filler/filler_test.go
@@ -116,3 +116,20 @@
 	require.Equal(t, filler.Counts{"limited": 1, "open": 2}, start)
 	require.Equal(t, 8, in.HeldBack())
 }
+
+// A limit is left to online calls once the other servers have only those slots free of them
+// which items leave to online calls anyway, however many slots a server has.
+func TestItemsLeaveLimitsToOnlineCallsOnceTheOthersAreNearlyFull(t *testing.T) {
+	limited := filler.Server{ID: "limited", Slots: 8, Limited: true, Starts: 1}
+	for _, c := range []struct {
+		slots, online int
+		needed        bool
+	}{{8, 5, false}, {8, 6, true}, {32, 20, false}, {32, 29, false}, {32, 30, true}, {2, 0, true}} {
+		open := filler.Server{ID: "open", Slots: c.slots, Online: c.online}
+		in := filler.Input{Policy: policy, Servers: []filler.Server{open, open, limited}}
+		require.Equal(t, c.needed, in.OnlineNeedsLimits(), "%+v", c)
+	}
+	require.True(t, filler.Input{Policy: policy, Servers: []filler.Server{limited}}.OnlineNeedsLimits(), "nothing else is left")
+	closed := filler.Server{ID: "closed", Slots: 8, Closed: true}
+	require.True(t, filler.Input{Policy: policy, Servers: []filler.Server{closed, limited}}.OnlineNeedsLimits(), "nothing is started there")
+}
