filler: items leave as many slots free as online calls wait

While online calls waited at some servers, items were started on the first free slots of others, all but two of each. Where calls wait more are on the way, and each then met an item, which was evicted and had to read its prompt again, while the call waited for that.

As many free slots as online calls wait at other servers are left free now, those of the servers with the most free slots first, where the next calls go.

Ruled out: no starts at all while a call waits anywhere (in a large fleet one busy server, the one that has a prompt in its cache, would stop all batch work).

Evidence: TestItemsLeaveAsManySlotsAsOnlineCallsWait fails on the code before (9 items started beside 4 calls that wait). The property that hosts with the same input agree holds as before.

--- a/filler/filler.go
+++ b/filler/filler.go
@@ -4,11 +4,11 @@
 //
 // Servers admit requests in order of arrival and have no priorities. Batch items
 // therefore get only the slots that online calls leave free, less a few reserved for
-// the next online calls. When online calls come close to filling a server, batch
-// items on it are evicted and resume later where they stopped. Every host with batch
-// items decides for itself from the same counts, without coordination: a server is
-// filled only by the host that a hash weighted by the hosts' backlogs picks for it,
-// and eviction starts with the host that has the most items there.
+// the next online calls, and less as many as online calls wait. When online calls come
+// close to filling a server, batch items on it are evicted and resume later where they
+// stopped. Every host with batch items decides for itself from the same counts, without
+// coordination: a server is filled only by the host that a hash weighted by the hosts'
+// backlogs picks for it, and eviction starts with the host that has the most items there.
 package filler
 
 import (
@@ -84,6 +84,7 @@
 func Plan(in Input) (start, evict Counts) {
 	start, evict = make(Counts), make(Counts)
 	remaining := in.Backlogs[in.Self]
+	waiting := in.onlineWaiting()
 	for _, s := range byFreeSlots(in.Servers) {
 		if n := in.evictions(s); n > 0 {
 			evict[s.ID] = n
@@ -93,6 +94,8 @@
 		if s.Limited {
 			free = min(free, s.Starts)
 		}
+		left := min(free, waiting)
+		free, waiting = free-left, waiting-left
 		if free <= 0 || remaining <= 0 || in.filler(s.ID) != in.Self {
 			continue
 		}
@@ -102,6 +105,16 @@
 	return start, evict
 }
 
+// onlineWaiting returns the number of online calls that wait for a slot. Items leave as many
+// slots free elsewhere: where calls wait, more are on the way.
+func (in Input) onlineWaiting() int {
+	n := 0
+	for _, s := range in.Servers {
+		n += max(0, s.Online-s.Slots)
+	}
+	return n
+}
+
 // OnlineNeedsLimits reports whether online calls need what the limits of servers leave:
 // servers without a limit have no more slots free of online calls than items leave to them.
 func (in Input) OnlineNeedsLimits() bool {
--- a/filler/filler_test.go
+++ b/filler/filler_test.go
@@ -133,3 +133,20 @@
 	closed := filler.Server{ID: "closed", Slots: 8, Closed: true}
 	require.True(t, filler.Input{Policy: policy, Servers: []filler.Server{closed, limited}}.OnlineNeedsLimits(), "nothing is started there")
 }
+
+// Items started on the first free slots while online calls waited at other servers, and were
+// evicted again by the next calls.
+func TestItemsLeaveAsManySlotsAsOnlineCallsWait(t *testing.T) {
+	in := filler.Input{
+		Self: "a", Backlogs: map[string]int{"a": 100}, Policy: policy,
+		Servers: []filler.Server{server("overloaded", 12, nil), server("half", 3, nil), server("idle", 0, nil)},
+	}
+	start, _ := filler.Plan(in)
+	require.Equal(t, filler.Counts{"half": 3, "idle": 2}, start, "four of nine free slots are left to the four that wait")
+	in.Servers[0].Online = 30
+	start, _ = filler.Plan(in)
+	require.Empty(t, start)
+	in.Servers[0].Online = 8
+	start, _ = filler.Plan(in)
+	require.Equal(t, filler.Counts{"half": 3, "idle": 6}, start, "no call waits")
+}
