relayer: a stream that cannot begin before its caller leaves is refused

With the deadline alone as the bound, a call could be sent into a queue of three seconds, whose answer nobody would wait for.

On streaming routes a call is now refused too if its first event is not expected within two seconds of its beginning, or of the last event that its caller received.

Evidence: TestStreamThatCannotBeginBeforeItsCallerLeavesIsRefused: without it the stream is sent; the same call on an idempotent route is sent with it too.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -169,6 +169,21 @@
 	return float64(c.Ahead-c.Slots+1) * a.streaming * c.slowdown() / float64(c.Slots)
 }
 
+// BeginsWithin reports whether the answer to the call is expected to begin within left. So is
+// that to a call of a service that was not observed.
+func (f *Forecaster) BeginsWithin(c Call, left timer.Millis) bool { return f.Begin(c) <= left }
+
+// Begin returns the predicted time until the answer to the call begins. It is zero for a call
+// of a service that was not observed.
+func (f *Forecaster) Begin(c Call) timer.Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a, ok := f.services[c.Service]; ok {
+		return timer.Millis(a.wait(c) + a.toFirstByte)
+	}
+	return 0
+}
+
 // End returns the predicted time until the call ends. It is zero for a call of a service that
 // was not observed.
 func (f *Forecaster) End(c Call) timer.Millis {
--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -127,6 +127,21 @@
 	require.IsType(t, relayer.Delivered{}, o, "two calls of 1 s end within 3 s")
 }
 
+// Callers leave a stream after two seconds without an event, also before the first one,
+// however much time they have. Their calls waited in a queue for longer than that.
+func TestStreamThatCannotBeginBeforeItsCallerLeavesIsRefused(t *testing.T) {
+	for kind, want := range map[cataloger.Kind]relayer.Outcome{cataloger.Stream: relayer.NotRun{}, cataloger.Idempotent: relayer.Delivered{}} {
+		f := newFixture(t, 1, text("200 OK", signed, "ok"))
+		f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1 })
+		taken, err := f.picker.Pick("svc", selector.Request{})
+		require.NoError(t, err)
+		defer taken.Release()
+		f.observe(50, 2000)
+		o, _ := f.runFor(5*timer.Second, route(kind, true, 1))
+		require.IsType(t, want, o)
+	}
+}
+
 // A call that broke at one server was sent to the next one however long the queue was there,
 // and its caller waited for an answer that could not come in time.
 func TestResentCallThatCannotEndByItsDeadlineIsGivenUpAtOnce(t *testing.T) {
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -177,8 +177,9 @@
 		}
 		u.lastEvent = e.ID
 	}
+	u.lastProgress = u.relayer.options.Clock.Now()
 	if u.eventCount == 0 {
-		u.firstEvent = u.relayer.options.Clock.Now()
+		u.firstEvent = u.lastProgress
 	}
 	u.eventCount++
 	if u.eventCount == firstRateSample {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/jackdawgate/jackdawgate/budgeter"
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
@@ -40,6 +41,9 @@
 	// at which another server answered.
 	maxRefusals    = 2
 	maxMisdirected = 8
+	// streamGap is the time without an event after which callers leave a stream at the
+	// earliest, also before its first event, by the platform's protocol.
+	streamGap = 2 * timer.Second
 	// heldBackInterval is how often a call that cannot be refused any more looks for a server
 	// whose limit leaves room.
 	heldBackInterval = timer.Millis(50)
@@ -75,6 +79,8 @@
 	// long earlier attempts streamed what the current one does not repeat.
 	firstEvent timer.Millis
 	streamed   timer.Millis
+	// lastProgress is when the caller last received an event, or when the call began.
+	lastProgress timer.Millis
 }
 
 // Run runs c and passes its answer to s. It returns when ctx ends or c.Deadline
@@ -84,7 +90,7 @@
 	ctx, cancel := context.WithTimeout(ctx, max(left, 0).Duration())
 	defer cancel()
 	defer context.AfterFunc(r.ended, cancel)()
-	u := &run{relayer: r, call: c, sink: s, resumable: c.Route.Resumable}
+	u := &run{relayer: r, call: c, sink: s, resumable: c.Route.Resumable, lastProgress: r.options.Clock.Now()}
 	r.options.Budgeter.Earn(u.budget())
 	for {
 		o, retry := u.attempt(ctx)
@@ -111,8 +117,8 @@
 	}
 	defer reservation.Release()
 	f := u.forecastInput(reservation)
-	if !o.Forecaster.EndsWithin(f, u.call.Deadline-o.Clock.Now()) {
-		return u.refuseOverloaded(reservation, f, left), false
+	if late := u.lateness(f); late > 0 {
+		return u.refuseOverloaded(reservation, f, late, left), false
 	}
 	if u.isFresh() && !u.endsBeforeStop(f) {
 		return NotRun{Reason: reasonStopping, RetryAfter: retryElsewhere}, false
@@ -203,11 +209,27 @@
 	return forecaster.Call{Service: u.call.Service, Ahead: r.Load.Online, Slots: r.Slots, Slowdown: r.Slowdown, Done: u.streamed}
 }
 
-// refuseOverloaded ends a call that cannot be expected to end in time at the best server. Its
-// caller is told when a call with as much time left would be taken.
-func (u *run) refuseOverloaded(r *picker.Reservation, c forecaster.Call, left timer.Millis) Outcome {
+// lateness returns by how much too late the call is expected to begin or to end at a server;
+// at most zero if it is in time.
+func (u *run) lateness(c forecaster.Call) timer.Millis {
 	o := u.relayer.options
-	retryAfter := u.postpone(o.Forecaster.End(c)-left, left)
+	now := o.Clock.Now()
+	late := o.Forecaster.End(c) - (u.call.Deadline - now)
+	if late <= 0 && !o.Forecaster.EndsWithin(c, u.call.Deadline-now) {
+		// Of a service that was not observed it is not known by how much.
+		late = 1
+	}
+	if u.call.Route.Kind == cataloger.Stream {
+		late = max(late, o.Forecaster.Begin(c)-(u.lastProgress+streamGap-now))
+	}
+	return late
+}
+
+// refuseOverloaded ends a call that cannot be expected to be served in time at the best
+// server. Its caller is told when a call with as much time left would be taken.
+func (u *run) refuseOverloaded(r *picker.Reservation, c forecaster.Call, late, left timer.Millis) Outcome {
+	o := u.relayer.options
+	retryAfter := u.postpone(late, left)
 	o.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Int("ahead", c.Ahead), zap.Int("slots", c.Slots),
 		zap.Int64("wait-ms", int64(o.Forecaster.Wait(c))), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
 	return u.giveUp(reasonTooLate, retryAfter)
