relayer: a call keeps its place in a queue for as long as foreseen

A call that may be sent again was taken from a full server after 1.5 s without a byte, and sent to another one, where it waited anew; after a few of these it failed. Calls wait for longer than that now, if their callers have the time.

At a full server the time until the first byte is what the call is foreseen to wait, and the time that a server may be silent once a slot is free; 1.5 s at least, as before. A server that is silent to all its calls is still ejected after 1.5 s.

Evidence: TestCallKeepsItsPlaceInAQueueForAsLongAsForeseen fails on the code before (a slot after 1.7 s of 1.6 s foreseen, 5 s left: broken off).

--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -1,6 +1,8 @@
 package relayer_test
 
 import (
+	"net"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -142,6 +144,22 @@
 	}
 }
 
+// A call that waited for a slot as foreseen was taken from its place in the queue after 1.5 s
+// and sent to another server, to wait there anew.
+func TestCallKeepsItsPlaceInAQueueForAsLongAsForeseen(t *testing.T) {
+	f := newFixture(t, 1, func(c net.Conn, q *http.Request) {
+		time.Sleep(1700 * time.Millisecond)
+		text("200 OK", signed, "ok")(c, q)
+	})
+	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1 })
+	taken, err := f.picker.Pick("svc", selector.Request{})
+	require.NoError(t, err)
+	defer taken.Release()
+	f.observe(50, 1600)
+	o, _ := f.runFor(5*timer.Second, route(cataloger.Idempotent, false, 3))
+	require.IsType(t, relayer.Delivered{}, o)
+}
+
 // A call that broke at one server was sent to the next one however long the queue was there,
 // and its caller waited for an answer that could not come in time.
 func TestResentCallThatCannotEndByItsDeadlineIsGivenUpAtOnce(t *testing.T) {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -136,7 +136,7 @@
 	u.flight = flight
 	defer flight.End()
 	reservation.SetSent(true)
-	answer, err := o.Transporter.Send(attemptCtx, u.request(reservation, left), u.firstByteTimeout(reservation, left))
+	answer, err := o.Transporter.Send(attemptCtx, u.request(reservation, left), u.firstByteTimeout(reservation, f, left))
 	if err != nil {
 		reservation.SetSent(transporter.WasSent(err))
 		return u.handleFailure(ctx, reservation, err)
@@ -266,13 +266,14 @@
 	return max(place, minRetry)
 }
 
-// firstByteTimeout returns how long the server may take to send its first byte.
-func (u *run) firstByteTimeout(r *picker.Reservation, left timer.Millis) timer.Millis {
+// firstByteTimeout returns how long the server may take to send its first byte. At a full
+// server the call first waits for a slot, for as long as predicted.
+func (u *run) firstByteTimeout(r *picker.Reservation, c forecaster.Call, left timer.Millis) timer.Millis {
 	if !u.canResend() {
 		return left
 	}
 	if r.ServerFull() {
-		return min(left, ejector.FullSilenceTimeout)
+		return min(left, max(ejector.FullSilenceTimeout, u.relayer.options.Forecaster.Wait(c)+resumeAfter))
 	}
 	return min(left, resumeAfter)
 }
