--- a/broker/broker.go
+++ b/broker/broker.go
@@ -73,7 +73,8 @@
 	// at least.
 	storedPerMilli = 4 << 10
 	// retryAfter is the retry-after time for callers if no host serves the job's group
-	// at the moment, retryAfterUnreachable the one if this host can reach no bulk host.
+	// at the moment: what taking a group over takes after a lost owner was noticed.
+	// retryAfterUnreachable is the one if this host can reach no bulk host, while others may.
 	retryAfter            timer.Millis = 400
 	retryAfterUnreachable timer.Millis = 50
 	maxResultWait                      = timer.Second
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -1,11 +1,13 @@
-// Package budgeter limits retries to a share of the first attempts, for each workspace
-// at each service.
+// Package budgeter limits the retries that hosts make themselves to a share of callers'
+// calls, for each workspace at each service.
 //
 // It implements a retry budget. When a service is failing, each call would otherwise be
-// sent to several of its servers at the moment when they can least bear it. A retry
-// spends one token, and each first attempt earns a fraction of a token. So however many
-// calls fail, servers receive at most that fraction more calls than callers make, and
-// the failing calls of one workspace do not spend the tokens of another.
+// sent to several of its servers at the moment when they can least bear it, which harms the
+// callers of all workspaces. A retry spends one token, and each call earns a fraction of a
+// token, whether it is a caller's first one or a repeat: a repeat is a call like any other and
+// never spends one. So however many calls fail, servers receive at most that fraction more
+// calls than callers make, and the failing calls of one workspace do not spend the tokens of
+// another.
 //
 // Hosts do not exchange budgets. The budget of each host is a share of its own calls, so
 // the budgets of all hosts add up to the same share of all calls. The initial balance is
@@ -27,7 +29,7 @@
 
 // Options are the settings of a Budgeter. Zero fields take the defaults.
 type Options struct {
-	// Share is the number of retries that each first attempt earns; default 0.25.
+	// Share is the number of retries that each call earns; default 0.25.
 	Share float64
 	// Initial is the number of retries in a new budget; default 3. A budget holds at
 	// most ten times as many.
@@ -52,7 +54,7 @@
 	return &Budgeter{options: o, tokens: make(map[Key]float64)}
 }
 
-// Earn credits the budget k for a first attempt.
+// Earn credits the budget k for a call.
 func (b *Budgeter) Earn(k Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -26,13 +26,16 @@
 
 // Thresholds and durations of ejections.
 const (
-	// SilenceTimeout is how long a server may send nothing while calls wait for it.
+	// SilenceTimeout is how long a server may send nothing while calls wait for it. Callers
+	// leave a stream after two seconds without an event at the earliest: four servers can be
+	// tried until then.
 	SilenceTimeout timer.Millis = 450
-	// FullSilenceTimeout is the SilenceTimeout of a server whose slots are all
-	// taken.
+	// FullSilenceTimeout is the SilenceTimeout of a server whose slots are all taken. It
+	// leaves a SilenceTimeout for another server before callers leave.
 	FullSilenceTimeout timer.Millis = 1500
-	// minEjection is the duration of the first ejection, maxEjection bounds the
-	// doubled ones.
+	// minEjection is the duration of the first ejection, about the time that it took to
+	// notice. maxEjection bounds the doubled ones: a server that is well again is without
+	// calls for that long at most.
 	minEjection timer.Millis = 400
 	maxEjection timer.Millis = 3000
 	// breaksToEject is the number of consecutive broken calls that eject a server.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -160,7 +160,8 @@
 	at    timer.Millis
 }
 
-// peakWindow is how long the peak number of online calls is remembered.
+// peakWindow is how long the peak number of online calls is remembered: longer than an item
+// runs, since one that starts between two peaks is evicted by the second one.
 const peakWindow = 8 * timer.Second
 
 // peakOnline records the number of online calls that run now on the servers of a
@@ -257,8 +258,11 @@
 	}
 }
 
-// refresh updates the tasks from the queues and returns those that could start,
-// earliest due first. It cancels running items that are no longer pending.
+// refresh updates the tasks from the queues and returns those that could start, earliest
+// due first, also where they can no longer be done in time: that order keeps the greatest
+// delay of any job as small as it can be, and the callers of late jobs still wait for them.
+// Of one due time, those with the most work done come first, as they are listed soonest. It
+// cancels running items that are no longer pending.
 func (x *Executor) refresh(s cataloger.Snapshot, now timer.Millis) []*task {
 	seen := make(map[key]bool)
 	var ready []*task
--- a/relayer/budget_test.go
+++ b/relayer/budget_test.go
@@ -32,7 +32,8 @@
 }
 
 // Guards against a budget that is never earned: retries would end after the first few
-// failures of a service that is well on the whole.
+// failures of a service that is well on the whole. All calls have one identifier and content,
+// like repeats of one caller: they earn like others.
 func TestEachCallEarnsAPartOfARetry(t *testing.T) {
 	f := newFixture(t, 6)
 	const rounds, callsPerFailure = 20, 5
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -20,12 +20,17 @@
 
 // Weights of the compared properties, in calls.
 const (
-	batchWeight      = 0.85
+	// batchWeight is below one, since an item is evicted if the call needs its slot, and not
+	// much below: until then the call shares the server with it.
+	batchWeight = 0.85
+	// farWeight is for the way between data centres, coldPromptWeight for the prompt parts
+	// that the server has to read: each is a small part of a call.
 	farWeight        = 0.25
 	coldPromptWeight = 0.2
 	// slowdownWeight is added for a server whose slowdown factor is two.
 	slowdownWeight = 0.75
-	// limitShare is the share of its slots that is added for a server with a limit,
+	// limitShare is the share of its slots that is added for a server with a limit: it is
+	// chosen when the others have hardly a free slot, before a call has to wait for one.
 	// probeWeight is subtracted for one that should get a request.
 	limitShare  = 0.85
 	probeWeight = 1.0
--- a/throttler/admit.go
+++ b/throttler/admit.go
@@ -24,8 +24,10 @@
 func (Batch) class()  {}
 
 const (
-	// reservePerRank is the share of the burst that each class leaves to the more urgent
-	// ones, maxOnlineReserve what online requests leave at most.
+	// reservePerRank is the share of the burst that each class leaves to each more urgent one,
+	// by the priorities of routes and workspaces, so that their next requests find a token
+	// while the less urgent ones use the limit up. maxOnlineReserve is what online requests
+	// leave at most.
 	reservePerRank   = 0.25
 	maxOnlineReserve = 0.75
 )
