mirrorer: the replicas of a host stop at the same time

By their dumps, 4 to 7 replicas waited for syncs of a slow disk, and BulkHost.Stop for the first of them: it closed the 12 replicas one after the other, and those that waited for their turn went on to append and to begin further syncs.

CloseAll tells all of them first and then waits for each, so a host ends after the slowest.

--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -208,9 +208,7 @@
 	}
 	h.cancel()
 	h.retirer.Close()
-	for _, r := range h.replicas {
-		r.Close()
-	}
+	mirrorer.CloseAll(h.replicas)
 	h.close()
 }
 
--- a/mirrorer/mirrorer.go
+++ b/mirrorer/mirrorer.go
@@ -230,6 +230,18 @@
 	<-r.done
 }
 
+// CloseAll stops Replicas and waits until they have stopped. They stop at the same time: a
+// disk that is slow to sync delays all of them, and those that wait for their turn would
+// begin further syncs.
+func CloseAll(list []*Replica) {
+	for _, r := range list {
+		r.cancel()
+	}
+	for _, r := range list {
+		<-r.done
+	}
+}
+
 func (r *Replica) run() {
 	defer close(r.done)
 	for r.ctx.Err() == nil {
