gatekeeper: places over a quota are those that new callers leave

Hosts know how many tokens all of them took in the last 0.8 s (rationer counts that for quotas too now). Places come at what is left of the rate, a twentieth at least: soon after each other in a short shortage, as late as callers are willing to come in a lasting peak.

For servers' queues: the interval between places is computed for all slots and hosts at once; it was rounded to zero where many slots become free each millisecond.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -169,10 +169,6 @@
 	return float64(c.Ahead-c.Slots+1) * a.streaming * c.slowdown() / float64(c.Slots)
 }
 
-// BeginsWithin reports whether the answer to the call is expected to begin within left. So is
-// that to a call of a service that was not observed.
-func (f *Forecaster) BeginsWithin(c Call, left timer.Millis) bool { return f.Begin(c) <= left }
-
 // Begin returns the predicted time until the answer to the call begins. It is zero for a call
 // of a service that was not observed.
 func (f *Forecaster) Begin(c Call) timer.Millis {
@@ -195,13 +191,13 @@
 	return 0
 }
 
-// Interval returns the average time in which this many slots, all taken, leave one to the
-// next call. It is zero for a service that was not observed.
-func (f *Forecaster) Interval(service string, slots int) timer.Millis {
+// RunTime returns the average time for which calls of a service run. It is zero for a service
+// that was not observed.
+func (f *Forecaster) RunTime(service string) timer.Millis {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a, ok := f.services[service]; ok {
-		return timer.Millis(a.streaming / float64(max(1, slots)))
+		return timer.Millis(a.streaming)
 	}
 	return 0
 }
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -94,7 +94,6 @@
 		left := timer.Millis(rapid.IntRange(0, 10000).Draw(t, "left"))
 		more := timer.Millis(rapid.IntRange(0, 5000).Draw(t, "more"))
 		require.False(t, f.EndsWithin(c, left) && !f.EndsWithin(c, left+more))
-		require.False(t, f.BeginsWithin(c, left) && !f.BeginsWithin(c, left+more))
 		require.False(t, f.EndsSurelyWithin(c, left) && !f.EndsSurelyWithin(c, left+more))
 	})
 }
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -206,11 +206,15 @@
 	x.finish(outcome)
 }
 
+// minSpareShare is the share of a quota's rate that counts as left by other callers at least.
+const minSpareShare = 0.05
+
 // postpone returns when the caller of a request over the workspace's quota should come
 // again: when there will be a token for it, after those for whom this host refused requests
-// before.
+// before. New callers take tokens too, so there are only those that they leave.
 func (x *exchange) postpone(d rationer.Decision, l rationer.Limit) timer.Millis {
-	interval := timer.Millis(float64(timer.Second) * float64(d.Hosts-d.Silent) / l.Rate)
+	spare := max(l.Rate-d.Taken, minSpareShare*l.Rate)
+	interval := timer.Millis(float64(timer.Second) * float64(d.Hosts-d.Silent) / spare)
 	return x.gatekeeper.quotas.Postpone(x.workspace.Name, postponer.Opening{First: d.RetryAfter, Interval: interval, Patience: postponer.CallerPatience(x.timeLeft())})
 }
 
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -293,21 +293,32 @@
 }
 
 // All callers over a quota were told of the next token, came together, and all but one were
-// refused for good.
+// refused for good. Two tokens were taken within 0.8 s, 2.5 a second: of 10 a second 7.5 are
+// left for those who return. While others take all of them, one of twenty is.
 func TestCallersOverTheQuotaAreToldOfTokensOneAfterTheOther(t *testing.T) {
-	f := newFixture()
-	f.configure()
-	f.snapshot = f.snapshot.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{
-		Version: 2, Keys: map[string]string{"k": "w"},
-		Routes:     []cataloger.Route{{Name: "chat", Host: "h", Prefix: "/chat/", Kind: cataloger.Stream, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1}},
-		Workspaces: []cataloger.Workspace{{Name: "w", Rate: 10, Burst: 3}},
-	}))
-	for range 3 {
-		require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
-	}
-	for _, want := range []string{"0.100", "0.200", "0.300"} {
-		w := f.call("/chat/1", "k")
-		require.Equal(t, http.StatusTooManyRequests, w.Code)
-		require.Equal(t, want, w.Header().Get("Retry-After"))
+	for name, c := range map[string]struct {
+		burst float64
+		want  []string
+	}{
+		"short":   {2, []string{"0.100", "0.233", "0.366"}},
+		"lasting": {8, []string{"0.100", "2.100", "2.100"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.configure()
+			f.snapshot = f.snapshot.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{
+				Version: 2, Keys: map[string]string{"k": "w"},
+				Routes:     []cataloger.Route{{Name: "chat", Host: "h", Prefix: "/chat/", Kind: cataloger.Stream, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, MaxAttempts: 1}},
+				Workspaces: []cataloger.Workspace{{Name: "w", Rate: 10, Burst: c.burst}},
+			}))
+			for range int(c.burst) {
+				require.Equal(t, http.StatusOK, f.call("/chat/1", "k").Code)
+			}
+			for _, want := range c.want {
+				w := f.call("/chat/1", "k")
+				require.Equal(t, http.StatusTooManyRequests, w.Code)
+				require.Equal(t, want, w.Header().Get("Retry-After"))
+			}
+		})
 	}
 }
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -138,6 +138,9 @@
 	RetryAfter timer.Millis
 	// Level is the level of the bucket before the request, in requests.
 	Level float64
+	// Taken is how many tokens a second all hosts took lately, as far as known. Only refused
+	// requests have it.
+	Taken float64
 	// Capacity is the highest level that the bucket can have, Idle the time since a token
 	// was last taken, as far as known. Only claims have them.
 	Capacity float64
@@ -156,11 +159,13 @@
 	d := Decision{Admitted: true, Level: b.level, Silent: r.silentPeers(r.clock.Now()), Hosts: len(r.peers) + 1}
 	if l.Rate > 0 && b.level < 1 {
 		d.Admitted = false
+		d.Taken = max(0, b.usedLately(r.clock.Now())) * float64(timer.Second) / float64(silentTimeout)
 		d.RetryAfter = max(minRetry, timer.Millis((1-b.level)/l.Rate*float64(timer.Second)))
 		return d
 	}
 	b.level--
 	b.admitted++
+	b.addUsed(1, r.clock.Now())
 	return d
 }
 
@@ -186,6 +191,9 @@
 	if b, ok := r.buckets[workspace]; ok && b.admitted > 0 {
 		b.level++
 		b.admitted--
+		if !b.limit.Turns {
+			b.addUsed(-1, r.clock.Now())
+		}
 		b.returnTaken()
 	}
 }
@@ -211,7 +219,7 @@
 		b := r.bucketFor(workspace)
 		// What is taken now must not be made up for by the time before.
 		r.refill(b, now)
-		b.merge(host, incarnation, count)
+		b.merge(host, incarnation, count, now)
 	}
 }
 
@@ -295,7 +303,7 @@
 // merge takes from the bucket the tokens for the requests that host admitted since its
 // last count, less those reserved while host was silent. The first count of a host only
 // sets the baseline.
-func (b *bucket) merge(host, incarnation string, count uint64) {
+func (b *bucket) merge(host, incarnation string, count uint64, now timer.Millis) {
 	previous, known := b.lastCounts[host]
 	b.lastCounts[host] = lastCount{incarnation: incarnation, count: count}
 	if !known {
@@ -305,6 +313,7 @@
 	if previous.incarnation == incarnation {
 		delta -= float64(previous.count)
 	}
+	b.addUsed(delta, now)
 	b.subtract(host, delta)
 }
 
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -255,3 +255,38 @@
 		h.Admit(workspace, limit)
 	}
 }
+
+// A refused request is told how many tokens all hosts took lately, so that its caller comes
+// when others leave one. Tokens that were returned were not taken, and those of a second ago
+// do not count.
+func TestRefusedRequestKnowsTheTokensTakenOnAllHosts(t *testing.T) {
+	c := &harness.Clock{Time: 1000}
+	a, b := rationer.New(c), rationer.New(c)
+	c.Time += 10 * timer.Second
+	l := rationer.Limit{Rate: 1, Burst: 8}
+	b.Observe(map[string]rationer.Limit{workspace: l})
+	b.Merge("a", "1", a.Spent())
+	for range 8 {
+		require.True(t, a.Admit(workspace, l).Admitted)
+	}
+	b.Merge("a", "1", map[string]uint64{workspace: 0})
+	b.Merge("a", "1", a.Spent())
+	for _, r := range []*rationer.Rationer{a, b} {
+		d := r.Admit(workspace, l)
+		require.False(t, d.Admitted)
+		require.InDelta(t, 10, d.Taken, 1e-9, "8 in 0.8 s")
+	}
+	for range 4 {
+		a.Refund(workspace)
+	}
+	b.Merge("a", "1", a.Spent())
+	for range 4 {
+		require.True(t, a.Admit(workspace, l).Admitted)
+	}
+	b.Merge("a", "1", a.Spent())
+	for _, r := range []*rationer.Rationer{a, b} {
+		require.InDelta(t, 10, r.Admit(workspace, l).Taken, 1e-9)
+	}
+	c.Time += 900
+	require.Zero(t, a.Admit(workspace, l).Taken)
+}
--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/quarantiner"
+	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/storer"
@@ -116,6 +117,24 @@
 	require.Contains(t, o.(relayer.NotRun).Reason, "cannot answer before")
 }
 
+// Of 1,000 slots one becomes free in less than a millisecond. Each of 50 hosts still has
+// only its share of them.
+func TestPlacesOfManySlotsAreSharedByHosts(t *testing.T) {
+	full := text("503 Service Unavailable", "Not-Run: 1\r\n", "")
+	f := newFixture(t, 1, full, full, full, full, full, full)
+	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1000 })
+	f.throttler.SetHosts(nil, rationer.Order{Hosts: 50})
+	f.observe(50, 500)
+	var last timer.Millis
+	began := f.clock.Now()
+	for range 6 {
+		o, _ := f.run(route(cataloger.Idempotent, false, 1))
+		require.IsType(t, relayer.NotRun{}, o)
+		last = o.(relayer.NotRun).RetryAfter + f.clock.Now() - began
+	}
+	require.InDelta(t, 5*25, int(last), 30)
+}
+
 // Callers with seconds left were refused since they would have had to wait for a few tenths
 // of one.
 func TestCallThatCanEndByItsDeadlineWaitsForASlot(t *testing.T) {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -25,7 +25,7 @@
 	// minTimeLeft is how much time a call must have left to be sent to a server.
 	minTimeLeft timer.Millis = 30
 	// retryNoServer is the retry-after of calls for which no server is known: a host learns
-	// of new ones within this time, retryElsewhere that of calls that other hosts can take
+	// of new ones within this time. retryElsewhere is that of calls that other hosts can take
 	// at once.
 	retryNoServer  timer.Millis = 300
 	retryElsewhere timer.Millis = 10
@@ -239,9 +239,8 @@
 // the next place that becomes free. If it could not be served from there in time, the
 // reason says so.
 func (u *run) refuseFull(r *picker.Reservation) Outcome {
-	f := u.relayer.options.Forecaster
 	left := u.relayer.timeLeft(u.call.Deadline)
-	retryAfter := u.postpone(f.Interval(u.call.Service, r.Slots), left)
+	retryAfter := u.postpone(u.relayer.options.Forecaster.RunTime(u.call.Service)/timer.Millis(max(1, r.Slots)), left)
 	if !u.endsAfter(retryAfter, left) {
 		return u.giveUp(reasonTooLate, retryAfter)
 	}
@@ -261,7 +260,8 @@
 // first is the time until they have room for one such call.
 func (u *run) postpone(first, left timer.Millis) timer.Millis {
 	o := u.relayer.options
-	interval := o.Forecaster.Interval(u.call.Service, o.Picker.TotalSlots(u.call.Service)) * timer.Millis(o.Throttler.SendingHosts())
+	slots := max(1, o.Picker.TotalSlots(u.call.Service))
+	interval := o.Forecaster.RunTime(u.call.Service) * timer.Millis(o.Throttler.SendingHosts()) / timer.Millis(slots)
 	place := u.relayer.queues.Postpone(u.call.Service, postponer.Opening{First: max(first, 0), Interval: interval, Patience: postponer.CallerPatience(left)})
 	return max(place, minRetry)
 }
