--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -47,7 +47,7 @@
 		{requestDuration, "histogram, ms", "outcome", "How long they took on this host."},
 		{storeCalls, "counter", "call", "Calls to the platform's store, by kind; their answers do not matter."},
 		{items, "counter", "outcome", "Runs of batch items that ended, by how: completed, dead, failed, evicted, stopped."},
-		{confirmationAge, "gauge, ms", "", "How old this host's knowledge of the store is. Above 3,600 it admits no request with a key."},
+		{confirmationAge, "gauge, ms", "", "How old this host's knowledge of the store is. Above 4,750 it admits no request with a key."},
 		{knownServers, "gauge", "", "Backend servers that this host knows."},
 		{reachableHosts, "gauge", "", "Other hosts that this host heard within the last second."},
 		{quarantinedCalls, "gauge", "", "Calls under which servers ended, as the store has them, that are refused or tried by one host at a time."},
