--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -30,6 +30,16 @@
 	f.snapshot = f.snapshot.WithServer(v)
 }
 
+// fillOneSlot gives servers one slot each and takes that of one of them.
+func (f *fixture) fillOneSlot(ids ...string) {
+	for _, id := range ids {
+		f.setServer(id, func(v *cataloger.Server) { v.Slots = 1 })
+	}
+	taken, err := f.picker.Pick("svc", selector.Request{})
+	require.NoError(f.t, err)
+	f.t.Cleanup(taken.Release)
+}
+
 // quarantine makes the fixture's calls, whose fingerprint is zero, quarantined ones whose
 // next trial is due, and returns the store that has their record.
 func (f *fixture) quarantine() *storer.MemoryLedger {
@@ -69,10 +79,7 @@
 // taken, and a call of the service takes longer than its caller waits.
 func TestCallThatCannotEndByItsDeadlineIsRefused(t *testing.T) {
 	f := newFixture(t, 1, text("200 OK", signed, "ok"))
-	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1 })
-	taken, err := f.picker.Pick("svc", selector.Request{})
-	require.NoError(t, err)
-	defer taken.Release()
+	f.fillOneSlot("s0")
 	f.observe(50, 2000)
 	o, _ := f.run(route(cataloger.Idempotent, false, 1))
 	require.IsType(t, relayer.NotRun{}, o, "two calls of 2 s do not end within 3 s")
@@ -84,10 +91,7 @@
 // all of them within the same tenth of a second.
 func TestCallersOfBusyServersAreToldOfPlacesOneAfterTheOther(t *testing.T) {
 	f := newFixture(t, 1)
-	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1 })
-	taken, err := f.picker.Pick("svc", selector.Request{})
-	require.NoError(t, err)
-	defer taken.Release()
+	f.fillOneSlot("s0")
 	f.observe(50, 1500)
 	for _, want := range []int{60, 1550} {
 		o, _ := f.run(route(cataloger.Idempotent, false, 1))
@@ -139,10 +143,7 @@
 // of one.
 func TestCallThatCanEndByItsDeadlineWaitsForASlot(t *testing.T) {
 	f := newFixture(t, 1, text("200 OK", signed, "ok"))
-	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1 })
-	taken, err := f.picker.Pick("svc", selector.Request{})
-	require.NoError(t, err)
-	defer taken.Release()
+	f.fillOneSlot("s0")
 	f.observe(50, 1000)
 	o, _ := f.run(route(cataloger.Idempotent, false, 1))
 	require.IsType(t, relayer.Delivered{}, o, "two calls of 1 s end within 3 s")
@@ -153,10 +154,7 @@
 func TestStreamThatCannotBeginBeforeItsCallerLeavesIsRefused(t *testing.T) {
 	for kind, want := range map[cataloger.Kind]relayer.Outcome{cataloger.Stream: relayer.NotRun{}, cataloger.Idempotent: relayer.Delivered{}} {
 		f := newFixture(t, 1, text("200 OK", signed, "ok"))
-		f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1 })
-		taken, err := f.picker.Pick("svc", selector.Request{})
-		require.NoError(t, err)
-		defer taken.Release()
+		f.fillOneSlot("s0")
 		f.observe(50, 2000)
 		o, _ := f.runFor(5*timer.Second, route(kind, true, 1))
 		require.IsType(t, want, o)
@@ -170,10 +168,7 @@
 		time.Sleep(1700 * time.Millisecond)
 		text("200 OK", signed, "ok")(c, q)
 	})
-	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1 })
-	taken, err := f.picker.Pick("svc", selector.Request{})
-	require.NoError(t, err)
-	defer taken.Release()
+	f.fillOneSlot("s0")
 	f.observe(50, 1600)
 	o, _ := f.runFor(5*timer.Second, route(cataloger.Idempotent, false, 3))
 	require.IsType(t, relayer.Delivered{}, o)
@@ -183,12 +178,7 @@
 // and its caller waited for an answer that could not come in time.
 func TestResentCallThatCannotEndByItsDeadlineIsGivenUpAtOnce(t *testing.T) {
 	f := newFixture(t, 2, breakOff, silent)
-	for _, id := range []string{"s0", "s1"} {
-		f.setServer(id, func(v *cataloger.Server) { v.Slots = 1 })
-	}
-	taken, err := f.picker.Pick("svc", selector.Request{})
-	require.NoError(t, err)
-	defer taken.Release()
+	f.fillOneSlot("s0", "s1")
 	f.observe(50, 2000)
 	began := f.clock.Now()
 	o, _ := f.run(route(cataloger.Idempotent, false, 3))
