forecaster: the wait of the first call is not taken for the time to begin

Found by reading the diff: the time until answers begin was taken from the first call that a host observed, also if that had waited for a slot, and corrected only by calls that found a free one. A host that starts while all servers are full, and whose first call waited for 1.5 s, would have refused streams with more than half a second of wait for as long.

Evidence: TestWaitOfTheFirstCallIsNotTakenForTheTimeToBegin (1,500 ms before).

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -48,8 +48,8 @@
 
 // average holds the averages of one service, in milliseconds.
 type average struct {
-	// toFirstByte is the time until an answer began without a wait for a slot,
-	// streaming the time from then until the end of the call.
+	// toFirstByte is the time until an answer began without a wait for a slot, zero if there
+	// was none yet; streaming is the time from then until the end of the call.
 	toFirstByte, streaming float64
 	// longest is the time that the longest call lately took without a wait for a slot.
 	longest float64
@@ -86,12 +86,22 @@
 		if m.GivenUp {
 			return
 		}
-		a = &average{toFirstByte: float64(m.First), streaming: m.run()}
+		a = &average{streaming: m.run()}
 		f.services[m.Call.Service] = a
 	}
 	a.observeWait(m)
 	a.observeRun(m)
-	if !m.Full && !m.GivenUp {
+	a.observeFirst(m)
+}
+
+// observeFirst records the time until the answer to a call began that had no wait. The
+// first of them counts in full.
+func (a *average) observeFirst(m Sample) {
+	switch {
+	case m.Full || m.GivenUp:
+	case a.toFirstByte == 0:
+		a.toFirstByte = float64(m.First)
+	default:
 		a.toFirstByte += sampleWeight * (float64(m.First) - a.toFirstByte)
 	}
 }
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// The first call that a host observed had waited for a slot for 1.5 s. As long as all servers
+// were full, the host took that for the time in which answers begin.
+func TestWaitOfTheFirstCallIsNotTakenForTheTimeToBegin(t *testing.T) {
+	f := forecaster.New()
+	for range 20 {
+		f.Observe(ended(slots+20, 1500, 400))
+	}
+	require.LessOrEqual(t, f.Begin(call(0)), timer.Millis(0))
+	f.Observe(ended(0, 50, 400))
+	require.EqualValues(t, 50, f.Begin(call(0)))
+}
+
 // One odd call among many, or a whole minute of them, neither refuses all calls nor makes
 // queues look empty.
 func TestCorrectionOfWaitsIsBounded(t *testing.T) {
