relayer: a stream does not wait for a limit for longer than its caller stays

Found by reading the diff: a stream that broke, or was begun, waited for a server's limit as long as it could end by its deadline, although its caller leaves after two seconds without an event. It is given up at once now if the limit's next token comes later than that.

--- a/relayer/limit_test.go
+++ b/relayer/limit_test.go
@@ -94,19 +94,22 @@
 // run. If the caller has less time than the limit needs, it is given up at once.
 func TestCallThatMayHaveRunWaitsForALimitWhileItCanEnd(t *testing.T) {
 	for name, c := range map[string]struct {
+		limit   string
 		wait    timer.Millis
+		kind    cataloger.Kind
 		outcome relayer.Outcome
 		within  timer.Millis
 	}{
-		"enough": {4 * timer.Second, relayer.Delivered{}, 4 * timer.Second},
-		"less":   {timer.Second, relayer.Unknown{}, 500},
+		"enough":            {"0.6", 4 * timer.Second, cataloger.Idempotent, relayer.Delivered{}, 4 * timer.Second},
+		"less":              {"0.6", timer.Second, cataloger.Idempotent, relayer.Unknown{}, 500},
+		"its-caller-leaves": {"0.3", 8 * timer.Second, cataloger.Stream, relayer.Unknown{}, 500},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, 2, breakOff, limitedAt("s1", "0.6"))
+			f := newFixture(t, 2, breakOff, limitedAt("s1", c.limit))
 			v := f.current().Servers["s1"].Incarnation()
-			f.throttler.Heard(v, f.throttler.Mark(v), []string{"0.6"}, true)
+			f.throttler.Heard(v, f.throttler.Mark(v), []string{c.limit}, true)
 			began := f.clock.Now()
-			o, _ := f.runFor(c.wait, route(cataloger.Idempotent, false, 3))
+			o, _ := f.runFor(c.wait, route(c.kind, true, 3))
 			require.IsType(t, c.outcome, o)
 			require.Less(t, f.clock.Now()-began, c.within)
 		})
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -168,8 +168,8 @@
 
 // handleNoServer handles a call for which there is no server now. Its results are those
 // of attempt. If only the limits of servers hold it back, a call that may have run, or whose
-// answer has begun, waits for room as long as it can then end in time: its caller cannot be
-// told that it was not run, and so may not be able to repeat it. Any other call is refused at
+// answer has begun, waits for room as long as it can then end in time and its caller stays: that
+// caller cannot be told that it was not run, and so may not be able to repeat it. Any other call is refused at
 // once, and its caller may go to any host.
 func (u *run) handleNoServer(ctx context.Context, err error, left timer.Millis) (Outcome, bool) {
 	o := u.relayer.options
@@ -177,7 +177,7 @@
 	if !errors.As(err, &held) {
 		return u.giveUp("no server to send to", retryNoServer), false
 	}
-	if !u.isFresh() && u.endsAfter(held.RetryAfter, left) {
+	if !u.isFresh() && u.endsAfter(held.RetryAfter, left) && !u.callerLeavesWithin(held.RetryAfter) {
 		if !timer.Sleep(ctx, min(held.RetryAfter, heldBackInterval)) {
 			return u.outcomeOfContext(ctx), false
 		}
@@ -225,6 +225,12 @@
 	return late
 }
 
+// callerLeavesWithin reports whether the caller leaves, as it receives no event of a stream
+// for too long, before a wait is over.
+func (u *run) callerLeavesWithin(wait timer.Millis) bool {
+	return u.call.Route.Kind == cataloger.Stream && u.relayer.options.Clock.Now()+wait >= u.lastProgress+streamGap
+}
+
 // refuseOverloaded ends a call that cannot be expected to be served in time at the best
 // server. Its caller is told when a call with as much time left would be taken.
 func (u *run) refuseOverloaded(r *picker.Reservation, c forecaster.Call, late, left timer.Millis) Outcome {
