forecaster: one prediction for each send, asked for once

A send asked the Forecaster up to five times about the same call (Wait, Begin, End, EndsWithin, EndsSurelyWithin), each with its own lock and its own computation of the wait. Predict returns all of it at once as a value; what was asked is answered by that value (EndsWithin, LateBy, EndsSurelyWithin), and `relayer` hands it on in place of the call.

The tests keep their assertions and ask the value.

--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -20,6 +20,7 @@
 package forecaster
 
 import (
+	"math"
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -157,48 +158,53 @@
 	Done timer.Millis
 }
 
-// Wait returns the predicted wait of the call for a slot. It is zero for a call of a service
-// that was not observed.
-func (f *Forecaster) Wait(c Call) timer.Millis {
+// Prediction is what is expected of a call at a server. Its times are zero if no call of the
+// service was observed.
+type Prediction struct {
+	// Wait is the time until the call gets a slot, Begin that until its answer begins, End that
+	// until it ends, and Latest that until it ends if it runs for as long as the longest call of
+	// its service lately.
+	Wait, Begin, End, Latest timer.Millis
+	// observed is set if a call of the service was observed. overfull is set if none was and
+	// more calls are ahead than the server may be expected to run in its caller's time.
+	observed, overfull bool
+}
+
+// Predict predicts a call.
+func (f *Forecaster) Predict(c Call) Prediction {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if a, ok := f.services[c.Service]; ok {
-		return timer.Millis(a.wait(c))
+	a, ok := f.services[c.Service]
+	if !ok {
+		return Prediction{overfull: c.Slots > 0 && c.Ahead >= unobservedAhead*c.Slots}
 	}
-	return 0
-}
-
-// slowdown returns the server's slowdown factor.
-func (c Call) slowdown() float64 { return max(c.Slowdown, 1) }
-
-// queue returns the time in which the calls ahead of a call leave a slot to it.
-func (a *average) queue(c Call) float64 {
-	if c.Slots <= 0 || c.Ahead < c.Slots {
-		return 0
+	wait := a.wait(c)
+	begin := wait + a.toFirstByte
+	run := max(0, a.streaming*c.slowdown()-float64(c.Done))
+	return Prediction{
+		Wait: timer.Millis(wait), Begin: timer.Millis(begin), End: timer.Millis(math.Ceil(begin + run)), Latest: timer.Millis(math.Ceil(wait + a.longest)), observed: true,
 	}
-	return float64(c.Ahead-c.Slots+1) * a.streaming * c.slowdown() / float64(c.Slots)
 }
 
-// Begin returns the predicted time until the answer to the call begins. It is zero for a call
-// of a service that was not observed.
-func (f *Forecaster) Begin(c Call) timer.Millis {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if a, ok := f.services[c.Service]; ok {
-		return timer.Millis(a.wait(c) + a.toFirstByte)
-	}
-	return 0
+// EndsWithin reports whether the call is expected to end within left, the time that its
+// caller has left. If no call of the service was observed, that is taken to suffice for a
+// wait for as many calls as the server runs at once.
+func (p Prediction) EndsWithin(left timer.Millis) bool {
+	return left > 0 && p.End <= left && !p.overfull
 }
 
-// End returns the predicted time until the call ends. It is zero for a call of a service that
-// was not observed.
-func (f *Forecaster) End(c Call) timer.Millis {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if a, ok := f.services[c.Service]; ok {
-		return timer.Millis(a.end(c))
+// EndsSurelyWithin reports whether the call can be relied on to end within left: even if it
+// runs for as long as the longest of its service lately. A call of a service that was not
+// observed cannot.
+func (p Prediction) EndsSurelyWithin(left timer.Millis) bool { return p.observed && p.Latest <= left }
+
+// LateBy returns by how much the call is expected to take longer than left: more than zero
+// just if it is not expected to end within it.
+func (p Prediction) LateBy(left timer.Millis) timer.Millis {
+	if p.EndsWithin(left) {
+		return p.End - left
 	}
-	return 0
+	return max(1, p.End-left)
 }
 
 // RunTime returns the average time for which calls of a service run. It is zero for a service
@@ -212,6 +218,17 @@
 	return 0
 }
 
+// slowdown returns the server's slowdown factor.
+func (c Call) slowdown() float64 { return max(c.Slowdown, 1) }
+
+// queue returns the time in which the calls ahead of a call leave a slot to it.
+func (a *average) queue(c Call) float64 {
+	if c.Slots <= 0 || c.Ahead < c.Slots {
+		return 0
+	}
+	return float64(c.Ahead-c.Slots+1) * a.streaming * c.slowdown() / float64(c.Slots)
+}
+
 // wait returns the predicted wait of a call for a slot.
 func (a *average) wait(c Call) float64 {
 	ratio := 1.0
@@ -221,34 +238,6 @@
 	return ratio * a.queue(c)
 }
 
-// end returns the predicted time until the call ends.
-func (a *average) end(c Call) float64 {
-	return a.wait(c) + a.toFirstByte + max(0, a.streaming*c.slowdown()-float64(c.Done))
-}
-
-// EndsWithin reports whether the call is expected to end within left, the time that its
-// caller has left. If no call of the service was observed, that is taken to suffice for a
-// wait for as many calls as the server runs at once.
-func (f *Forecaster) EndsWithin(c Call, left timer.Millis) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	a, ok := f.services[c.Service]
-	if !ok {
-		return left > 0 && (c.Slots <= 0 || c.Ahead < unobservedAhead*c.Slots)
-	}
-	return a.end(c) <= float64(left)
-}
-
-// EndsSurelyWithin reports whether the call can be relied on to end within left: even if it
-// runs for as long as the longest of its service lately. A call of a service that was not
-// observed cannot.
-func (f *Forecaster) EndsSurelyWithin(c Call, left timer.Millis) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	a, ok := f.services[c.Service]
-	return ok && a.wait(c)+a.longest <= float64(left)
-}
-
 // Retain drops the averages of services for which known returns false.
 func (f *Forecaster) Retain(known func(service string) bool) {
 	f.mu.Lock()
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -36,44 +36,44 @@
 
 func TestCallWithAFreeSlotEndsInItsOwnTime(t *testing.T) {
 	f := newWarm(50, 900)
-	require.True(t, f.EndsWithin(call(slots-1), 950))
-	require.False(t, f.EndsWithin(call(slots-1), 949))
+	require.True(t, f.Predict(call(slots-1)).EndsWithin(950))
+	require.False(t, f.Predict(call(slots-1)).EndsWithin(949))
 }
 
 func TestCallToUnknownServiceIsNotRefused(t *testing.T) {
-	require.True(t, forecaster.New().EndsWithin(call(slots+2), 5*timer.Second))
+	require.True(t, forecaster.New().Predict(call(slots+2)).EndsWithin(5*timer.Second))
 }
 
 // A host that had just started had observed no call and sent all of them to the only server
 // with room, where 31 were waiting.
 func TestLongQueueIsNotJoinedBeforeACallWasObserved(t *testing.T) {
-	require.False(t, forecaster.New().EndsWithin(call(4*slots), 5*timer.Second))
+	require.False(t, forecaster.New().Predict(call(4*slots)).EndsWithin(5*timer.Second))
 }
 
 func TestWaitGrowsWithTheQueue(t *testing.T) {
 	f := newWarm(50, 400)
-	require.Equal(t, timer.Millis(50), f.Wait(call(slots)))
-	require.Equal(t, timer.Millis(250), f.Wait(call(slots+4)))
+	require.Equal(t, timer.Millis(50), f.Predict(call(slots)).Wait)
+	require.Equal(t, timer.Millis(250), f.Predict(call(slots+4)).Wait)
 }
 
 // Callers that wait for seconds were refused since their calls would have had to wait for
 // more than half of the objective.
 func TestCallMayWaitAsLongAsItCanEndByItsDeadline(t *testing.T) {
 	f := newWarm(50, 400)
-	require.True(t, f.EndsWithin(call(slots+90), 5*timer.Second), "4,550 ms for a slot, 450 ms for the call")
-	require.False(t, f.EndsWithin(call(slots+91), 5*timer.Second))
+	require.True(t, f.Predict(call(slots+90)).EndsWithin(5*timer.Second), "4,550 ms for a slot, 450 ms for the call")
+	require.False(t, f.Predict(call(slots+91)).EndsWithin(5*timer.Second))
 }
 
 // A resumed stream needs only the rest of its time.
 func TestWorkThatIsDoneIsNotExpectedAgain(t *testing.T) {
 	f := newWarm(50, 400)
 	c := call(0)
-	require.False(t, f.EndsWithin(c, 300))
+	require.False(t, f.Predict(c).EndsWithin(300))
 	c.Done = 200
-	require.True(t, f.EndsWithin(c, 300))
+	require.True(t, f.Predict(c).EndsWithin(300))
 	c.Done = 1000
-	require.True(t, f.EndsWithin(c, 50))
-	require.False(t, f.EndsWithin(c, 49))
+	require.True(t, f.Predict(c).EndsWithin(50))
+	require.False(t, f.Predict(c).EndsWithin(49))
 }
 
 // drawCall draws a call of the service or of one that was not observed.
@@ -93,8 +93,8 @@
 		c := drawCall(t)
 		left := timer.Millis(rapid.IntRange(0, 10000).Draw(t, "left"))
 		more := timer.Millis(rapid.IntRange(0, 5000).Draw(t, "more"))
-		require.False(t, f.EndsWithin(c, left) && !f.EndsWithin(c, left+more))
-		require.False(t, f.EndsSurelyWithin(c, left) && !f.EndsSurelyWithin(c, left+more))
+		require.False(t, f.Predict(c).EndsWithin(left) && !f.Predict(c).EndsWithin(left+more))
+		require.False(t, f.Predict(c).EndsSurelyWithin(left) && !f.Predict(c).EndsSurelyWithin(left+more))
 	})
 }
 
@@ -102,17 +102,17 @@
 // the longest one lately counts, and not the average.
 func TestCallSurelyEndsIfTheLongestLatelyWould(t *testing.T) {
 	f := newWarm(100, 400)
-	require.True(t, f.EndsSurelyWithin(call(0), 500))
+	require.True(t, f.Predict(call(0)).EndsSurelyWithin(500))
 	f.Observe(ended(0, 100, 1900))
-	require.True(t, f.EndsWithin(call(0), 600))
-	require.False(t, f.EndsSurelyWithin(call(0), 1999))
-	require.True(t, f.EndsSurelyWithin(call(0), 2000))
-	require.False(t, f.EndsSurelyWithin(call(slots), 2000), "it waits for a slot first")
+	require.True(t, f.Predict(call(0)).EndsWithin(600))
+	require.False(t, f.Predict(call(0)).EndsSurelyWithin(1999))
+	require.True(t, f.Predict(call(0)).EndsSurelyWithin(2000))
+	require.False(t, f.Predict(call(slots)).EndsSurelyWithin(2000), "it waits for a slot first")
 	for range 500 {
 		f.Observe(ended(0, 100, 400))
 	}
-	require.True(t, f.EndsSurelyWithin(call(0), 600), "that was long ago")
-	require.False(t, forecaster.New().EndsSurelyWithin(call(0), 5*timer.Second), "not observed")
+	require.True(t, f.Predict(call(0)).EndsSurelyWithin(600), "that was long ago")
+	require.False(t, forecaster.New().Predict(call(0)).EndsSurelyWithin(5*timer.Second), "not observed")
 }
 
 // The averages consisted of calls that ended in time only: of a service that had become too
@@ -120,19 +120,19 @@
 func TestCallsThatAreGivenUpCount(t *testing.T) {
 	f := newWarm(50, 400)
 	c := call(0)
-	require.True(t, f.EndsWithin(c, timer.Second))
+	require.True(t, f.Predict(c).EndsWithin(timer.Second))
 	for range 60 {
 		f.Observe(forecaster.Sample{Call: c, First: 50, Run: 950, GivenUp: true})
 	}
-	require.False(t, f.EndsWithin(c, 900))
+	require.False(t, f.Predict(c).EndsWithin(900))
 	for range 200 {
 		f.Observe(forecaster.Sample{Call: c, First: 50, Run: 100, GivenUp: true})
 	}
-	require.False(t, f.EndsWithin(c, 900), "callers who leave early tell nothing")
+	require.False(t, f.Predict(c).EndsWithin(900), "callers who leave early tell nothing")
 	for range 100 {
 		f.Observe(ended(0, 50, 400))
 	}
-	require.True(t, f.EndsWithin(c, 900), "it is fast again")
+	require.True(t, f.Predict(c).EndsWithin(900), "it is fast again")
 }
 
 // A server has more calls ahead than its host knows of, so all wait twice as long as
@@ -141,15 +141,15 @@
 	for name, givenUp := range map[string]bool{"answered": false, "given-up": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newWarm(50, 400)
-			require.EqualValues(t, 250, f.Wait(call(slots+4)))
+			require.EqualValues(t, 250, f.Predict(call(slots+4)).Wait)
 			for range 100 {
 				m := ended(slots+4, 550, 400)
 				m.GivenUp = givenUp
 				f.Observe(m)
 			}
-			require.InDelta(t, 500, int(f.Wait(call(slots+4))), 30)
-			require.InDelta(t, 200, int(f.Wait(call(slots+1))), 15)
-			require.Zero(t, f.Wait(call(slots-1)))
+			require.InDelta(t, 500, int(f.Predict(call(slots+4)).Wait), 30)
+			require.InDelta(t, 200, int(f.Predict(call(slots+1)).Wait), 15)
+			require.Zero(t, f.Predict(call(slots-1)).Wait)
 		})
 	}
 }
@@ -161,9 +161,9 @@
 	for range 20 {
 		f.Observe(ended(slots+20, 1500, 400))
 	}
-	require.LessOrEqual(t, f.Begin(call(0)), timer.Millis(0))
+	require.LessOrEqual(t, f.Predict(call(0)).Begin, timer.Millis(0))
 	f.Observe(ended(0, 50, 400))
-	require.EqualValues(t, 50, f.Begin(call(0)))
+	require.EqualValues(t, 50, f.Predict(call(0)).Begin)
 }
 
 // One odd call among many, or a whole minute of them, neither refuses all calls nor makes
@@ -174,8 +174,8 @@
 		for _, first := range rapid.SliceOfN(rapid.IntRange(0, 1<<30), 1, 200).Draw(t, "firsts") {
 			f.Observe(ended(slots+4, timer.Millis(first), 400))
 		}
-		require.GreaterOrEqual(t, int(f.Wait(call(slots+4))), 250/2)
-		require.LessOrEqual(t, int(f.Wait(call(slots+4))), 250*4)
+		require.GreaterOrEqual(t, int(f.Predict(call(slots+4)).Wait), 250/2)
+		require.LessOrEqual(t, int(f.Predict(call(slots+4)).Wait), 250*4)
 	})
 }
 
@@ -185,13 +185,13 @@
 	f := newWarm(50, 400)
 	c := call(slots)
 	c.Slowdown = 3
-	require.EqualValues(t, 150, f.Wait(c))
-	require.True(t, f.EndsWithin(c, 150+50+1200))
-	require.False(t, f.EndsWithin(c, 150+50+1199))
+	require.EqualValues(t, 150, f.Predict(c).Wait)
+	require.True(t, f.Predict(c).EndsWithin(150+50+1200))
+	require.False(t, f.Predict(c).EndsWithin(150+50+1199))
 	for range 100 {
 		f.Observe(forecaster.Sample{Call: forecaster.Call{Service: service, Slots: slots, Slowdown: 3}, First: 50, Run: 1200})
 	}
-	require.True(t, f.EndsWithin(call(0), 450), "its calls tell how long they run at the others")
+	require.True(t, f.Predict(call(0)).EndsWithin(450), "its calls tell how long they run at the others")
 }
 
 // A peak of twice the capacity is followed by a quiet period. There is one server, which
@@ -223,7 +223,7 @@
 					ahead++
 				}
 			}
-			if f.EndsWithin(call(ahead), timer.Millis(patience)) {
+			if f.Predict(call(ahead)).EndsWithin(timer.Millis(patience)) {
 				waiting = append(waiting, now)
 			} else {
 				refused++
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -86,7 +86,7 @@
 		m.First, m.Run = u.firstEvent-u.sentAt, now-u.firstEvent
 	case !givenUp && m.Full:
 		// Without events it is not known how long the call waited.
-		m.Run = max(0, m.First-u.relayer.options.Forecaster.Wait(m.Call))
+		m.Run = max(0, m.First-u.relayer.options.Forecaster.Predict(m.Call).Wait)
 		m.First = 0
 	case !givenUp:
 		m.Run = m.First
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -116,11 +116,11 @@
 		return u.handleNoServer(ctx, err, left)
 	}
 	defer reservation.Release()
-	f := u.forecastInput(reservation)
-	if late := u.lateness(f); late > 0 {
-		return u.refuseOverloaded(reservation, f, late, left), false
+	prediction := o.Forecaster.Predict(u.forecastInput(reservation))
+	if late := u.lateness(prediction); late > 0 {
+		return u.refuseOverloaded(reservation, prediction, late, left), false
 	}
-	if u.isFresh() && !u.endsBeforeStop(f) {
+	if u.isFresh() && !u.endsBeforeStop(prediction) {
 		return NotRun{Reason: reasonStopping, RetryAfter: retryElsewhere}, false
 	}
 	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
@@ -136,7 +136,7 @@
 	u.flight = flight
 	defer flight.End()
 	reservation.SetSent(true)
-	answer, err := o.Transporter.Send(attemptCtx, u.request(reservation, left), u.firstByteTimeout(reservation, f, left))
+	answer, err := o.Transporter.Send(attemptCtx, u.request(reservation, left), u.firstByteTimeout(reservation, prediction, left))
 	if err != nil {
 		reservation.SetSent(transporter.WasSent(err))
 		return u.handleFailure(ctx, reservation, err)
@@ -157,13 +157,9 @@
 func (u *run) isFresh() bool { return u.attempts == 0 && !u.headSent }
 
 // endsBeforeStop reports whether the call can be expected to end before the host stops.
-func (u *run) endsBeforeStop(c forecaster.Call) bool {
+func (u *run) endsBeforeStop(p forecaster.Prediction) bool {
 	at := timer.Millis(u.relayer.stopAt.Load())
-	if at == 0 {
-		return true
-	}
-	o := u.relayer.options
-	return o.Forecaster.EndsSurelyWithin(c, at-o.Clock.Now())
+	return at == 0 || p.EndsSurelyWithin(at-u.relayer.options.Clock.Now())
 }
 
 // handleNoServer handles a call for which there is no server now. Its results are those
@@ -211,16 +207,11 @@
 
 // lateness returns by how much too late the call is expected to begin or to end at a server;
 // at most zero if it is in time.
-func (u *run) lateness(c forecaster.Call) timer.Millis {
-	o := u.relayer.options
-	now := o.Clock.Now()
-	late := o.Forecaster.End(c) - (u.call.Deadline - now)
-	if late <= 0 && !o.Forecaster.EndsWithin(c, u.call.Deadline-now) {
-		// Of a service that was not observed it is not known by how much.
-		late = 1
-	}
+func (u *run) lateness(p forecaster.Prediction) timer.Millis {
+	now := u.relayer.options.Clock.Now()
+	late := p.LateBy(u.call.Deadline - now)
 	if u.call.Route.Kind == cataloger.Stream {
-		late = max(late, o.Forecaster.Begin(c)-(u.lastProgress+streamGap-now))
+		late = max(late, p.Begin-(u.lastProgress+streamGap-now))
 	}
 	return late
 }
@@ -233,11 +224,10 @@
 
 // refuseOverloaded ends a call that cannot be expected to be served in time at the best
 // server. Its caller is told when a call with as much time left would be taken.
-func (u *run) refuseOverloaded(r *picker.Reservation, c forecaster.Call, late, left timer.Millis) Outcome {
-	o := u.relayer.options
+func (u *run) refuseOverloaded(r *picker.Reservation, p forecaster.Prediction, late, left timer.Millis) Outcome {
 	retryAfter := u.postpone(late, left)
-	o.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Int("ahead", c.Ahead), zap.Int("slots", c.Slots),
-		zap.Int64("wait-ms", int64(o.Forecaster.Wait(c))), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
+	u.relayer.options.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Int("ahead", r.Load.Online), zap.Int("slots", r.Slots),
+		zap.Int64("wait-ms", int64(p.Wait)), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
 	return u.giveUp(reasonTooLate, retryAfter)
 }
 
@@ -256,7 +246,7 @@
 // endsAfter reports whether the call can be expected to end in the time that is left if it
 // begins after a wait.
 func (u *run) endsAfter(wait, left timer.Millis) bool {
-	return u.relayer.options.Forecaster.EndsWithin(forecaster.Call{Service: u.call.Service, Done: u.streamed}, left-wait)
+	return u.relayer.options.Forecaster.Predict(forecaster.Call{Service: u.call.Service, Done: u.streamed}).EndsWithin(left - wait)
 }
 
 // reasonTooLate is the reason for calls that no server can be expected to answer in time.
@@ -274,12 +264,12 @@
 
 // firstByteTimeout returns how long the server may take to send its first byte. At a full
 // server the call first waits for a slot, for as long as predicted.
-func (u *run) firstByteTimeout(r *picker.Reservation, c forecaster.Call, left timer.Millis) timer.Millis {
+func (u *run) firstByteTimeout(r *picker.Reservation, p forecaster.Prediction, left timer.Millis) timer.Millis {
 	if !u.canResend() {
 		return left
 	}
 	if r.ServerFull() {
-		return min(left, max(ejector.FullSilenceTimeout, u.relayer.options.Forecaster.Wait(c)+resumeAfter))
+		return min(left, max(ejector.FullSilenceTimeout, p.Wait+resumeAfter))
 	}
 	return min(left, resumeAfter)
 }
