postponer: the share of a host and the third of a caller are taken in one place

All three users of Postpone computed the interval of a host's places from a rate and a number of hosts, and a third of the caller's time, each by itself. An Opening says the rate, the hosts and the time left now, and the Postponer does both.

The tests keep their figures and properties.

--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -214,8 +214,7 @@
 // before. New callers take tokens too, so there are only those that they leave.
 func (x *exchange) postpone(d rationer.Decision, l rationer.Limit) timer.Millis {
 	spare := max(l.Rate-d.Taken, minSpareShare*l.Rate)
-	interval := timer.Millis(float64(timer.Second) * float64(d.Hosts-d.Silent) / spare)
-	return x.gatekeeper.quotas.Postpone(x.workspace.Name, postponer.Opening{First: d.RetryAfter, Interval: interval, Patience: postponer.CallerPatience(x.timeLeft())})
+	return x.gatekeeper.quotas.Postpone(x.workspace.Name, postponer.Opening{First: d.RetryAfter, Rate: spare, Hosts: d.Hosts - d.Silent, Left: x.timeLeft()})
 }
 
 // target returns the path and query of a request as the caller sent them, without the scheme
--- a/postponer/postponer.go
+++ b/postponer/postponer.go
@@ -19,12 +19,20 @@
 
 // Opening is what a host knows of the places that a limit or a queue gives.
 type Opening struct {
-	// First is the time until the first place, Interval the time between two places of this
-	// host.
-	First, Interval timer.Millis
-	// Patience is how long the caller is willing to stay away. A caller that is not willing
-	// to wait for its place leaves it to the next one.
-	Patience timer.Millis
+	// First is the time until the first place.
+	First timer.Millis
+	// Rate is how many places a second there are for the callers of all hosts, Hosts the
+	// number of hosts that give them out. Each gives out its equal share.
+	Rate  float64
+	Hosts int
+	// Left is the time that the caller has left. A caller that is not willing to wait for its
+	// place leaves it to the next one.
+	Left timer.Millis
+}
+
+// interval returns the time between two places of this host.
+func (o Opening) interval() timer.Millis {
+	return timer.Millis(float64(timer.Second) * float64(o.Hosts) / o.Rate)
 }
 
 // Postponer gives out places. It is safe for concurrent use.
@@ -49,8 +57,8 @@
 	now := p.clock.Now()
 	maps.DeleteFunc(p.next, func(_ string, at timer.Millis) bool { return at < now })
 	place := max(now+o.First, p.next[key])
-	if place-now <= o.Patience {
-		p.next[key] = place + o.Interval
+	if place-now <= CallerPatience(o.Left) {
+		p.next[key] = place + o.interval()
 	}
 	return place - now
 }
--- a/postponer/postponer_test.go
+++ b/postponer/postponer_test.go
@@ -16,7 +16,7 @@
 func TestRefusedCallersAreToldOfDifferentPlaces(t *testing.T) {
 	c := &harness.Clock{Time: 1000}
 	p := postponer.New(c)
-	o := postponer.Opening{First: 100, Interval: 500, Patience: 1600}
+	o := postponer.Opening{First: 100, Rate: 4, Hosts: 2, Left: 4800}
 	require.EqualValues(t, 100, p.Postpone("svc", o))
 	require.EqualValues(t, 600, p.Postpone("svc", o))
 	require.EqualValues(t, 100, p.Postpone("other", o))
@@ -35,17 +35,20 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := &harness.Clock{Time: 1000}
 		p := postponer.New(c)
-		interval := timer.Millis(rapid.IntRange(0, 1000).Draw(t, "interval"))
+		hosts, interval := rapid.IntRange(1, 100).Draw(t, "hosts"), timer.Millis(rapid.IntRange(0, 1000).Draw(t, "interval"))
 		last := timer.Millis(-1)
 		for range rapid.IntRange(1, 30).Draw(t, "refusals") {
 			c.Time += timer.Millis(rapid.IntRange(0, 400).Draw(t, "pause"))
-			o := postponer.Opening{First: timer.Millis(rapid.IntRange(0, 300).Draw(t, "first")), Interval: interval, Patience: timer.Millis(rapid.IntRange(0, 3000).Draw(t, "patience"))}
+			o := postponer.Opening{
+				First: timer.Millis(rapid.IntRange(0, 300).Draw(t, "first")), Left: 3 * timer.Millis(rapid.IntRange(0, 3000).Draw(t, "patience")),
+				Rate: float64(timer.Second) * float64(hosts) / (float64(interval) + 0.5), Hosts: hosts,
+			}
 			in := p.Postpone("svc", o)
 			require.GreaterOrEqual(t, in, o.First)
 			if last >= 0 {
 				require.GreaterOrEqual(t, c.Time+in, last+interval)
 			}
-			if in <= o.Patience {
+			if in <= postponer.CallerPatience(o.Left) {
 				last = c.Time + in
 			}
 		}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -181,8 +181,7 @@
 	}
 	o.Throttler.CountRefusal()
 	retryAfter := u.relayer.limits.Postpone(u.call.Service, postponer.Opening{
-		First: held.RetryAfter, Patience: postponer.CallerPatience(left),
-		Interval: timer.Millis(float64(timer.Second) * float64(o.Throttler.SendingHosts()) / max(held.Rate, throttler.MinRate)),
+		First: held.RetryAfter, Rate: max(held.Rate, throttler.MinRate), Hosts: o.Throttler.SendingHosts(), Left: left,
 	})
 	o.Logger.Info("held back by servers' limits", zap.String("request", u.call.ID), zap.String("service", held.Service), zap.Int("limited", held.Servers),
 		zap.Float64("limits", held.Rate), zap.Int64("age-ms", int64(held.Age)), zap.Int64("room-in-ms", int64(held.RetryAfter)), zap.Int64("retry-after-ms", int64(retryAfter)))
@@ -256,9 +255,9 @@
 // first is the time until they have room for one such call.
 func (u *run) postpone(first, left timer.Millis) timer.Millis {
 	o := u.relayer.options
-	slots := max(1, o.Picker.TotalSlots(u.call.Service))
-	interval := o.Forecaster.RunTime(u.call.Service) * timer.Millis(o.Throttler.SendingHosts()) / timer.Millis(slots)
-	place := u.relayer.queues.Postpone(u.call.Service, postponer.Opening{First: max(first, 0), Interval: interval, Patience: postponer.CallerPatience(left)})
+	// In the time that a call runs, each slot is left once.
+	rate := float64(max(1, o.Picker.TotalSlots(u.call.Service))) * float64(timer.Second) / float64(o.Forecaster.RunTime(u.call.Service))
+	place := u.relayer.queues.Postpone(u.call.Service, postponer.Opening{First: first, Rate: rate, Hosts: o.Throttler.SendingHosts(), Left: left})
 	return max(place, minRetry)
 }
 
