rationer: the use of a limit stands apart from its turns

Quotas count the tokens that all hosts took lately since places over a quota follow from them, but the count stood in the state that "only limits with turns need", and each merge of another host's count added to it beside `subtract`. Admit reads the clock once.

Behaviour as before: quotas took no tokens in turns, so returnTaken did nothing for them.

--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -104,6 +104,7 @@
 	// that were reserved for a host while it was silent.
 	lastCounts map[string]lastCount
 	reserved   map[string]float64
+	recentUse
 	turnState
 }
 
@@ -156,16 +157,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.refilledBucket(workspace, l)
-	d := Decision{Admitted: true, Level: b.level, Silent: r.silentPeers(r.clock.Now()), Hosts: len(r.peers) + 1}
+	now := r.clock.Now()
+	d := Decision{Admitted: true, Level: b.level, Silent: r.silentPeers(now), Hosts: len(r.peers) + 1}
 	if l.Rate > 0 && b.level < 1 {
 		d.Admitted = false
-		d.Taken = max(0, b.usedLately(r.clock.Now())) * float64(timer.Second) / float64(silentTimeout)
+		d.Taken = max(0, b.usedLately(now)) * float64(timer.Second) / float64(silentTimeout)
 		d.RetryAfter = max(minRetry, timer.Millis((1-b.level)/l.Rate*float64(timer.Second)))
 		return d
 	}
 	b.level--
 	b.admitted++
-	b.addUsed(1, r.clock.Now())
+	b.addUsed(1, now)
 	return d
 }
 
@@ -191,10 +193,11 @@
 	if b, ok := r.buckets[workspace]; ok && b.admitted > 0 {
 		b.level++
 		b.admitted--
-		if !b.limit.Turns {
+		if b.limit.Turns {
+			b.returnTaken()
+		} else {
 			b.addUsed(-1, r.clock.Now())
 		}
-		b.returnTaken()
 	}
 }
 
@@ -313,13 +316,13 @@
 	if previous.incarnation == incarnation {
 		delta -= float64(previous.count)
 	}
-	b.addUsed(delta, now)
-	b.subtract(host, delta)
+	b.subtract(host, delta, now)
 }
 
 // subtract takes from the bucket the tokens for delta requests of host, less those
-// reserved while host was silent.
-func (b *bucket) subtract(host string, delta float64) {
+// reserved while host was silent, and counts them as used.
+func (b *bucket) subtract(host string, delta float64, now timer.Millis) {
+	b.addUsed(delta, now)
 	covered := min(b.reserved[host], max(delta, 0))
 	delete(b.reserved, host)
 	b.level -= delta - covered
--- a/rationer/turns.go
+++ b/rationer/turns.go
@@ -63,18 +63,8 @@
 	taken []timer.Millis
 	// reachable is the share of the hosts that was reachable at the last refill.
 	reachable float64
-	// used counts the tokens that were taken lately, as far as known, by slots of usageSlot.
-	// The newest slot is slot.
-	used [usageSlots]float64
-	slot timer.Millis
 }
 
-// The tokens that were taken within silentTimeout are counted in slots.
-const (
-	usageSlots = 8
-	usageSlot  = silentTimeout / usageSlots
-)
-
 // returnTaken takes back the count of the token that this host took last.
 func (b *bucket) returnTaken() {
 	last := len(b.taken) - 1
@@ -87,30 +77,6 @@
 	b.taken = b.taken[:last]
 }
 
-// addUsed counts tokens that were taken, or were returned if negative.
-func (b *bucket) addUsed(tokens float64, now timer.Millis) {
-	b.dropOldSlots(now)
-	b.used[b.slot%usageSlots] += tokens
-}
-
-// usedLately returns how many tokens were taken within silentTimeout, as far as known.
-func (b *bucket) usedLately(now timer.Millis) float64 {
-	b.dropOldSlots(now)
-	sum := 0.0
-	for _, n := range b.used {
-		sum += n
-	}
-	return sum
-}
-
-func (b *bucket) dropOldSlots(now timer.Millis) {
-	newest := now / usageSlot
-	for s := max(b.slot+1, newest-usageSlots+1); s <= newest; s++ {
-		b.used[s%usageSlots] = 0
-	}
-	b.slot = max(b.slot, newest)
-}
-
 // keepShare adapts the level to the share of the hosts that is reachable now. Hosts that are
 // cut off from one another all have the same tokens, and go on to use the whole rate until
 // they notice. So the tokens are divided, and what the hosts on this side took beyond their
@@ -321,8 +287,7 @@
 	if delta > 0 {
 		b.lastTaken = now
 	}
-	b.addUsed(delta, now)
-	b.subtract(host, delta)
+	b.subtract(host, delta, now)
 	b.approach(u.Level, float64(min(now-previous.at, levelPeriod))/float64(levelPeriod)/float64(max(1, len(r.peers))))
 }
 
