resolver: which hosts take callers is said once

Whether another host admits requests (for the time to return of a host without confirmation) repeated the first condition of resolver.Choose, and dropped this host by its place in a list. Host.TakesCallers serves both, and the list of other hosts is a function of its own.

Behaviour as before: Choose sorts the addresses, so the order of its input does not matter.

--- a/hoster/directory.go
+++ b/hoster/directory.go
@@ -18,10 +18,10 @@
 	hostTimeout timer.Millis = 700
 )
 
-// entryHosts returns the entry hosts in this host's snapshot, itself first.
-func (e *EntryHost) entryHosts() []resolver.Host {
+// otherEntryHosts returns the other entry hosts in this host's snapshot.
+func (e *EntryHost) otherEntryHosts() []resolver.Host {
 	now := e.clock.Now()
-	out := []resolver.Host{{Address: e.member.CallerAddress, Reachable: true, Ready: e.ready(), Leaving: e.leaving.Load()}}
+	var out []resolver.Host
 	for name, m := range e.follower.Snapshot().Members {
 		if name == e.member.Name || m.Role != cataloger.Entry {
 			continue
@@ -38,12 +38,13 @@
 
 // othersReady reports whether another entry host is known to admit requests.
 func (e *EntryHost) othersReady() bool {
-	return slices.ContainsFunc(e.entryHosts()[1:], func(h resolver.Host) bool { return h.Reachable && h.Ready && !h.Leaving })
+	return slices.ContainsFunc(e.otherEntryHosts(), resolver.Host.TakesCallers)
 }
 
 // serveDirectory answers a caller with the addresses to connect to.
 func (e *EntryHost) serveDirectory(w http.ResponseWriter, _ *http.Request) {
-	body, err := e.platform.Addresses(resolver.Choose(e.entryHosts()), directoryTTL)
+	self := resolver.Host{Address: e.member.CallerAddress, Reachable: true, Ready: e.ready(), Leaving: e.leaving.Load()}
+	body, err := e.platform.Addresses(resolver.Choose(append(e.otherEntryHosts(), self)), directoryTTL)
 	if err != nil {
 		e.logger.Error("cannot encode directory answer", zap.Error(err))
 		w.WriteHeader(http.StatusInternalServerError)
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -17,12 +17,16 @@
 	Reachable, Ready, Leaving bool
 }
 
+// TakesCallers reports whether callers can be sent to the host: it is reachable, ready and not
+// about to stop.
+func (h Host) TakesCallers() bool { return h.Reachable && h.Ready && !h.Leaving }
+
 // Choose returns the sorted addresses of the hosts that are ready; if there are none,
 // of those that are reachable; if there are none, of all hosts. Hosts that are leaving
 // are included only when there is no other. It returns at most MaxAddresses.
 func Choose(hosts []Host) []string {
 	for _, fits := range []func(Host) bool{
-		func(h Host) bool { return h.Reachable && h.Ready && !h.Leaving },
+		Host.TakesCallers,
 		func(h Host) bool { return h.Reachable && !h.Leaving },
 		func(h Host) bool { return !h.Leaving },
 		func(Host) bool { return true },
