--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -25,8 +25,6 @@
 	// within this time it reads it, if the store answers. It is also that of a request whose
 	// body stalled, or found no memory.
 	retrySoon timer.Millis = 250
-	// retryElsewhere is the retry-after of requests that other hosts take at once.
-	retryElsewhere timer.Millis = 10
 	// defaultTimeout applies if neither the route nor the caller states one.
 	defaultTimeout = 30 * timer.Second
 )
@@ -109,9 +107,9 @@
 // come.
 func (x *exchange) retryUnconfirmed() timer.Millis {
 	if x.gatekeeper.options.OthersReady() {
-		return retryElsewhere
+		return relayer.RetryElsewhere
 	}
-	return max(retryElsewhere, postponer.CallerPatience(x.timeLeft()))
+	return max(relayer.RetryElsewhere, postponer.CallerPatience(x.timeLeft()))
 }
 
 // resolve finds the route or job that the request addresses.
@@ -135,7 +133,7 @@
 // has addresses of other hosts.
 func (x *exchange) refuseStopping() *refusal {
 	x.writer.Header().Set("Connection", "close")
-	return &refusal{http.StatusServiceUnavailable, "the host is about to stop", retryElsewhere}
+	return &refusal{http.StatusServiceUnavailable, relayer.ReasonStopping, relayer.RetryElsewhere}
 }
 
 // refuseUnknown refuses a request that the configuration does not allow. A host
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -56,14 +56,12 @@
 		u.recordRate(r)
 		return Delivered{Status: a.Status, Server: r.Server.ID, Servers: u.attempts + 1}, false
 	case errors.Is(err, errCallerGone):
-		u.recordUnanswered(r)
-		u.recordTimes(r, true)
+		u.recordGivenUp(r)
 		return CallerGone{}, false
 	case u.headSent && !u.resumable && !u.flight.Revoked():
 		u.attempts++
 		if ctx.Err() != nil {
-			u.recordUnanswered(r)
-			u.recordTimes(r, true)
+			u.recordGivenUp(r)
 			return u.outcomeOfContext(ctx), false
 		}
 		u.recordFailure(r, err)
@@ -72,6 +70,13 @@
 	return u.handleFailure(ctx, r, err)
 }
 
+// recordGivenUp records that the call's time was over, or its caller left, before the server
+// had answered it completely.
+func (u *run) recordGivenUp(r *picker.Reservation) {
+	u.recordUnanswered(r)
+	u.recordTimes(r, true)
+}
+
 // recordTimes reports to the forecaster how long the current attempt waited and ran.
 // givenUp is set if its time was over, or its caller left, before its end. The rest of a
 // stream that began elsewhere tells nothing.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -7,12 +7,10 @@
 	"strconv"
 
 	"github.com/jackdawgate/jackdawgate/budgeter"
-	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/picker"
-	"github.com/jackdawgate/jackdawgate/postponer"
 	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/throttler"
@@ -24,14 +22,6 @@
 const (
 	// minTimeLeft is how much time a call must have left to be sent to a server.
 	minTimeLeft timer.Millis = 30
-	// retryNoServer is the retry-after of calls for which no server is known: a host learns
-	// of new ones within this time. retryElsewhere is that of calls that other hosts can take
-	// at once.
-	retryNoServer  timer.Millis = 300
-	retryElsewhere timer.Millis = 10
-	// minRetry is the shortest retry-after of calls for which servers had no room: what
-	// hosts tell one another of their calls arrives within that time.
-	minRetry timer.Millis = 60
 	// resumeAfter is how long a resumable stream waits for the next event before
 	// it is resumed at another server. It also bounds the wait for the first byte
 	// if the call may be sent to another server and this one has free slots.
@@ -41,12 +31,6 @@
 	// at which another server answered.
 	maxRefusals    = 2
 	maxMisdirected = 8
-	// streamGap is the time without an event after which callers leave a stream at the
-	// earliest, also before its first event, by the platform's protocol.
-	streamGap = 2 * timer.Second
-	// heldBackInterval is how often a call that cannot be refused any more looks for a server
-	// whose limit leaves room.
-	heldBackInterval = timer.Millis(50)
 )
 
 // run is a call in flight.
@@ -121,7 +105,7 @@
 		return u.refuseOverloaded(reservation, prediction, late, left), false
 	}
 	if u.isFresh() && !u.endsBeforeStop(prediction) {
-		return NotRun{Reason: reasonStopping, RetryAfter: retryElsewhere}, false
+		return NotRun{Reason: ReasonStopping, RetryAfter: RetryElsewhere}, false
 	}
 	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
 		return u.refuseSuspect(retryAfter), false
@@ -156,38 +140,6 @@
 // isFresh reports whether no server can have run the call.
 func (u *run) isFresh() bool { return u.attempts == 0 && !u.headSent }
 
-// endsBeforeStop reports whether the call can be expected to end before the host stops.
-func (u *run) endsBeforeStop(p forecaster.Prediction) bool {
-	at := timer.Millis(u.relayer.stopAt.Load())
-	return at == 0 || p.EndsSurelyWithin(at-u.relayer.options.Clock.Now())
-}
-
-// handleNoServer handles a call for which there is no server now. Its results are those
-// of attempt. If only the limits of servers hold it back, a call that may have run, or whose
-// answer has begun, waits for room as long as it can then end in time and its caller stays: that
-// caller cannot be told that it was not run, and so may not be able to repeat it. Any other call is refused at
-// once, and its caller may go to any host.
-func (u *run) handleNoServer(ctx context.Context, err error, left timer.Millis) (Outcome, bool) {
-	o := u.relayer.options
-	var held *picker.HeldBackError
-	if !errors.As(err, &held) {
-		return u.giveUp("no server to send to", retryNoServer), false
-	}
-	if !u.isFresh() && u.endsAfter(held.RetryAfter, left) && !u.callerLeavesWithin(held.RetryAfter) {
-		if !timer.Sleep(ctx, min(held.RetryAfter, heldBackInterval)) {
-			return u.outcomeOfContext(ctx), false
-		}
-		return nil, true
-	}
-	o.Throttler.CountRefusal()
-	retryAfter := u.relayer.limits.Postpone(u.call.Service, postponer.Opening{
-		First: held.RetryAfter, Rate: max(held.Rate, throttler.MinRate), Hosts: o.Throttler.SendingHosts(), Left: left,
-	})
-	o.Logger.Info("held back by servers' limits", zap.String("request", u.call.ID), zap.String("service", held.Service), zap.Int("limited", held.Servers),
-		zap.Float64("limits", held.Rate), zap.Int64("age-ms", int64(held.Age)), zap.Int64("room-in-ms", int64(held.RetryAfter)), zap.Int64("retry-after-ms", int64(retryAfter)))
-	return u.giveUp("the limits of the servers leave no room", retryAfter), false
-}
-
 // refuseSuspect ends a call that is refused because servers crashed under it or under
 // other calls that share a part of its prompt.
 func (u *run) refuseSuspect(retryAfter timer.Millis) Outcome {
@@ -197,70 +149,6 @@
 	return u.giveUp("servers failed lately under this call or a part of its prompt", retryAfter)
 }
 
-// forecastInput returns the input for deciding whether the call can end in time at r's
-// server. Only online calls count as ahead of it, since batch items are evicted in its
-// favour.
-func (u *run) forecastInput(r *picker.Reservation) forecaster.Call {
-	return forecaster.Call{Service: u.call.Service, Ahead: r.Load.Online, Slots: r.Slots, Slowdown: r.Slowdown, Done: u.streamed}
-}
-
-// lateness returns by how much too late the call is expected to begin or to end at a server;
-// at most zero if it is in time.
-func (u *run) lateness(p forecaster.Prediction) timer.Millis {
-	now := u.relayer.options.Clock.Now()
-	late := p.LateBy(u.call.Deadline - now)
-	if u.call.Route.Kind == cataloger.Stream {
-		late = max(late, p.Begin-(u.lastProgress+streamGap-now))
-	}
-	return late
-}
-
-// callerLeavesWithin reports whether the caller leaves, as it receives no event of a stream
-// for too long, before a wait is over.
-func (u *run) callerLeavesWithin(wait timer.Millis) bool {
-	return u.call.Route.Kind == cataloger.Stream && u.relayer.options.Clock.Now()+wait >= u.lastProgress+streamGap
-}
-
-// refuseOverloaded ends a call that cannot be expected to be served in time at the best
-// server. Its caller is told when a call with as much time left would be taken.
-func (u *run) refuseOverloaded(r *picker.Reservation, p forecaster.Prediction, late, left timer.Millis) Outcome {
-	retryAfter := u.postpone(late, left)
-	u.relayer.options.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Int("ahead", r.Load.Online), zap.Int("slots", r.Slots),
-		zap.Int64("wait-ms", int64(p.Wait)), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
-	return u.giveUp(reasonTooLate, retryAfter)
-}
-
-// refuseFull ends a call that servers refused since they were full. Its caller is told of
-// the next place that becomes free. If it could not be served from there in time, the
-// reason says so.
-func (u *run) refuseFull(r *picker.Reservation) Outcome {
-	left := u.relayer.timeLeft(u.call.Deadline)
-	retryAfter := u.postpone(u.relayer.options.Forecaster.RunTime(u.call.Service)/timer.Millis(max(1, r.Slots)), left)
-	if !u.endsAfter(retryAfter, left) {
-		return u.giveUp(reasonTooLate, retryAfter)
-	}
-	return u.giveUp("servers refused it", retryAfter)
-}
-
-// endsAfter reports whether the call can be expected to end in the time that is left if it
-// begins after a wait.
-func (u *run) endsAfter(wait, left timer.Millis) bool {
-	return u.relayer.options.Forecaster.Predict(forecaster.Call{Service: u.call.Service, Done: u.streamed}).EndsWithin(left - wait)
-}
-
-// reasonTooLate is the reason for calls that no server can be expected to answer in time.
-const reasonTooLate = "servers are overloaded and cannot answer before the caller's time is over"
-
-// postpone returns when a caller for whose call the servers have no room should come again.
-// first is the time until they have room for one such call.
-func (u *run) postpone(first, left timer.Millis) timer.Millis {
-	o := u.relayer.options
-	// In the time that a call runs, each slot is left once.
-	rate := float64(max(1, o.Picker.TotalSlots(u.call.Service))) * float64(timer.Second) / float64(o.Forecaster.RunTime(u.call.Service))
-	place := u.relayer.queues.Postpone(u.call.Service, postponer.Opening{First: first, Rate: rate, Hosts: o.Throttler.SendingHosts(), Left: left})
-	return max(place, minRetry)
-}
-
 // firstByteTimeout returns how long the server may take to send its first byte. At a full
 // server the call first waits for a slot, for as long as predicted.
 func (u *run) firstByteTimeout(r *picker.Reservation, p forecaster.Prediction, left timer.Millis) timer.Millis {
@@ -316,8 +204,7 @@
 	}
 	if ctx.Err() != nil {
 		if sent {
-			u.recordUnanswered(r)
-			u.recordTimes(r, true)
+			u.recordGivenUp(r)
 		}
 		return u.outcomeOfContext(ctx), false
 	}
@@ -387,14 +274,17 @@
 	o.Tracker.Unanswered(u.suspectAttempt(r))
 }
 
-// reasonStopping is the reason of outcomes of calls that end because the host stops.
-const reasonStopping = "the host is about to stop"
+// ReasonStopping is the reason of outcomes of calls that end because the host stops.
+const ReasonStopping = "the host is about to stop"
+
+// RetryElsewhere is the retry-after of calls that other hosts can take at once.
+const RetryElsewhere timer.Millis = 10
 
 // outcomeOfContext returns the outcome of a call whose context ended.
 func (u *run) outcomeOfContext(ctx context.Context) Outcome {
 	switch {
 	case u.relayer.ended.Err() != nil:
-		return u.giveUp(reasonStopping, retryElsewhere)
+		return u.giveUp(ReasonStopping, RetryElsewhere)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return u.outOfTime("the call's time is over")
 	}
