picker: the slots of a candidate are looked up once

A parameter of newReservation that was always false is gone, and the answer of a full server stands once in relayer's tests.

Behaviour as before: both lookups used the same function on the same entry.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -245,11 +245,11 @@
 	}
 	heldBack := 0
 	for service, list := range byService {
-		heldBack += x.fill(ctx, s, now, service, list)
+		heldBack += x.fill(ctx, now, service, list)
 	}
 	for _, service := range x.servicesInUse(s) {
 		if _, ok := byService[service]; !ok {
-			x.fill(ctx, s, now, service, nil)
+			x.fill(ctx, now, service, nil)
 		}
 	}
 	if heldBack != x.limited {
--- a/executor/fill.go
+++ b/executor/fill.go
@@ -7,7 +7,6 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/filler"
-	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
@@ -26,8 +25,8 @@
 
 // fill starts and evicts items on the servers of one service as filler.Plan decides. It
 // returns how many of the ready items the limits of servers hold back.
-func (x *Executor) fill(ctx context.Context, s cataloger.Snapshot, now timer.Millis, service string, ready []*task) int {
-	in, servers := x.input(s, service, len(ready))
+func (x *Executor) fill(ctx context.Context, now timer.Millis, service string, ready []*task) int {
+	in, servers := x.input(service, len(ready))
 	start, evict := filler.Plan(in)
 	for id, n := range evict {
 		x.evict(id, n)
@@ -49,7 +48,7 @@
 
 // input returns what filler.Plan needs to decide about a service for which this host
 // has backlog items ready, and the servers of the service by identifier.
-func (x *Executor) input(s cataloger.Snapshot, service string, backlog int) (filler.Input, map[string]cataloger.Server) {
+func (x *Executor) input(service string, backlog int) (filler.Input, map[string]cataloger.Server) {
 	digests := x.options.Digests()
 	in := filler.Input{Self: x.options.Host, Backlogs: map[string]int{x.options.Host: backlog}, Policy: x.options.Policy}
 	for _, d := range digests {
@@ -61,7 +60,7 @@
 	candidates := x.options.Picker.Candidates(service, x.class(service))
 	for _, c := range candidates {
 		v := filler.Server{
-			ID: c.Server.ID, Slots: picker.Slots(s, c.Server), Online: c.Online,
+			ID: c.Server.ID, Slots: c.Slots, Online: c.Online,
 			Closed: c.Server.Draining || !c.Usable, Batch: map[string]int{}, Limited: c.Room.Limited,
 		}
 		if c.Room.Open {
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -179,10 +179,9 @@
 	}
 }
 
-// Stop stops the host gracefully: callers are referred to other hosts, requests are
-// still accepted for DrainTime from callers that use an earlier
-// directory answer, if they surely end in time, and all requests that were read
-// are answered before the grace period ends.
+// Stop stops the host gracefully: callers are referred to other hosts, requests are still
+// accepted for DrainTime from callers that use an earlier directory answer, if they surely
+// end in time, and all requests that were read are answered before the grace period ends.
 func (e *EntryHost) Stop() {
 	grace := e.settings.Bounds.Grace
 	endAt := e.clock.Now() + grace - shutdownReserve
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -172,7 +172,7 @@
 			}
 			return nil, &NoServerError{Service: service}
 		}
-		out := p.newReservation(s, list[i], false)
+		out := p.newReservation(list[i])
 		var ok bool
 		if out.counted, ok = p.options.Throttler.Take(out.Server.Incarnation(), class); ok {
 			p.add(out.Server.ID, false, 1)
@@ -197,15 +197,15 @@
 }
 
 // newReservation returns the Reservation of a call that has been counted.
-func (p *Picker) newReservation(s cataloger.Snapshot, c selector.Candidate, batch bool) *Reservation {
+func (p *Picker) newReservation(c selector.Candidate) *Reservation {
 	return &Reservation{
 		Server: c.Server, Load: gossiper.Load{Online: c.Online, Batch: c.Batch},
-		Slots: Slots(s, c.Server), Slowdown: c.Slowdown, picker: p, batch: batch, mark: p.options.Throttler.Mark(c.Server.Incarnation()),
+		Slots: c.Slots, Slowdown: c.Slowdown, picker: p, mark: p.options.Throttler.Mark(c.Server.Incarnation()),
 	}
 }
 
-// Slots returns how many calls a server runs at the same time.
-func Slots(s cataloger.Snapshot, v cataloger.Server) int {
+// slotsOf returns how many calls a server runs at the same time.
+func slotsOf(s cataloger.Snapshot, v cataloger.Server) int {
 	if v.Slots > 0 {
 		return v.Slots
 	}
@@ -224,7 +224,7 @@
 	n := 0
 	for _, v := range s.ServersOf(service) {
 		if !v.Draining && !p.options.Leaving(v.Incarnation()) {
-			n += Slots(s, v)
+			n += slotsOf(s, v)
 		}
 	}
 	return n
@@ -246,7 +246,7 @@
 		v.Draining = v.Draining || p.options.Leaving(v.Incarnation())
 		mine, others := p.loads[v.ID], p.options.RemoteLoad(v.ID)
 		c := selector.Candidate{Server: v, Online: mine.Online + others.Online, Batch: mine.Batch + others.Batch, Home: i < servers.homes}
-		c.Slots, c.Slowdown = Slots(s, v), p.options.Slowdown(v.ID)
+		c.Slots, c.Slowdown = slotsOf(s, v), p.options.Slowdown(v.ID)
 		c.Room = p.options.Throttler.Room(v.Incarnation(), class)
 		c.Usable = p.options.Ejector.Usable(v.ID, c.Online+c.Batch > c.Slots)
 		out = append(out, c)
--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -104,8 +104,7 @@
 // Callers whom full servers refused were all told to come again after 60 ms. One that could
 // not be served from its place any more is told so.
 func TestCallersOfFullServersAreToldOfPlacesOneAfterTheOther(t *testing.T) {
-	full := text("503 Service Unavailable", "Not-Run: 1\r\n", "")
-	f := newFixture(t, 1, full, full, full, full, full)
+	f := newFixture(t, 1, refused, refused, refused, refused, refused)
 	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 2 })
 	f.observe(50, 1000)
 	var reasons []string
@@ -124,8 +123,7 @@
 // Of 1,000 slots one becomes free in less than a millisecond. Each of 50 hosts still has
 // only its share of them.
 func TestPlacesOfManySlotsAreSharedByHosts(t *testing.T) {
-	full := text("503 Service Unavailable", "Not-Run: 1\r\n", "")
-	f := newFixture(t, 1, full, full, full, full, full, full)
+	f := newFixture(t, 1, refused, refused, refused, refused, refused, refused)
 	f.setServer("s0", func(v *cataloger.Server) { v.Slots = 1000 })
 	f.throttler.SetHosts(nil, rationer.Order{Hosts: 50})
 	f.observe(50, 500)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -179,6 +179,9 @@
 	}
 }
 
+// refused is the answer of a full server.
+var refused = text("503 Service Unavailable", "Not-Run: 1\r\n", "")
+
 const signed = "Signature: s\r\n"
 
 // events streams the events from first to last. It ends the stream if whole, and
@@ -235,14 +238,13 @@
 }
 
 func TestNotRunRefusalIsPassedOn(t *testing.T) {
-	refuse := text("503 Service Unavailable", "Not-Run: 1\r\n", "")
-	f := newFixture(t, 3, refuse, refuse, refuse)
+	f := newFixture(t, 3, refused, refused, refused)
 	o, _ := f.run(route(cataloger.NonIdempotent, false, 1))
 	n, ok := o.(relayer.NotRun)
 	require.True(t, ok)
 	require.Positive(t, n.RetryAfter)
 	require.Len(t, f.seen(), 1)
-	f = newFixture(t, 3, refuse, text("200 OK", signed, "ok"))
+	f = newFixture(t, 3, refused, text("200 OK", signed, "ok"))
 	o, _ = f.run(route(cataloger.NonIdempotent, false, 2))
 	require.IsType(t, relayer.Delivered{}, o)
 }
