transporter: a reset during the upload does not complete an answer; odd statuses are none

A server answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The kernel reports the reset once, to the write; the read that follows sees a plain end of the connection, so the part was passed on as the whole answer. An answer without framing is complete now only if its request was written completely.

A status of 000 was skipped like an interim answer, so that an answer behind it counted, and one above 599 was passed on. Both end the exchange now.

TestResetDuringTheUploadDoesNotCompleteAnAnswer ("part" was taken for a whole answer) and TestStatusOutOfRangeIsNoAnswer (000) failed before.

--- a/transporter/answer.go
+++ b/transporter/answer.go
@@ -42,12 +42,20 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF):
+		if !a.framed() && !a.connection.waitWritten() {
+			return n, a.connection.classify(errReset)
+		}
 		a.complete = true
 		return n, io.EOF
 	}
 	return n, a.connection.classify(err)
 }
 
+// framed reports whether the length of the body, or chunks, tell where it ends.
+func (a *Answer) framed() bool {
+	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
+}
+
 // Close ends the exchange. The connection is kept for reuse if the answer was read
 // to its end and the connection can carry another exchange.
 func (a *Answer) Close() {
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -28,6 +28,13 @@
 	// maxStrayBytes bounds the body of an answer to another request that is discarded;
 	// the exchange fails with a longer one.
 	maxStrayBytes = 1 << 20
+	// minStatus and maxStatus bound the statuses that HTTP defines.
+	minStatus, maxStatus = 100, 599
+)
+
+var (
+	errReset  = errors.New("connection ended before the request was written, so the answer may be cut")
+	errStatus = errors.New("answer with a status that HTTP does not define")
 )
 
 // connection is a connection to a server. It is used by one exchange at a time, and
@@ -115,6 +122,26 @@
 	}
 }
 
+// waitWritten waits until the request has been written, no longer than the server may send
+// nothing, and reports whether it was written completely.
+//
+// The kernel reports the reset of a connection once. If a write is in progress it gets the
+// error, and the reads that follow see a plain end of the connection.
+func (n *connection) waitWritten() bool {
+	if n.silenceTimeout <= 0 {
+		<-n.written
+		return n.writeErr == nil
+	}
+	timeout := time.NewTimer(n.silenceTimeout.Duration())
+	defer timeout.Stop()
+	select {
+	case <-n.written:
+		return n.writeErr == nil
+	case <-timeout.C:
+		return false
+	}
+}
+
 // requestHead returns the encoded request line and headers.
 func requestHead(r *Request) []byte {
 	var b bytes.Buffer
@@ -144,7 +171,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+			return nil, errStatus
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
 	}
