exchanger: a reset during the upload does not complete an answer; 000 is no status

An answer without a length whose request was not written completely counts as truncated, even if what came is a whole JSON value.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -69,6 +70,8 @@
 	connection *connection
 	sink       Sink
 	options    *Options
+	// writeFailed is set if the request was not written completely.
+	writeFailed bool
 }
 
 // run sends the request and reads the answer. It returns the result and whether
@@ -84,12 +87,16 @@
 		if _, timedOut := asTimeout(err); timedOut {
 			return e.failure(err), false
 		}
+		e.writeFailed = true
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	response.StreamBody = true
 	response.Header.DisableNormalizing()
 	e.connection.ioTimeout = e.options.FirstByteTimeout
+	if err := e.checkStatusLine(); err != nil {
+		return Broken{Code: CodeMalformed, Err: err}, false
+	}
 	if err := response.Read(e.connection.reader); err != nil {
 		return e.failure(err), false
 	}
@@ -97,6 +104,48 @@
 	return e.answer(response)
 }
 
+const (
+	// statusStart has the length of the start of an answer up to and including the status.
+	statusStart = "HTTP/1.1 000"
+	// maxInterim bounds the interim (1xx) answers to one request.
+	maxInterim = 16
+)
+
+// checkStatusLine skips interim answers and returns an error if the status of the answer is not
+// one that HTTP defines, from 100 to 599. It is read here since fasthttp reports a status of 000
+// as 200. An answer that ends or cannot be read is left to the caller.
+func (e *exchange) checkStatusLine() error {
+	for range maxInterim {
+		start, err := e.connection.reader.Peek(len(statusStart))
+		if err != nil {
+			return nil
+		}
+		switch class := start[len(statusStart)-3]; {
+		case class < '1' || class > '5':
+			return eris.Errorf("status %q is not defined by HTTP", start[len(statusStart)-3:])
+		case class != '1':
+			return nil
+		}
+		if err := e.skipHead(); err != nil {
+			return nil
+		}
+	}
+	return eris.Errorf("more than %d interim answers", maxInterim)
+}
+
+// skipHead reads the head of an answer.
+func (e *exchange) skipHead() error {
+	for {
+		line, err := e.connection.reader.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			return nil
+		}
+	}
+}
+
 // Sizes of pooled buffers, in bytes. A write buffer is in use while its request
 // is sent, a body buffer until the body of the answer ends.
 const (
@@ -145,6 +194,11 @@
 // sink unless the server refused the request.
 func (e *exchange) answer(r *fasthttp.Response) (Result, bool) {
 	status := r.StatusCode()
+	if e.writeFailed && isUnframed(r) {
+		// The reset of the connection was reported to the write, so the body seems to end
+		// where it was cut.
+		return Broken{Code: CodeTruncated, Err: eris.New("the connection was reset while the request was written, and the answer has no length"), ConnectionLost: true}, false
+	}
 	if echo := header(r, HeaderRequestID); echo != "" && echo != e.call.ID {
 		return Broken{Code: CodeMismatched, Err: eris.New("the answer has the identifier of another request")}, false
 	}
--- a/exchanger/parse.go
+++ b/exchanger/parse.go
@@ -77,12 +77,14 @@
 	if c.Stream && status == fasthttp.StatusOK {
 		return &eventParser{buffer: buffer{memory: memory}, resumedFrom: c.ResumeFrom}
 	}
-	// Without a length or chunked encoding the body ends when the connection is
-	// closed, so the framing doesn't distinguish a complete body from a truncated
-	// one. ContentLength returns -2 in this case.
-	return &plainParser{body: buffer{memory: memory}, unframed: r.Header.ContentLength() == -2}
+	return &plainParser{body: buffer{memory: memory}, unframed: isUnframed(r)}
 }
 
+// isUnframed reports whether an answer has neither a length nor chunked encoding. Its body ends
+// when the connection is closed, so the framing doesn't distinguish a complete body from a
+// truncated one. ContentLength returns -2 in this case.
+func isUnframed(r *fasthttp.Response) bool { return r.Header.ContentLength() == -2 }
+
 // plainParser yields a body unchanged. An unframed body must be a complete JSON
 // value.
 type plainParser struct {
