exchanger: a silent server is given up after one timeout, not two

The check of the status line waited for the first bytes and left a timeout to the reading of the head, which waited once more: 1.0 s in place of 0.5 s. An exchange ends with the first failed read.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -94,8 +94,8 @@
 	response.StreamBody = true
 	response.Header.DisableNormalizing()
 	e.connection.ioTimeout = e.options.FirstByteTimeout
-	if err := e.checkStatusLine(); err != nil {
-		return Broken{Code: CodeMalformed, Err: err}, false
+	if failed := e.checkStatusLine(); failed != nil {
+		return failed, false
 	}
 	if err := response.Read(e.connection.reader); err != nil {
 		return e.failure(err), false
@@ -111,26 +111,26 @@
 	maxInterim = 16
 )
 
-// checkStatusLine skips interim answers and returns an error if the status of the answer is not
-// one that HTTP defines, from 100 to 599. It is read here since fasthttp reports a status of 000
-// as 200. An answer that ends or cannot be read is left to the caller.
-func (e *exchange) checkStatusLine() error {
+// checkStatusLine skips interim answers and returns a non-nil Result if no answer comes, or if
+// its status is not one that HTTP defines, from 100 to 599. It is read here since fasthttp
+// reports a status of 000 as 200.
+func (e *exchange) checkStatusLine() Result {
 	for range maxInterim {
 		start, err := e.connection.reader.Peek(len(statusStart))
 		if err != nil {
-			return nil
+			return e.failure(err)
 		}
 		switch class := start[len(statusStart)-3]; {
 		case class < '1' || class > '5':
-			return eris.Errorf("status %q is not defined by HTTP", start[len(statusStart)-3:])
+			return Broken{Code: CodeMalformed, Err: eris.Errorf("status %q is not defined by HTTP", start[len(statusStart)-3:])}
 		case class != '1':
 			return nil
 		}
 		if err := e.skipHead(); err != nil {
-			return nil
+			return e.failure(err)
 		}
 	}
-	return eris.Errorf("more than %d interim answers", maxInterim)
+	return Broken{Code: CodeMalformed, Err: eris.Errorf("more than %d interim answers", maxInterim)}
 }
 
 // skipHead reads the head of an answer.
