follower: evacuated data centres and cold periods of servers

Parts 2 and 3 of docs/PLACEMENT-AND-LOAD.md need two facts of the store: op/evacuate/NAME, and when a server is cold (warmupLeftMs and seq of its entry, warmupS and warmupPerS of its service).

Entries with the sequence number of the known period change nothing of it, also when all keys are read again.

The name of an evacuated data centre may be any text, unlike the names of servers and hosts: an operator's evacuation must not be missed for a space in it.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -28,8 +28,25 @@
 	// StartedAt is the start time of the incarnation, in Unix milliseconds of the
 	// server's clock.
 	StartedAt int64
+	// Cold is the period in which the server takes few requests, as it last stated; nil if
+	// it stated none. It must not be changed.
+	Cold *ColdPeriod
 }
 
+// ColdPeriod is a period, on the clock of the host, in which a server that has started, or
+// lost what it had loaded, takes few requests.
+type ColdPeriod struct {
+	// Sequence is the number of the server's entry that stated it.
+	Sequence int64
+	// From is when the first entry that stated it was received, Until when it ends.
+	From, Until timer.Millis
+	// Again is set if the same incarnation was in use before and not cold.
+	Again bool
+}
+
+// Contains reports whether the period lasts at an instant; a nil one never does.
+func (c *ColdPeriod) Contains(now timer.Millis) bool { return c != nil && now < c.Until }
+
 // Incarnation identifies one start of a server. A server may restart under the same
 // identifier.
 type Incarnation struct {
@@ -115,6 +132,8 @@
 	Retiring map[string]bool
 	// RetireStatus holds the status of such hosts, by name.
 	RetireStatus map[string]RetireStatus
+	// Evacuated holds the names of the data centres whose servers get no requests.
+	Evacuated map[string]bool
 	// Quarantined holds the records of quarantined calls, by fingerprint.
 	Quarantined map[uint64]Quarantine
 	// Revision is a revision of the store up to which the Snapshot has all changes.
@@ -219,6 +238,16 @@
 	return s
 }
 
+// WithEvacuated returns s with the data centre of this name marked as evacuated, or not.
+func (s Snapshot) WithEvacuated(dataCentre string, evacuated bool) Snapshot {
+	if evacuated {
+		s.Evacuated = withEntry(s.Evacuated, dataCentre, true)
+	} else {
+		s.Evacuated = withoutEntry(s.Evacuated, dataCentre)
+	}
+	return s
+}
+
 // WithQuarantine returns s with the record of a call, or s unchanged if its record has the
 // same or a higher revision.
 func (s Snapshot) WithQuarantine(fingerprint uint64, q Quarantine) Snapshot {
@@ -251,6 +280,20 @@
 // change the slice.
 func (s Snapshot) ServersOf(service string) []Server { return s.services[service] }
 
+// IsEvacuated reports whether the data centre of v is evacuated.
+func (s Snapshot) IsEvacuated(v Server) bool {
+	return len(s.Evacuated) > 0 && s.Evacuated[v.DataCentre]
+}
+
+// WarmupRate returns how many requests a second a cold server of a service takes from all
+// hosts together; zero if that is not limited.
+func (s Snapshot) WarmupRate(service string) float64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.services[service].WarmupRate
+}
+
 func compareID(v Server, id string) int { return strings.Compare(v.ID, id) }
 
 // MemberWithDisk returns the member that has this disk. It finds none for the empty
--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -78,6 +78,12 @@
 	MaxConnections int
 	// Slots is how many requests a server runs at once; zero if it is not configured.
 	Slots int
+	// Warmup is for how long a server is usually cold after a start. It is only logged: how
+	// long a server is cold is what its entry states.
+	Warmup timer.Millis
+	// WarmupRate is how many requests a second a cold server takes from all hosts together;
+	// zero means no limit.
+	WarmupRate float64
 }
 
 // Workspace is a customer of the fleet.
--- a/follower/apply.go
+++ b/follower/apply.go
@@ -30,7 +30,9 @@
 			fresh = f.withUnreadable(fresh, s, i)
 		case ServerFact:
 			delete(f.missing, entryID{name: t.Server.ID})
-			servers = append(servers, t.Server)
+			known := s
+			known.Config = fresh.Config
+			servers = append(servers, f.serverOf(known, t))
 		default:
 			fresh = f.applyFact(fresh, t)
 		}
@@ -120,7 +122,7 @@
 		return s.WithConfig(t.Config)
 	case ServerFact:
 		delete(f.missing, entryID{name: t.Server.ID})
-		return s.WithServer(t.Server)
+		return s.WithServer(f.serverOf(s, t))
 	case MemberFact:
 		delete(f.missing, entryID{host: true, name: t.Member.Name})
 		return s.WithMember(t.Member)
@@ -128,6 +130,8 @@
 		return s.WithGroup(t.Number, t.Group)
 	case RetireFact:
 		return s.WithRetiring(t.Host, true)
+	case EvacuateFact:
+		return s.WithEvacuated(t.DataCentre, true)
 	case RetireStatusFact:
 		return s.WithRetireStatus(t.Host, t.Status)
 	case QuarantineFact:
@@ -146,6 +150,8 @@
 		return f.removeMember(s, t.Member.Name)
 	case RetireFact:
 		return s.WithRetiring(t.Host, false)
+	case EvacuateFact:
+		return s.WithEvacuated(t.DataCentre, false)
 	case RetireStatusFact:
 		return s.WithRetireStatus(t.Host, cataloger.RetireStatus{})
 	case QuarantineFact:
--- a/follower/facts.go
+++ b/follower/facts.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/storer"
+	"github.com/jackdawgate/jackdawgate/timer"
 )
 
 // Decoder decodes the keys and values of the store. It is pure.
@@ -20,8 +21,15 @@
 // ConfigFact is the operators' configuration.
 type ConfigFact struct{ Config *cataloger.Config }
 
-// ServerFact is a backend server's entry.
-type ServerFact struct{ Server cataloger.Server }
+// ServerFact is a backend server's entry. Its Server has no ColdPeriod: when one began is
+// known only to the host that receives the entry.
+type ServerFact struct {
+	Server cataloger.Server
+	// Sequence increases with each entry of a server; zero if it is not stated.
+	Sequence int64
+	// ColdFor is for how much longer the server is cold, as stated; any value is possible.
+	ColdFor timer.Millis
+}
 
 // MemberFact is a host's entry.
 type MemberFact struct{ Member cataloger.Member }
@@ -35,6 +43,9 @@
 // RetireFact requests that all batch groups be moved off a host.
 type RetireFact struct{ Host string }
 
+// EvacuateFact requests that the servers of a data centre get no more requests.
+type EvacuateFact struct{ DataCentre string }
+
 // RetireStatusFact is the status of a host that is, or was, to be emptied.
 type RetireStatusFact struct {
 	Host   string
@@ -55,6 +66,7 @@
 func (MemberFact) fact()       {}
 func (GroupFact) fact()        {}
 func (RetireFact) fact()       {}
+func (EvacuateFact) fact()     {}
 func (RetireStatusFact) fact() {}
 func (QuarantineFact) fact()   {}
 func (OtherFact) fact()        {}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,7 +21,8 @@
 )
 
 // decoder decodes the short values of these tests: "config" holds a version,
-// "servers/ID" and "hosts/NAME" hold a state.
+// "servers/ID" and "hosts/NAME" hold a state. That of a server is "SEQUENCE COLD-FOR" if it
+// is cold. "evacuate/NAME" holds anything.
 type decoder struct{}
 
 func (decoder) Kind(key string) follower.Fact {
@@ -31,6 +33,8 @@
 		return follower.ServerFact{Server: cataloger.Server{ID: strings.TrimPrefix(key, "servers/")}}
 	case strings.HasPrefix(key, "hosts/"):
 		return follower.MemberFact{Member: cataloger.Member{Name: strings.TrimPrefix(key, "hosts/")}}
+	case strings.HasPrefix(key, "evacuate/"):
+		return follower.EvacuateFact{DataCentre: strings.TrimPrefix(key, "evacuate/")}
 	case strings.HasPrefix(key, "quarantine/"):
 		return follower.QuarantineFact{Fingerprint: 7}
 	}
@@ -47,7 +51,13 @@
 		n, err := strconv.ParseInt(string(i.Value), 10, 64)
 		return follower.ConfigFact{Config: cataloger.NewConfig(cataloger.ConfigParts{Version: n})}, err
 	case follower.ServerFact:
-		return follower.ServerFact{Server: cataloger.Server{ID: name, Draining: string(i.Value) == "draining"}}, nil
+		var sequence int64
+		var cold timer.Millis
+		// Other states leave both zero.
+		_, _ = fmt.Sscan(string(i.Value), &sequence, &cold)
+		return follower.ServerFact{Server: cataloger.Server{ID: name, Draining: string(i.Value) == "draining"}, Sequence: sequence, ColdFor: cold}, nil
+	case follower.EvacuateFact:
+		return d.Kind(i.Key), nil
 	case follower.MemberFact:
 		return follower.MemberFact{Member: cataloger.Member{Name: name, Leaving: string(i.Value) == "leaving"}}, nil
 	case follower.QuarantineFact:
--- a/follower/log.go
+++ b/follower/log.go
@@ -31,9 +31,44 @@
 			l.Info("host gone", zap.String("member", name))
 		}
 	}
+	for name := range b.Evacuated {
+		if !a.Evacuated[name] {
+			f.logEvacuation(name, b)
+		}
+	}
+	for name := range a.Evacuated {
+		if !b.Evacuated[name] {
+			l.Info("evacuation cancelled", zap.String("data-centre", name), zap.Int("evacuated", len(b.Evacuated)))
+		}
+	}
 	for n, g := range b.Groups {
 		if a.Groups[n].Revision != g.Revision {
 			l.Info("group changed", zap.Int("group", n), zap.Uint64("epoch", g.Epoch), zap.String("owner", g.Owner), zap.Strings("holders", g.Holders))
 		}
 	}
 }
+
+// logEvacuation writes that a data centre is evacuated. One without servers and hosts may be
+// a mistyped name.
+func (f *Follower) logEvacuation(name string, s cataloger.Snapshot) {
+	servers, hosts := 0, 0
+	for _, v := range s.Servers {
+		if v.DataCentre == name {
+			servers++
+		}
+	}
+	for _, m := range s.Members {
+		if m.DataCentre == name {
+			hosts++
+		}
+	}
+	fields := []zap.Field{
+		zap.String("data-centre", name), zap.Int("servers", servers), zap.Int("hosts", hosts),
+		zap.Int("known-servers", len(s.Servers)), zap.Int("evacuated", len(s.Evacuated)),
+	}
+	if servers+hosts == 0 {
+		f.options.Logger.Warn("evacuated data centre is unknown", fields...)
+		return
+	}
+	f.options.Logger.Info("data centre evacuated", fields...)
+}
