warmer, picker: shares of cold servers; no candidates in evacuated data centres

A cold server crashes well above its rate, also if hosts do not hear one another. Each host therefore derives a share from the names of the members and the server's incarnation alone.

The window is 1.1 s and not 1 s: the first request to a server waits for its connection, later ones do not, so two that leave a second apart may arrive closer together, and a synchronous second round of all hosts would exceed the bound.

The share counts as spent when the host starts, and also when a server in use becomes cold again, since the second before is not recorded.

Servers without cold period and evacuation take no lock and no clock.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -1,5 +1,6 @@
 // Package picker chooses backend servers for calls and counts the calls that this
-// host has in flight at each of them, and those that count towards a server's limit.
+// host has in flight at each of them, and those that count towards a server's limit or
+// this host's share of a cold server. Servers of evacuated data centres are not chosen.
 // Choosing and counting are one atomic step, so concurrent calls do not all choose the
 // same server.
 package picker
@@ -14,12 +15,13 @@
 	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/jackdawgate/jackdawgate/warmer"
 )
 
 // defaultSlots is the default for slots that neither a server nor its service states.
 const defaultSlots = 8
 
-// Options configures a Picker. All functions are required, and must be safe for
+// Options configures a Picker. All but Warmer are required. The functions must be safe for
 // concurrent use. All but OnChange may be called with the Picker's lock held, so they
 // must not call the Picker.
 type Options struct {
@@ -36,6 +38,8 @@
 	Slowdown func(server string) float64
 	// Throttler holds the limits that servers named.
 	Throttler *throttler.Throttler
+	// Warmer holds this host's shares of cold servers; nil means not to limit them.
+	Warmer *warmer.Warmer
 	// OnChange is called, without the lock, after a count has changed.
 	OnChange   func()
 	DataCentre string
@@ -74,6 +78,8 @@
 	// set if the call was counted towards the limit, sent if it reached the server.
 	mark          throttler.Mark
 	counted, sent bool
+	// claim is the call's place in the share of a cold server; nil if it has none.
+	claim *warmer.Claim
 }
 
 // ServerFull reports whether all slots were taken, so that the call has to wait for
@@ -95,34 +101,57 @@
 	r.picker.options.Throttler.Pause(r.Server.Incarnation(), d)
 }
 
+// Misdirected records that the server took the call for one to another server and did not
+// run it. Such a call does not count towards the share of a cold server.
+func (r *Reservation) Misdirected() { r.refundClaim() }
+
+func (r *Reservation) refundClaim() {
+	r.picker.options.Warmer.Refund(r.claim)
+	r.claim = nil
+}
+
 // Release stops counting the call. Only the first Release has an effect.
 func (r *Reservation) Release() {
 	r.once.Do(func() {
 		if r.counted && !r.sent {
 			r.picker.options.Throttler.Refund(r.Server.Incarnation())
 		}
+		if !r.sent {
+			r.refundClaim()
+		}
 		r.picker.countAndNotify(r.Server.ID, r.batch, -1)
 	})
 }
 
 // NoServerError reports that no server of a service can be used.
-type NoServerError struct{ Service string }
+type NoServerError struct {
+	Service string
+	// Evacuated is the number of its servers in evacuated data centres.
+	Evacuated int
+}
 
-func (e *NoServerError) Error() string { return "no usable server of service " + e.Service }
+func (e *NoServerError) Error() string {
+	if e.Evacuated == 0 {
+		return "no usable server of service " + e.Service
+	}
+	return fmt.Sprintf("no usable server of service %s outside evacuated data centres, which have %d", e.Service, e.Evacuated)
+}
 
-// HeldBackError reports that the limits of the usable servers leave no room for a call.
+// HeldBackError reports that the limits of the usable servers, or this host's shares of
+// those that are cold, leave no room for a call.
 type HeldBackError struct {
 	Service string
-	// Servers is their number, Rate the sum of their limits in requests a second.
-	Servers int
-	Rate    float64
+	// Servers is their number, of which Cold are cold, and Rate the sum of their limits in
+	// requests a second.
+	Servers, Cold int
+	Rate          float64
 	// RetryAfter is the time after which the first of them may have room, Age the time
 	// since the newest of their limits was confirmed.
 	RetryAfter, Age timer.Millis
 }
 
 func (e *HeldBackError) Error() string {
-	return fmt.Sprintf("limits of %d servers of service %s, %g requests/s together, leave no room", e.Servers, e.Service, e.Rate)
+	return fmt.Sprintf("limits of %d servers of service %s, of which %d are cold, %g requests/s together, leave no room", e.Servers, e.Service, e.Cold, e.Rate)
 }
 
 // heldBackError returns the error for a call that these candidates have no room for.
@@ -130,6 +159,9 @@
 	e := &HeldBackError{Service: service, Servers: len(list)}
 	for i, c := range list {
 		e.Rate += c.Room.Rate
+		if c.Room.Cold {
+			e.Cold++
+		}
 		if i == 0 || c.Room.RetryAfter < e.RetryAfter {
 			e.RetryAfter = c.Room.RetryAfter
 		}
@@ -170,26 +202,63 @@
 			if held := selector.HeldBack(r, list); len(held) > 0 {
 				return nil, heldBackError(service, held)
 			}
-			return nil, &NoServerError{Service: service}
+			return nil, &NoServerError{Service: service, Evacuated: evacuatedServers(s, service)}
 		}
 		out := p.newReservation(list[i])
-		var ok bool
-		if out.counted, ok = p.options.Throttler.Take(out.Server.Incarnation(), class); ok {
+		if p.take(s, out, class) {
 			p.add(out.Server.ID, false, 1)
 			return out, nil
 		}
 		// Another host's report used up the limit after the candidates were listed.
-		list[i].Room = p.options.Throttler.Room(out.Server.Incarnation(), class)
+		list[i].Room = p.options.Throttler.Room(out.Server.Incarnation(), class).And(p.coldRoom(s, out.Server))
 		list[i].Room.Open = false
 	}
 }
 
+// coldRoom returns what this host's share of a server leaves if it is cold.
+func (p *Picker) coldRoom(s cataloger.Snapshot, v cataloger.Server) throttler.Room {
+	return p.options.Warmer.Room(v, s.WarmupRate(v.Service))
+}
+
+// take counts the call of r towards its server's limit, and towards this host's share if
+// the server is cold. It returns false if there is no room for it.
+func (p *Picker) take(s cataloger.Snapshot, r *Reservation, class throttler.Class) bool {
+	ok := true
+	if r.Server.Cold != nil {
+		if r.claim, ok = p.options.Warmer.Take(r.Server, s.WarmupRate(r.Server.Service)); !ok {
+			return false
+		}
+	}
+	if r.counted, ok = p.options.Throttler.Take(r.Server.Incarnation(), class); !ok {
+		r.refundClaim()
+	}
+	return ok
+}
+
+// evacuatedServers returns the number of servers of a service in evacuated data centres.
+func evacuatedServers(s cataloger.Snapshot, service string) int {
+	n := 0
+	for _, v := range s.ServersOf(service) {
+		if s.IsEvacuated(v) {
+			n++
+		}
+	}
+	return n
+}
+
 // Reserve counts a batch call at a server that was chosen elsewhere. It returns false if
-// the server's limit leaves no room for it.
+// the server's limit, or this host's share of a cold server, leaves no room for it, or if
+// the server is known to be evacuated by now.
 func (p *Picker) Reserve(v cataloger.Server, class throttler.Batch) (*Reservation, bool) {
+	s := p.options.Snapshot()
+	if s.IsEvacuated(v) {
+		return nil, false
+	}
+	if now, ok := s.Servers[v.ID]; ok && now.Incarnation() == v.Incarnation() {
+		v.Cold = now.Cold
+	}
 	out := &Reservation{Server: v, picker: p, batch: true, mark: p.options.Throttler.Mark(v.Incarnation())}
-	var ok bool
-	if out.counted, ok = p.options.Throttler.Take(v.Incarnation(), class); !ok {
+	if !p.take(s, out, class) {
 		return nil, false
 	}
 	p.countAndNotify(v.ID, true, 1)
@@ -223,14 +292,14 @@
 	s := p.options.Snapshot()
 	n := 0
 	for _, v := range s.ServersOf(service) {
-		if !v.Draining && !p.options.Leaving(v.Incarnation()) {
+		if !v.Draining && !s.IsEvacuated(v) && !p.options.Leaving(v.Incarnation()) {
 			n += slotsOf(s, v)
 		}
 	}
 	return n
 }
 
-// Candidates returns the servers of a service with the calls that all hosts are known
+// Candidates returns the servers of a service outside evacuated data centres with the calls that all hosts are known
 // to have in flight there, and the room that their limits leave for a batch item.
 func (p *Picker) Candidates(service string, class throttler.Batch) []selector.Candidate {
 	p.mu.Lock()
@@ -243,11 +312,16 @@
 func (p *Picker) candidates(s cataloger.Snapshot, servers subset, class throttler.Class) []selector.Candidate {
 	out := make([]selector.Candidate, 0, len(servers.list))
 	for i, v := range servers.list {
+		if len(s.Evacuated) > 0 && s.IsEvacuated(v) {
+			continue
+		}
 		v.Draining = v.Draining || p.options.Leaving(v.Incarnation())
 		mine, others := p.loads[v.ID], p.options.RemoteLoad(v.ID)
 		c := selector.Candidate{Server: v, Online: mine.Online + others.Online, Batch: mine.Batch + others.Batch, Home: i < servers.homes}
 		c.Slots, c.Slowdown = slotsOf(s, v), p.options.Slowdown(v.ID)
-		c.Room = p.options.Throttler.Room(v.Incarnation(), class)
+		if c.Room = p.options.Throttler.Room(v.Incarnation(), class); v.Cold != nil {
+			c.Room = c.Room.And(p.coldRoom(s, v))
+		}
 		c.Usable = p.options.Ejector.Usable(v.ID, c.Online+c.Batch > c.Slots)
 		out = append(out, c)
 	}
--- a/throttler/admit.go
+++ b/throttler/admit.go
@@ -41,8 +41,9 @@
 // Room is what a limit leaves for a request.
 type Room struct {
 	// Limited is set if the server has a limit or takes no requests for a while, Paused in
-	// the latter case. The other fields apply only if it is.
-	Limited, Paused bool
+	// the latter case, or if it is cold (package warmer). The other fields apply only if
+	// Limited is set.
+	Limited, Paused, Cold bool
 	// Open reports whether the request may be sent now.
 	Open bool
 	// RetryAfter is the time after which it may be, if it may not now.
@@ -59,6 +60,21 @@
 	Probe bool
 }
 
+// And returns the room of a request that needs both rooms.
+func (r Room) And(o Room) Room {
+	switch {
+	case !o.Limited:
+		return r
+	case !r.Limited:
+		return o
+	}
+	return Room{
+		Limited: true, Paused: r.Paused || o.Paused, Cold: r.Cold || o.Cold, Open: r.Open && o.Open,
+		RetryAfter: max(r.RetryAfter, o.RetryAfter), Rate: min(r.Rate, o.Rate), Age: min(r.Age, o.Age),
+		Restraint: max(r.Restraint, o.Restraint), Probe: (r.Probe || o.Probe) && r.Open && o.Open,
+	}
+}
+
 // Room returns what the limit of a server leaves for a request of a class.
 func (t *Throttler) Room(v cataloger.Incarnation, c Class) Room {
 	if t.known.Load() == 0 {
