relayer, executor: refuse and evict by evacuations and cold servers

Items in an evacuated data centre are evicted as for an online call: their output is kept, and Picker.Candidates no longer lists the servers there.

A call whose servers are all evacuated, or cold without room, is refused as not run, with its own reason and a log line with the figures. 421 answers do not count towards the share. explain lists the evacuations in force, however old, and the shares of cold servers.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -249,7 +249,9 @@
 	if answer.Header.Get(x.options.Names.Leaving) != "" {
 		x.options.Departer.Record(v.Incarnation(), departer.Leaving)
 	}
-	if answer.Status != http.StatusMisdirectedRequest {
+	if answer.Status == http.StatusMisdirectedRequest {
+		reservation.Misdirected()
+	} else {
 		reservation.Answered(answer.Header.Values(x.options.Names.Limit), answer.Status == http.StatusOK && answer.Header.Get(x.options.Names.Signature) != "")
 	}
 	switch {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -88,8 +88,10 @@
 	// The fields below are guarded by Executor.mu.
 	running bool
 	server  string
-	started timer.Millis
-	cancel  context.CancelFunc
+	// dataCentre is that of server.
+	dataCentre string
+	started    timer.Millis
+	cancel     context.CancelFunc
 	// notBefore is when the item may start again. readySince is when that was first
 	// considered after its last run, or zero. For avoidDuration from then on it is not
 	// started on the servers in failedAt.
@@ -237,6 +239,7 @@
 	now := x.options.Clock.Now()
 	ready := x.refresh(s, now)
 	x.backlog = len(ready)
+	x.evacuate(s)
 	byService := make(map[string][]*task)
 	for _, t := range ready {
 		if service, ok := x.serviceOf(s, t); ok {
@@ -385,7 +388,7 @@
 		return false
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	t.running, t.server, t.cancel, t.evicted = true, v.ID, cancel, 0
+	t.running, t.server, t.dataCentre, t.cancel, t.evicted = true, v.ID, v.DataCentre, cancel, 0
 	t.started = x.options.Clock.Now()
 	x.workers.Go(func() {
 		defer cancel()
--- a/executor/fill.go
+++ b/executor/fill.go
@@ -142,8 +142,27 @@
 		return int(b.started - a.started)
 	})
 	for _, t := range running[:min(n, len(running))] {
-		t.evicted++
-		t.cancel()
-		x.options.Logger.Info("item evicted", zap.String("item", t.item().ID), zap.String("job", t.key.ref.Job), zap.String("server", server))
+		x.evictTask(t, "server full")
+	}
+}
+
+// evictTask cancels a running item, which keeps its output. The caller holds x.mu.
+func (x *Executor) evictTask(t *task, cause string) {
+	t.evicted++
+	t.cancel()
+	x.options.Logger.Info("item evicted", zap.String("item", t.item().ID), zap.String("job", t.key.ref.Job), zap.String("server", t.server),
+		zap.String("cause", cause), zap.Int("events", t.eventCount()))
+}
+
+// evacuate evicts all items that run in evacuated data centres. Picker.Candidates no longer
+// lists the servers there, so the items start again elsewhere. The caller holds x.mu.
+func (x *Executor) evacuate(s cataloger.Snapshot) {
+	if len(s.Evacuated) == 0 {
+		return
+	}
+	for _, t := range x.tasks {
+		if t.running && t.evicted == 0 && s.Evacuated[t.dataCentre] {
+			x.evictTask(t, "data centre evacuated")
+		}
 	}
 }
--- a/executor/fixture_test.go
+++ b/executor/fixture_test.go
@@ -29,6 +29,7 @@
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
+	"github.com/jackdawgate/jackdawgate/warmer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
@@ -37,6 +38,8 @@
 	lastEvent    = 6
 	waitTimeout  = 20 * time.Second
 	pollInterval = 5 * time.Millisecond
+	// warmupRate is what a cold server takes, in requests a second.
+	warmupRate = 2
 )
 
 var names = namer.Names{
@@ -216,6 +219,7 @@
 type fixture struct {
 	t        *testing.T
 	engine   *engine
+	clock    timer.Clock
 	queue    *queuer.Queue
 	executor *executor.Executor
 	options  executor.Options
@@ -234,6 +238,14 @@
 	return f.snapshot
 }
 
+// update replaces the snapshot that the executor uses.
+func (f *fixture) update(change func(s cataloger.Snapshot) cataloger.Snapshot) {
+	f.mu.Lock()
+	f.snapshot = change(f.snapshot)
+	f.mu.Unlock()
+	f.executor.Wake()
+}
+
 // restart replaces the server at an address by its next incarnation.
 func (f *fixture) restart(address string) {
 	f.mu.Lock()
@@ -258,17 +270,23 @@
 func startWithPolicy(t *testing.T, e *engine, servers int, policy filler.Policy) *fixture {
 	f := &fixture{t: t, engine: e}
 	route := cataloger.Route{Name: "r", Host: "h", Prefix: "/b/", Kind: cataloger.Batch, Shares: []cataloger.Share{{Service: "svc", Weight: 1}}}
-	s := cataloger.Snapshot{}.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{Version: 1, Routes: []cataloger.Route{route}}))
+	s := cataloger.Snapshot{}.WithConfig(cataloger.NewConfig(cataloger.ConfigParts{
+		Version: 1, Routes: []cataloger.Route{route}, Services: []cataloger.Service{{Name: "svc", WarmupRate: warmupRate}},
+	})).WithMember(cataloger.Member{Name: "self"})
 	for i := range servers {
 		s = s.WithServer(cataloger.Server{ID: fmt.Sprint("s", i), Service: "svc", Address: harness.Serve(t, e.answer), Slots: 4})
 	}
 	f.snapshot, e.onCrash = s, f.restart
 	clock := timer.System()
+	f.clock = clock
 	ej := ejector.New(clock, zap.NewNop())
 	d := departer.New(clock, zap.NewNop())
 	touch := func() {}
 	f.queue = queuer.New(zap.NewNop(), func() { touch() })
+	w := warmer.New("self", clock, zap.NewNop())
+	w.ApplySnapshot(s)
 	p := picker.New(picker.Options{
+		Warmer:   w,
 		Snapshot: f.current, Ejector: ej, Leaving: d.IsLeaving, Throttler: throttler.New(clock, zap.NewNop()), OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
 		RemoteLoad: func(string) gossiper.Load { return gossiper.Load{Online: f.onlineNow()} },
 	})
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -177,21 +177,35 @@
 // alignedMillis returns the time of l with its host's clock shift applied.
 func (t *Timeline) alignedMillis(l Line) float64 { return l.Millis + t.ClockShifts[l.Host] }
 
-// heldBack is the message of lines about calls that the limits of servers held back, and
-// limitChanged that of lines about such limits. A call that was held back was sent to no
-// server, so the limits of all servers are its context.
+// heldBack is the message of lines about calls that the limits of servers, or the shares of
+// cold ones, held back. A call that was held back was sent to no server, so the lines about
+// the limits and shares of all servers (limitMessages) are its context.
 const (
 	heldBack     = "held back by servers' limits"
 	limitChanged = "server's limit changed"
+	serverCold   = "server cold"
+	coldShare    = "share of a cold server"
 )
 
+// noServerLeft is the message of lines about calls whose servers are all in evacuated data
+// centres. The others are those of lines about evacuations.
+const (
+	noServerLeft        = "no server outside evacuated data centres"
+	evacuated           = "data centre evacuated"
+	evacuatedUnknown    = "evacuated data centre is unknown"
+	evacuationCancelled = "evacuation cancelled"
+)
+
+var limitMessages = map[string]bool{limitChanged: true, serverCold: true, coldShare: true}
+
 // contextMessages are the messages of lines that report a change in the state of a
 // backend server or host.
 var contextMessages = map[string]bool{
 	"server known": true, "server gone": true, "server failed": true, "server refused": true,
 	"starting": true, "leaving": true, "stopped": true, "store did not answer": true, "store answers again": true,
 	"group given up": true, "group served": true, "manifest written": true, "log lines dropped": true,
-	limitChanged: true, "server takes no requests for a while": true, "host known": true, "host gone": true, "configuration in force": true,
+	limitChanged: true, serverCold: true, coldShare: true, evacuated: true, evacuatedUnknown: true, evacuationCancelled: true,
+	"server takes no requests for a while": true, "host known": true, "host gone": true, "configuration in force": true,
 }
 
 // addContext fills t.Context from lines.
@@ -201,8 +215,14 @@
 	}
 	hosts, servers := make(map[string]bool), make(map[string]bool)
 	allLimits := false
+	// inForce holds the evacuations that the context has already, by host and data centre.
+	inForce := make(map[string]map[string]Line)
 	for _, l := range t.Lines {
 		hosts[l.Host] = true
+		if _, ok := inForce[l.Host]; l.Message == noServerLeft && !ok {
+			inForce[l.Host] = t.evacuationsBefore(l, lines)
+			t.Context = slices.AppendSeq(t.Context, maps.Values(inForce[l.Host]))
+		}
 		allLimits = allLimits || l.Message == heldBack
 		servers[l.Text("server")] = true
 	}
@@ -212,13 +232,34 @@
 		if !contextMessages[l.Message] || t.alignedMillis(l) < from || t.alignedMillis(l) > to || !hosts[l.Host] || l.mentions(t.ID) {
 			continue
 		}
-		if v := l.Text("server"); v == "" || servers[v] || (allLimits && l.Message == limitChanged) {
+		if (l.Message == evacuated || l.Message == evacuatedUnknown) && inForce[l.Host][l.Text("data-centre")].Millis == l.Millis {
+			continue
+		}
+		if v := l.Text("server"); v == "" || servers[v] || (allLimits && limitMessages[l.Message]) {
 			t.Context = append(t.Context, l)
 		}
 	}
 	t.Context = t.sortByTime(t.Context)
 }
 
+// evacuationsBefore returns the lines of the host of l about the data centres that were
+// evacuated when l was logged, however long before, by data centre.
+func (t *Timeline) evacuationsBefore(l Line, lines []Line) map[string]Line {
+	inForce := make(map[string]Line)
+	for _, e := range t.sortByTime(lines) {
+		if e.Host != l.Host || e.Millis > l.Millis {
+			continue
+		}
+		switch e.Message {
+		case evacuated, evacuatedUnknown:
+			inForce[e.Text("data-centre")] = e
+		case evacuationCancelled:
+			delete(inForce, e.Text("data-centre"))
+		}
+	}
+	return inForce
+}
+
 // endMessages are the messages of lines with which a request, the submission of a
 // job or an item ends.
 var endMessages = map[string]bool{
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -69,6 +69,26 @@
 	}
 }
 
+// A call was refused while servers were cold, or evacuated for long. Its timeline tells why,
+// not of what was cancelled since.
+func TestTimelineOfACallThatColdOrEvacuatedServersRefusedShowsThem(t *testing.T) {
+	const logs = `{"level":"info","ts":1000,"msg":"data centre evacuated","host":"e1","data-centre":"a","servers":9}
+{"level":"info","ts":1001,"msg":"data centre evacuated","host":"e1","data-centre":"b","servers":9}
+{"level":"info","ts":1002,"msg":"evacuation cancelled","host":"e1","data-centre":"b"}
+{"level":"info","ts":90000,"msg":"share of a cold server","host":"e1","server":"s1","share":1,"rate":14,"hosts":12}
+{"level":"info","ts":90010,"msg":"held back by servers' limits","host":"e1","request":"r1","service":"x","limited":1,"cold":1}
+{"level":"info","ts":90011,"msg":"refused","host":"e1","request":"r1","status":503,"reason":"the servers are cold and leave no room"}
+{"level":"info","ts":99000,"msg":"no server outside evacuated data centres","host":"e1","request":"r2","service":"x","evacuated":9}
+{"level":"info","ts":99001,"msg":"refused","host":"e1","request":"r2","status":503,"reason":"all servers to send to are in evacuated data centres"}
+`
+	lines, err := explainer.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	require.Equal(t, []string{"share of a cold server"}, messages(explainer.Explain("r1", lines).Context))
+	context := explainer.Explain("r2", lines).Context
+	require.Equal(t, []string{"data centre evacuated"}, messages(context))
+	require.Equal(t, "a", context[0].Text("data-centre"))
+}
+
 func TestTimelineReportsMissingEnd(t *testing.T) {
 	timeline, text := explain(t, "r1")
 	require.Len(t, timeline.Missing, 2)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -36,6 +36,7 @@
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
+	"github.com/jackdawgate/jackdawgate/warmer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
@@ -109,6 +110,7 @@
 	departer    *departer.Departer
 	comparer    *comparer.Comparer
 	throttler   *throttler.Throttler
+	warmer      *warmer.Warmer
 	picker      *picker.Picker
 	transporter *transporter.Transporter
 	// tracker records what crashes servers; quarantiner writes these records to the
@@ -158,9 +160,10 @@
 	b.departer = departer.New(clock, l)
 	b.comparer = comparer.New(clock, l)
 	b.throttler = throttler.New(clock, l)
+	b.warmer = warmer.New(m.Name, clock, l)
 	b.picker = picker.New(picker.Options{
-		Throttler: b.throttler,
-		Snapshot:  b.follower.Snapshot, RemoteLoad: func(id string) gossiper.Load { return b.gossiper.PeerLoad(id) },
+		Throttler: b.throttler, Warmer: b.warmer,
+		Snapshot: b.follower.Snapshot, RemoteLoad: func(id string) gossiper.Load { return b.gossiper.PeerLoad(id) },
 		Ejector: b.ejector, Leaving: b.departer.IsLeaving, Slowdown: b.comparer.Slowdown, OnChange: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
 	})
 	b.gossiper = gossiper.New(gossiper.Options{
@@ -175,6 +178,7 @@
 	})
 	close(gossiperSet)
 	b.follower.Notify(b.removeServers)
+	b.follower.Notify(b.warmer.ApplySnapshot)
 	b.follower.Notify(b.tracker.ApplySnapshot)
 	b.serveSuspects()
 	b.serveLimits()
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/rotisserie/eris"
@@ -25,6 +27,8 @@
 		QuarantinedCalls: func() int { return len(b.follower.Snapshot().Quarantined) },
 		LimitedServers:   b.throttler.InForce,
 		HeldBackCalls:    b.throttler.Refused,
+		ColdServers:      b.coldServers,
+		Evacuations:      func() []string { return slices.Collect(maps.Keys(b.follower.Snapshot().Evacuated)) },
 		Dials:            b.transporter.Dials,
 		DroppedLines:     b.platform.DroppedLines,
 	})
@@ -45,3 +49,14 @@
 	}()
 	return nil
 }
+
+// coldServers returns the number of servers that are cold now.
+func (b *base) coldServers() int {
+	n, now := 0, b.clock.Now()
+	for _, v := range b.follower.Snapshot().Servers {
+		if v.Cold.Contains(now) {
+			n++
+		}
+	}
+	return n
+}
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -36,6 +36,8 @@
 	serverLimits     = "jackdawgate.servers.limited"
 	heldBackCalls    = "jackdawgate.calls.limited"
 	heldBackItems    = "jackdawgate.items.limited"
+	coldServers      = "jackdawgate.servers.cold"
+	evacuations      = "jackdawgate.evacuations"
 	dials            = "jackdawgate.dials"
 	droppedLines     = "jackdawgate.log.dropped"
 )
@@ -52,8 +54,10 @@
 		{reachableHosts, "gauge", "", "Other hosts that this host heard within the last second."},
 		{quarantinedCalls, "gauge", "", "Calls under which servers ended, as the store has them, that are refused or tried by one host at a time."},
 		{serverLimits, "gauge", "", "Backend servers that named a limit which is in force."},
-		{heldBackCalls, "counter", "", "Calls that were refused because the limits of the servers left no room."},
-		{heldBackItems, "gauge", "", "Batch items that could run now but for the limits of the servers."},
+		{heldBackCalls, "counter", "", "Calls that were refused because the limits of the servers, or the shares of cold ones, left no room."},
+		{heldBackItems, "gauge", "", "Batch items that could run now but for the limits of the servers or the shares of cold ones."},
+		{coldServers, "gauge", "", "Backend servers that are cold, as they last stated, whether or not their service limits what they get."},
+		{evacuations, "gauge", "data_centre", "1 for each evacuated data centre; none is listed without an evacuation."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
 	}
@@ -82,8 +86,11 @@
 	QuarantinedCalls func() int
 	LimitedServers   func() int
 	HeldBackCalls    func() uint64
-	Dials            func() uint64
-	DroppedLines     func() uint64
+	ColdServers      func() int
+	// Evacuations returns the names of the evacuated data centres.
+	Evacuations  func() []string
+	Dials        func() uint64
+	DroppedLines func() uint64
 }
 
 // Measurer records the metrics of a host. The recording methods of a nil Measurer do
@@ -134,6 +141,7 @@
 		reachableHosts:   func() int64 { return int64(o.ReachableHosts()) },
 		quarantinedCalls: func() int64 { return int64(o.QuarantinedCalls()) },
 		serverLimits:     func() int64 { return int64(o.LimitedServers()) },
+		coldServers:      func() int64 { return int64(o.ColdServers()) },
 	}
 	for name, read := range gauges {
 		_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe(read)))
@@ -141,6 +149,15 @@
 			return eris.Wrap(err, "make gauge")
 		}
 	}
+	_, err := m.meter.Int64ObservableGauge(evacuations, metric.WithInt64Callback(func(_ context.Context, to metric.Int64Observer) error {
+		for _, name := range o.Evacuations() {
+			to.Observe(1, metric.WithAttributes(attribute.String("data_centre", name)))
+		}
+		return nil
+	}))
+	if err != nil {
+		return eris.Wrap(err, "make gauge")
+	}
 	counters := map[string]func() uint64{dials: o.Dials, heldBackCalls: o.HeldBackCalls, droppedLines: o.DroppedLines}
 	for name, read := range counters {
 		_, err := m.meter.Int64ObservableCounter(name, metric.WithInt64Callback(observe(func() int64 { return int64(read()) })))
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -24,7 +24,8 @@
 	one := func() uint64 { return 1 }
 	require.NoError(t, m.Observe(measurer.Callbacks{
 		ConfirmationAge: func() timer.Millis { return 1 }, KnownServers: func() int { return 1 },
-		ReachableHosts: func() int { return 1 }, QuarantinedCalls: func() int { return 1 }, LimitedServers: func() int { return 1 }, HeldBackCalls: one, Dials: one, DroppedLines: one,
+		ReachableHosts: func() int { return 1 }, QuarantinedCalls: func() int { return 1 }, LimitedServers: func() int { return 1 }, HeldBackCalls: one, Dials: one,
+		ColdServers: func() int { return 1 }, Evacuations: func() []string { return []string{"a", "b"} }, DroppedLines: one,
 	}))
 	m.Request("delivered", 55)
 	m.StoreCall("watch")
@@ -36,6 +37,7 @@
 		require.Contains(t, w.Body.String(), strings.ReplaceAll(i.Name, ".", "_"))
 	}
 	require.Contains(t, w.Body.String(), `outcome="delivered"`)
+	require.Contains(t, w.Body.String(), `data_centre="b"`)
 }
 
 func TestNilMeasurerCountsNothing(t *testing.T) {
--- a/relayer/admit.go
+++ b/relayer/admit.go
@@ -117,6 +117,12 @@
 	o := u.relayer.options
 	var held *picker.HeldBackError
 	if !errors.As(err, &held) {
+		var none *picker.NoServerError
+		if errors.As(err, &none) && none.Evacuated > 0 {
+			o.Logger.Info("no server outside evacuated data centres", zap.String("request", u.call.ID), zap.String("service", none.Service),
+				zap.Int("evacuated", none.Evacuated), zap.Int("tried", len(u.excluded)), zap.Int64("retry-after-ms", int64(retryNoServer)))
+			return u.giveUp("all servers to send to are in evacuated data centres", retryNoServer), false
+		}
 		return u.giveUp("no server to send to", retryNoServer), false
 	}
 	if !u.isFresh() && u.endsAfter(held.RetryAfter, left) && !u.callerLeavesWithin(held.RetryAfter) {
@@ -129,7 +135,10 @@
 	retryAfter := u.relayer.limits.Postpone(u.call.Service, postponer.Opening{
 		First: held.RetryAfter, Rate: max(held.Rate, throttler.MinRate), Hosts: o.Throttler.SendingHosts(), Left: left,
 	})
-	o.Logger.Info("held back by servers' limits", zap.String("request", u.call.ID), zap.String("service", held.Service), zap.Int("limited", held.Servers),
+	o.Logger.Info("held back by servers' limits", zap.String("request", u.call.ID), zap.String("service", held.Service), zap.Int("limited", held.Servers), zap.Int("cold", held.Cold),
 		zap.Float64("limits", held.Rate), zap.Int64("age-ms", int64(held.Age)), zap.Int64("room-in-ms", int64(held.RetryAfter)), zap.Int64("retry-after-ms", int64(retryAfter)))
+	if held.Cold == held.Servers {
+		return u.giveUp("the servers are cold and leave no room", retryAfter), false
+	}
 	return u.giveUp("the limits of the servers leave no room", retryAfter), false
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -58,6 +58,8 @@
 	ejector   *ejector.Ejector
 	clock     timer.Clock
 	memory    *holder.Holder
+	// pickerOptions are those of picker.
+	pickerOptions picker.Options
 
 	mu       sync.Mutex
 	snapshot cataloger.Snapshot
@@ -76,10 +78,11 @@
 	f.ejector, f.clock = e, clock
 	f.departer = departer.New(clock, zap.NewNop())
 	f.throttler = throttler.New(clock, zap.NewNop())
-	f.picker = picker.New(picker.Options{
+	f.pickerOptions = picker.Options{
 		Snapshot: f.current, RemoteLoad: func(string) gossiper.Load { return gossiper.Load{} },
 		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
-	})
+	}
+	f.picker = picker.New(f.pickerOptions)
 	f.memory = holder.New(memoryForAnswers)
 	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock, Memory: f.memory})
 	t.Cleanup(c.Close)
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -131,7 +131,9 @@
 	if answer.Header.Get(o.Names.Leaving) != "" {
 		o.Departer.Record(reservation.Server.Incarnation(), departer.Leaving)
 	}
-	if answer.Status != http.StatusMisdirectedRequest {
+	if answer.Status == http.StatusMisdirectedRequest {
+		reservation.Misdirected()
+	} else {
 		reservation.Answered(answer.Header.Values(o.Names.Limit), u.validate(answer) == nil && answer.Status/100 == 2)
 	}
 	return u.handleAnswer(ctx, reservation, answer)
