--- a/warmer/warmer_test.go
+++ b/warmer/warmer_test.go
@@ -128,11 +128,15 @@
 			c.Time++
 		}
 	}
-	w := warmer.New("h00", &harness.Clock{Time: 1}, zap.NewNop())
+	c := &harness.Clock{Time: 1}
+	w := warmer.New("h00", c, zap.NewNop())
+	c.Time = 9000
 	for _, rate := range []float64{0, -1} {
 		require.False(t, w.Room(v, rate).Limited, "no slow start is configured")
 	}
-	require.False(t, w.Room(v, 1e12).Open, "the host is no member yet")
+	for _, rate := range []float64{0.5, 14, 1e12} {
+		require.False(t, w.Room(v, rate).Open, "the host is no member yet")
+	}
 }
 
 // A host is killed and restarted within a second. It must not spend its share again.
