rationer: tells the requests that the fleet admitted, by workspace

Shares of servers follow from the demand of each workspace over all hosts. The digests carry the counts already; what was missing was a total that grows with each of them. The recent use (0.8 s) was ruled out: sampled several times a second it counts requests more than once. Requests that were refunded do not count. One addition for each admitted request.

--- a/rationer/use.go
+++ b/rationer/use.go
@@ -13,12 +13,15 @@
 	// used counts them by slots of usageSlot. The newest slot is slot.
 	used [usageSlots]float64
 	slot timer.Millis
+	// total counts them since this host started.
+	total float64
 }
 
 // addUsed counts tokens that were taken, or were returned if negative.
 func (u *recentUse) addUsed(tokens float64, now timer.Millis) {
 	u.dropOldSlots(now)
 	u.used[u.slot%usageSlots] += tokens
+	u.total += tokens
 }
 
 // usedLately returns how many tokens were taken within silentTimeout, as far as known.
@@ -38,3 +41,25 @@
 	}
 	u.slot = max(u.slot, newest)
 }
+
+// Use counts the requests of one workspace since this host started.
+type Use struct {
+	// Limit is the workspace's limit, if it is known.
+	Limit Limit
+	// Own is the number of requests that this host admitted, Fleet that of all hosts as far
+	// as known. Refunded requests do not count.
+	Own, Fleet float64
+}
+
+// Uses returns the use of each workspace, the number of hosts that are not silent, this one
+// included, and the number of all hosts.
+func (r *Rationer) Uses() (uses map[string]Use, heard, hosts int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	uses = make(map[string]Use, len(r.buckets))
+	for workspace, b := range r.buckets {
+		uses[workspace] = Use{Limit: b.limit, Own: float64(b.admitted), Fleet: b.total}
+	}
+	hosts = len(r.peers) + 1
+	return uses, hosts - r.silentPeers(r.clock.Now()), hosts
+}
