--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"math"
 	"slices"
 	"strings"
 
@@ -179,6 +180,13 @@
 	return rank
 }
 
+// Ranks returns the ranks of the most and the least urgent calls of a workspace, which is nil
+// for requests without a key.
+func (c *Config) Ranks(w *Workspace) (first, last int) {
+	first = c.Rank(w, &Route{Priority: math.MinInt})
+	return first, first + max(0, len(c.routePriorities)-1)
+}
+
 // Match returns the route of host with the longest prefix of path.
 func (c *Config) Match(host, path string) (*Route, bool) {
 	for _, r := range c.routes[host] {
