relayer: a call that has to wait for a slot is refused over the share of its workspace

The apportioner is asked once for each call, only if no server had it yet and a wait for a slot is predicted; with a free slot nothing more is done than before. The refusal is a 503 that was not run, with a place at the rate of the share. Requests without a workspace are counted as those of one, in the digests that exist. A line of the log has all inputs, which explain shows, and jackdawgate.calls.overshare counts the refusals.

--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// A call was refused as over the share of its workspace. Its timeline tells the inputs.
+func TestTimelineOfACallOverItsShareShowsTheShare(t *testing.T) {
+	const logs = `{"level":"info","ts":2000,"msg":"refused as over its share","host":"e1","request":"r1","workspace":"w","service":"x","rank":0,"share":12.5,"demand":80,"capacity":100,"weight":4,"part":0.25,"rate":3.1,"level":0.2,"wait-ms":300,"heard":3,"hosts":4,"retry-after-ms":260}
+{"level":"info","ts":2001,"msg":"refused","host":"e1","request":"r1","status":503,"reason":"the workspace is over its share of the servers, which have no free slot","retry-after-ms":260}
+`
+	lines, err := explainer.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	var b strings.Builder
+	require.NoError(t, explainer.Explain("r1", lines).Write(&b))
+	for _, want := range []string{"share=12.5", "demand=80", "capacity=100", "part=0.25", "heard=3", "hosts=4", "wait-ms=300"} {
+		require.Contains(t, b.String(), want)
+	}
+}
+
 func TestTimelineReportsMissingEnd(t *testing.T) {
 	timeline, text := explain(t, "r1")
 	require.Len(t, timeline.Missing, 2)
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -191,14 +191,16 @@
 // server.
 func (x *exchange) relay(body []byte) {
 	o := x.gatekeeper.options
+	// Requests without a workspace have no limit. They are counted for the shares of servers.
+	var limit rationer.Limit
 	if x.workspace != nil {
-		limit := LimitOf(x.workspace)
-		if d := o.Rationer.Admit(x.workspace.Name, limit); !d.Admitted {
-			x.log("over quota", zap.Float64("left", d.Level), zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
-				zap.Int("silent-hosts", d.Silent), zap.Int("hosts", d.Hosts))
-			x.refuse(&refusal{http.StatusTooManyRequests, "over the workspace's quota", x.postpone(d, limit)})
-			return
-		}
+		limit = LimitOf(x.workspace)
+	}
+	if d := o.Rationer.Admit(x.workspaceName(), limit); !d.Admitted {
+		x.log("over quota", zap.Float64("left", d.Level), zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
+			zap.Int("silent-hosts", d.Silent), zap.Int("hosts", d.Hosts))
+		x.refuse(&refusal{http.StatusTooManyRequests, "over the workspace's quota", x.postpone(d, limit)})
+		return
 	}
 	outcome := o.Relay.Run(x.request.Context(), x.call(body), &sink{writer: x.writer, controller: http.NewResponseController(x.writer)})
 	x.finish(outcome)
@@ -270,9 +272,7 @@
 		x.recordOutcome("delivered")
 		x.log("delivered", took, zap.Int("status", o.Status), zap.String("server", o.Server), zap.Int("servers", o.Servers))
 	case relayer.NotRun:
-		if x.workspace != nil {
-			x.gatekeeper.options.Rationer.Refund(x.workspace.Name)
-		}
+		x.gatekeeper.options.Rationer.Refund(x.workspaceName())
 		x.refuse(&refusal{http.StatusServiceUnavailable, o.Reason, o.RetryAfter})
 	case relayer.Unknown:
 		status := http.StatusBadGateway
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -62,7 +62,7 @@
 	e.base = b
 	e.relayer = relayer.New(relayer.Options{
 		Names: p.Names, Transporter: b.transporter, Picker: b.picker, Throttler: b.throttler, Ejector: b.ejector, Tracker: b.tracker, Departer: b.departer,
-		Budgeter: e.budgeter, Forecaster: e.forecaster, Comparer: b.comparer, Clock: b.clock, Logger: l,
+		Budgeter: e.budgeter, Forecaster: e.forecaster, Apportioner: b.apportioner, Comparer: b.comparer, Clock: b.clock, Logger: l,
 	})
 	jobs := broker.New(broker.Options{
 		Formats: p.JobFormats, Caller: b.messenger, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests, LastReceived: b.gossiper.LastReceived,
@@ -85,6 +85,7 @@
 	e.workers.Go(func() { e.inherit(ctx, bootstrapper, e.rationer) })
 	e.workers.Go(func() { e.inheritKnown(ctx) })
 	e.workers.Go(func() { e.watchLimits(ctx) })
+	e.workers.Go(func() { e.watchShares(ctx) })
 	b.serve()
 	return e, e.listen()
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/apportioner"
 	"github.com/jackdawgate/jackdawgate/broker"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/checker"
@@ -109,6 +110,7 @@
 	departer    *departer.Departer
 	comparer    *comparer.Comparer
 	throttler   *throttler.Throttler
+	apportioner *apportioner.Apportioner
 	picker      *picker.Picker
 	transporter *transporter.Transporter
 	// tracker records what crashes servers; quarantiner writes these records to the
@@ -158,6 +160,7 @@
 	b.departer = departer.New(clock, l)
 	b.comparer = comparer.New(clock, l)
 	b.throttler = throttler.New(clock, l)
+	b.apportioner = apportioner.New(clock)
 	b.picker = picker.New(picker.Options{
 		Throttler: b.throttler,
 		Snapshot:  b.follower.Snapshot, RemoteLoad: func(id string) gossiper.Load { return b.gossiper.PeerLoad(id) },
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -25,6 +25,7 @@
 		QuarantinedCalls: func() int { return len(b.follower.Snapshot().Quarantined) },
 		LimitedServers:   b.throttler.InForce,
 		HeldBackCalls:    b.throttler.Refused,
+		OverShareCalls:   b.apportioner.Refused,
 		Dials:            b.transporter.Dials,
 		DroppedLines:     b.platform.DroppedLines,
 	})
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -36,6 +36,7 @@
 	serverLimits     = "jackdawgate.servers.limited"
 	heldBackCalls    = "jackdawgate.calls.limited"
 	heldBackItems    = "jackdawgate.items.limited"
+	overShareCalls   = "jackdawgate.calls.overshare"
 	dials            = "jackdawgate.dials"
 	droppedLines     = "jackdawgate.log.dropped"
 )
@@ -53,6 +54,7 @@
 		{quarantinedCalls, "gauge", "", "Calls under which servers ended, as the store has them, that are refused or tried by one host at a time."},
 		{serverLimits, "gauge", "", "Backend servers that named a limit which is in force."},
 		{heldBackCalls, "counter", "", "Calls that were refused because the limits of the servers left no room."},
+		{overShareCalls, "counter", "", "Calls that were refused because the servers had no free slot and the workspace was over its share."},
 		{heldBackItems, "gauge", "", "Batch items that could run now but for the limits of the servers."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
@@ -82,6 +84,7 @@
 	QuarantinedCalls func() int
 	LimitedServers   func() int
 	HeldBackCalls    func() uint64
+	OverShareCalls   func() uint64
 	Dials            func() uint64
 	DroppedLines     func() uint64
 }
@@ -141,7 +144,7 @@
 			return eris.Wrap(err, "make gauge")
 		}
 	}
-	counters := map[string]func() uint64{dials: o.Dials, heldBackCalls: o.HeldBackCalls, droppedLines: o.DroppedLines}
+	counters := map[string]func() uint64{dials: o.Dials, heldBackCalls: o.HeldBackCalls, overShareCalls: o.OverShareCalls, droppedLines: o.DroppedLines}
 	for name, read := range counters {
 		_, err := m.meter.Int64ObservableCounter(name, metric.WithInt64Callback(observe(func() int64 { return int64(read()) })))
 		if err != nil {
--- a/relayer/admit.go
+++ b/relayer/admit.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 
+	"github.com/jackdawgate/jackdawgate/apportioner"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/picker"
@@ -15,7 +17,8 @@
 
 // Whether a call is sent to a server
 //
-// A call is refused if it cannot be expected to begin and end in the time that its caller
+// A call that would have to wait for a slot is refused if it is over the share of its
+// workspace. A call is refused if it cannot be expected to begin and end in the time that its caller
 // has left, or before the host stops, and if the limits of servers leave it no room. Its
 // caller is told when there will be room.
 
@@ -71,6 +74,28 @@
 	return u.giveUp(reasonTooLate, retryAfter)
 }
 
+// askShare asks whether the call, which has to wait for a slot, is within the share of its
+// workspace. A slot is taken from when the prompt is read until the answer ends.
+func (u *run) askShare(p forecaster.Prediction) apportioner.Decision {
+	o := u.relayer.options
+	return o.Apportioner.Ask(apportioner.Call{
+		Service: u.call.Service, Workspace: u.call.Workspace, Rank: u.call.Rank,
+		Slots: o.Picker.TotalSlots(u.call.Service), Run: o.Forecaster.Predict(forecaster.Call{Service: u.call.Service}).End, Wait: p.Wait,
+	})
+}
+
+// refuseOverShare ends a call over the share of its workspace. Its caller is told when this
+// host's part of the share has room for it, after those that it refused before.
+func (u *run) refuseOverShare(d apportioner.Decision, p forecaster.Prediction, left timer.Millis) Outcome {
+	o := u.relayer.options
+	key := u.call.Service + " " + strconv.Itoa(u.call.Rank) + " " + u.call.Workspace
+	retryAfter := max(minRetry, u.relayer.shares.Postpone(key, postponer.Opening{First: d.RetryAfter, Rate: d.Rate, Hosts: 1, Left: left}))
+	o.Logger.Info("refused as over its share", zap.String("request", u.call.ID), zap.String("service", u.call.Service), zap.String("workspace", u.call.Workspace), zap.Int("rank", u.call.Rank),
+		zap.Float64("share", d.Share), zap.Float64("demand", d.Demand), zap.Float64("capacity", d.Capacity), zap.Float64("weight", d.Weight), zap.Float64("part", d.Part), zap.Float64("rate", d.Rate), zap.Float64("level", d.Level),
+		zap.Int64("wait-ms", int64(p.Wait)), zap.Int("heard", d.Heard), zap.Int("hosts", d.Hosts), zap.Int64("retry-after-ms", int64(retryAfter)))
+	return u.giveUp("the workspace is over its share of the servers, which have no free slot", retryAfter)
+}
+
 // refuseFull ends a call that servers refused since they were full. Its caller is told of
 // the next place that becomes free. If it could not be served from there in time, the
 // reason says so.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/jackdawgate/jackdawgate/apportioner"
 	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/comparer"
@@ -119,6 +120,7 @@
 	Departer    *departer.Departer
 	Budgeter    *budgeter.Budgeter
 	Forecaster  *forecaster.Forecaster
+	Apportioner *apportioner.Apportioner
 	Comparer    *comparer.Comparer
 	Clock       timer.Clock
 	Logger      *zap.Logger
@@ -128,8 +130,9 @@
 type Relayer struct {
 	options Options
 	// queues gives places to callers for whose calls servers had no room, limits to those
-	// whom the limits of servers held back.
-	queues, limits *postponer.Postponer
+	// whom the limits of servers held back, shares to those whose workspaces had no room left
+	// in their shares.
+	queues, limits, shares *postponer.Postponer
 	// stopAt is the instant at which all calls must have ended, or zero. ended is cancelled
 	// by End.
 	stopAt atomic.Int64
@@ -139,7 +142,7 @@
 
 // New returns a Relayer.
 func New(o Options) *Relayer {
-	r := &Relayer{options: o, queues: postponer.New(o.Clock), limits: postponer.New(o.Clock)}
+	r := &Relayer{options: o, queues: postponer.New(o.Clock), limits: postponer.New(o.Clock), shares: postponer.New(o.Clock)}
 	r.ended, r.end = context.WithCancel(context.Background())
 	return r
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"testing"
 
+	"github.com/jackdawgate/jackdawgate/apportioner"
 	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/comparer"
@@ -86,7 +87,7 @@
 	f.tracker = suspector.NewTracker(clock, zap.NewNop(), nil)
 	f.options = relayer.Options{
 		Names: names, Transporter: c, Picker: f.picker, Throttler: f.throttler, Ejector: e, Tracker: f.tracker, Departer: f.departer,
-		Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop(),
+		Budgeter: budgeter.New(budgeter.Options{}), Forecaster: forecaster.New(), Apportioner: apportioner.New(clock), Comparer: comparer.New(clock, zap.NewNop()), Clock: clock, Logger: zap.NewNop(),
 	}
 	f.relayer = relayer.New(f.options)
 	return f
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -63,6 +63,8 @@
 	// long earlier attempts streamed what the current one does not repeat.
 	firstEvent timer.Millis
 	streamed   timer.Millis
+	// within is set once the call was found to be within the share of its workspace.
+	within bool
 	// lastProgress is when the caller last received an event, or when the call began.
 	lastProgress timer.Millis
 }
@@ -107,6 +109,12 @@
 	if u.isFresh() && !u.endsBeforeStop(prediction) {
 		return NotRun{Reason: ReasonStopping, RetryAfter: RetryElsewhere}, false
 	}
+	if u.isFresh() && !u.within && prediction.Wait > 0 {
+		if d := u.askShare(prediction); !d.Admitted {
+			return u.refuseOverShare(d, prediction, left), false
+		}
+		u.within = true
+	}
 	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
 		return u.refuseSuspect(retryAfter), false
 	}
