--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -59,6 +59,7 @@
 	relay    *relay
 	jobs     *jobs
 	gate     *gatekeeper.Gatekeeper
+	rationer *rationer.Rationer
 	memory   *holder.Holder
 	// othersReady is set if another host admits requests.
 	othersReady bool
@@ -72,6 +73,7 @@
 func newLoggedFixture(l *zap.Logger) *fixture {
 	f := &fixture{clock: &harness.Clock{Time: 100000}, relay: &relay{outcome: relayer.Delivered{Status: 200}}, jobs: &jobs{}, memory: holder.New(memoryForBodies)}
 	r := rationer.New(f.clock)
+	f.rationer = r
 	f.clock.Time += 10 * timer.Second
 	f.gate = gatekeeper.New(gatekeeper.Options{
 		Names:    namer.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", SharedParts: platform.Names().SharedParts, ParseJobCall: jobCall},
@@ -138,6 +140,18 @@
 	require.False(t, f.gate.Permitted())
 }
 
+// Guards against callers without a workspace who are not counted for the shares of servers, or
+// whose refused calls are.
+func TestCallsWithoutAWorkspaceAreCountedAsThoseOfOne(t *testing.T) {
+	f := newFixture()
+	f.configure()
+	require.Equal(t, http.StatusOK, f.call("/open/1", "").Code)
+	require.Equal(t, http.StatusOK, f.call("/open/2", "").Code)
+	f.relay.outcome = relayer.NotRun{Reason: "full", RetryAfter: 100}
+	require.Equal(t, http.StatusServiceUnavailable, f.call("/open/3", "").Code)
+	require.Equal(t, map[string]uint64{"": 2}, f.rationer.Spent())
+}
+
 // Guards against a call that runs on after its caller has given up.
 func TestDeadlineOfACallerThatWaitsLessThanTheRouteHolds(t *testing.T) {
 	f := newFixture()
