--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -29,6 +29,7 @@
 		HeldBackCalls:    b.throttler.Refused,
 		ColdServers:      b.coldServers,
 		Evacuations:      func() []string { return slices.Collect(maps.Keys(b.follower.Snapshot().Evacuated)) },
+		OverShareCalls:   b.apportioner.Refused,
 		Dials:            b.transporter.Dials,
 		DroppedLines:     b.platform.DroppedLines,
 	})
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -38,6 +38,7 @@
 	heldBackItems    = "jackdawgate.items.limited"
 	coldServers      = "jackdawgate.servers.cold"
 	evacuations      = "jackdawgate.evacuations"
+	overShareCalls   = "jackdawgate.calls.overshare"
 	dials            = "jackdawgate.dials"
 	droppedLines     = "jackdawgate.log.dropped"
 )
@@ -58,6 +59,7 @@
 		{heldBackItems, "gauge", "", "Batch items that could run now but for the limits of the servers or the shares of cold ones."},
 		{coldServers, "gauge", "", "Backend servers that are cold, as they last stated, whether or not their service limits what they get."},
 		{evacuations, "gauge", "data_centre", "1 for each evacuated data centre; none is listed without an evacuation."},
+		{overShareCalls, "counter", "", "Calls that were refused because the servers had no free slot and the workspace was over its share."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
 	}
@@ -88,9 +90,10 @@
 	HeldBackCalls    func() uint64
 	ColdServers      func() int
 	// Evacuations returns the names of the evacuated data centres.
-	Evacuations  func() []string
-	Dials        func() uint64
-	DroppedLines func() uint64
+	Evacuations    func() []string
+	OverShareCalls func() uint64
+	Dials          func() uint64
+	DroppedLines   func() uint64
 }
 
 // Measurer records the metrics of a host. The recording methods of a nil Measurer do
@@ -158,7 +161,7 @@
 	if err != nil {
 		return eris.Wrap(err, "make gauge")
 	}
-	counters := map[string]func() uint64{dials: o.Dials, heldBackCalls: o.HeldBackCalls, droppedLines: o.DroppedLines}
+	counters := map[string]func() uint64{dials: o.Dials, heldBackCalls: o.HeldBackCalls, overShareCalls: o.OverShareCalls, droppedLines: o.DroppedLines}
 	for name, read := range counters {
 		_, err := m.meter.Int64ObservableCounter(name, metric.WithInt64Callback(observe(func() int64 { return int64(read()) })))
 		if err != nil {
