--- a/filler/filler.go
+++ b/filler/filler.go
@@ -44,7 +44,8 @@
 	Batch map[string]int
 	// Closed means that no items are started there. Items may still be evicted.
 	Closed bool
-	// Limited is set if the server named a limit, which lets Starts items start now.
+	// Limited is set if the server named a limit or is cold, which lets Starts items start
+	// now.
 	Limited bool
 	Starts  int
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -9,7 +9,8 @@
 // long they run, so it is kept for long ones and for peaks. That weighs more than a prompt
 // in the server's cache. What can no longer be saved up is used like the room of others. A
 // server with a limit that got nothing for a while is preferred, since only an answer
-// tells that its limit has ended.
+// tells that its limit has ended. A cold server is chosen only while this host's share of it
+// leaves room, and otherwise compared like the others.
 package selector
 
 import (
@@ -48,7 +49,8 @@
 	Slowdown float64
 	// Usable is false for servers that appear not to answer.
 	Usable bool
-	// Room is what the server's limit leaves for the call.
+	// Room is what the server's limit, and this host's share of it if it is cold, leave for
+	// the call.
 	Room throttler.Room
 	// Home reports whether the server is one of those among which the server that
 	// caches the call's shared prompt parts is chosen.
