relayer, forecaster, filler: a server's pace counts where calls are predicted and items placed

A slow server with a free slot may be preferred to a busy one though the call has no time for its pace; the call was then refused while another server would have ended it in time. Such a call is now picked once more, where it ends first. More time still never turns an admission into a refusal: it only spares the second pick. Only calls picked at a server slower than the mean are picked again, so an ordinary overload costs no more.

forecaster took paces below 1 for 1, so that the averages of a service shrank with the share of its fast servers. It divides and multiplies by them now.

filler orders servers by free slots over pace. A metric counts the servers with a pace of their own; "sent" and "refused as overloaded" carry the pace.

--- a/executor/fill.go
+++ b/executor/fill.go
@@ -61,7 +61,7 @@
 	for _, c := range candidates {
 		v := filler.Server{
 			ID: c.Server.ID, Slots: c.Slots, Online: c.Online,
-			Closed: c.Server.Draining || !c.Usable, Batch: map[string]int{}, Limited: c.Room.Limited,
+			Closed: c.Server.Draining || !c.Usable, Batch: map[string]int{}, Limited: c.Room.Limited, Slowdown: c.Slowdown,
 		}
 		if c.Room.Open {
 			v.Starts = 1
--- a/filler/filler.go
+++ b/filler/filler.go
@@ -12,6 +12,7 @@
 package filler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -47,6 +48,9 @@
 	// Limited is set if the server named a limit, which lets Starts items start now.
 	Limited bool
 	Starts  int
+	// Slowdown is how many times as long as the service's mean the server takes. Zero counts
+	// as one.
+	Slowdown float64
 }
 
 // batchTotal returns the number of batch items of all hosts.
@@ -140,9 +144,9 @@
 	return n
 }
 
-// byFreeSlots returns the servers ordered by free slots, most first. Servers whose limit
-// lets items start come before all others: a limit is a number of requests, and items
-// are the requests that run longest.
+// byFreeSlots returns the servers ordered by free slots, most first; those of slow servers
+// count less. Servers whose limit lets items start come before all others: a limit is a number
+// of requests, and items are the requests that run longest.
 func byFreeSlots(servers []Server) []Server {
 	out := slices.Clone(servers)
 	slices.SortStableFunc(out, func(a, b Server) int {
@@ -152,11 +156,21 @@
 			}
 			return 1
 		}
-		return (a.Online + a.batchTotal() - a.Slots) - (b.Online + b.batchTotal() - b.Slots)
+		return cmp.Compare(b.work(), a.work())
 	})
 	return out
 }
 
+// work returns how many calls of the mean run its free slots run in the time of one; less than
+// zero if more calls are there than it has slots.
+func (s Server) work() float64 {
+	free := float64(s.Slots - s.Online - s.batchTotal())
+	if s.Slowdown <= 0 || free <= 0 {
+		return free
+	}
+	return free / s.Slowdown
+}
+
 // filler returns the host that may start items on a server. All hosts with a backlog
 // compete, weighted by its size.
 func (in Input) filler(server string) string {
--- a/filler/filler_test.go
+++ b/filler/filler_test.go
@@ -51,6 +51,16 @@
 	require.Equal(t, filler.Counts{"idle": 3}, start)
 }
 
+// Guards against items that start on a slow server, where they keep a slot longer, while a faster
+// one has nearly as many free.
+func TestFreeSlotsOfSlowServersAreFilledLast(t *testing.T) {
+	slow, mean, fast := server("slow", 0, nil), server("mean", 1, nil), server("fast", 2, nil)
+	slow.Slowdown, fast.Slowdown = 1.7, 0.7
+	in := filler.Input{Self: "a", Backlogs: map[string]int{"a": 9}, Policy: policy, Servers: []filler.Server{slow, mean, fast}}
+	start, _ := filler.Plan(in)
+	require.Equal(t, filler.Counts{"fast": 4, "mean": 5}, start)
+}
+
 func TestClosedServersStartNoItemsAndStillEvict(t *testing.T) {
 	s := server("s", 7, map[string]int{"a": 3})
 	s.Closed = true
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// run returns the time for which the call would have run at a server that is not slow.
+// run returns the time for which the call would have run at a server of the mean pace.
 func (m Sample) run() float64 { return float64(m.Run) / m.Call.slowdown() }
 
 // observeRun records how long a call ran.
@@ -150,8 +150,8 @@
 	// Ahead is the number of calls at the server that are not preempted for it, Slots the
 	// number of calls that the server runs at once; both are zero if there is no wait.
 	Ahead, Slots int
-	// Slowdown is the server's slowdown factor, a multiple of the service's mean time. Zero
-	// counts as one.
+	// Slowdown is the server's slowdown factor, a multiple of the service's mean time, below one
+	// for a fast server. Zero counts as one.
 	Slowdown float64
 	// Done is how long the call ran at other servers, where it made a part of the answer
 	// that need not be made again.
@@ -219,7 +219,12 @@
 }
 
 // slowdown returns the server's slowdown factor.
-func (c Call) slowdown() float64 { return max(c.Slowdown, 1) }
+func (c Call) slowdown() float64 {
+	if c.Slowdown <= 0 {
+		return 1
+	}
+	return c.Slowdown
+}
 
 // queue returns the time in which the calls ahead of a call leave a slot to it.
 func (a *average) queue(c Call) float64 {
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -244,3 +244,15 @@
 	}
 	return refused, gaveUp, served
 }
+
+// Calls ran at a server of twice the pace. Guards against predictions for other servers that
+// are too short, and for fast ones that are too long, so that calls are refused needlessly.
+func TestFastServersAreNotTakenForTheMean(t *testing.T) {
+	f := forecaster.New()
+	for range 100 {
+		f.Observe(forecaster.Sample{Call: forecaster.Call{Service: "s", Slowdown: 0.5}, First: 10, Run: 400})
+		f.Observe(forecaster.Sample{Call: forecaster.Call{Service: "s"}, First: 10, Run: 800})
+	}
+	require.InDelta(t, 810, int(f.Predict(forecaster.Call{Service: "s"}).End), 2)
+	require.InDelta(t, 410, int(f.Predict(forecaster.Call{Service: "s", Slowdown: 0.5}).End), 2)
+}
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -24,6 +24,7 @@
 		ReachableHosts:   b.gossiper.Hosts,
 		QuarantinedCalls: func() int { return len(b.follower.Snapshot().Quarantined) },
 		LimitedServers:   b.throttler.InForce,
+		PacedServers:     b.comparer.Paces,
 		HeldBackCalls:    b.throttler.Refused,
 		Dials:            b.transporter.Dials,
 		DroppedLines:     b.platform.DroppedLines,
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -34,6 +34,7 @@
 	reachableHosts   = "jackdawgate.hosts.heard"
 	quarantinedCalls = "jackdawgate.calls.apart"
 	serverLimits     = "jackdawgate.servers.limited"
+	serverPaces      = "jackdawgate.servers.paced"
 	heldBackCalls    = "jackdawgate.calls.limited"
 	heldBackItems    = "jackdawgate.items.limited"
 	dials            = "jackdawgate.dials"
@@ -52,6 +53,7 @@
 		{reachableHosts, "gauge", "", "Other hosts that this host heard within the last second."},
 		{quarantinedCalls, "gauge", "", "Calls under which servers ended, as the store has them, that are refused or tried by one host at a time."},
 		{serverLimits, "gauge", "", "Backend servers that named a limit which is in force."},
+		{serverPaces, "gauge", "", "Backend servers whose own pace is known to differ from the mean of their service."},
 		{heldBackCalls, "counter", "", "Calls that were refused because the limits of the servers left no room."},
 		{heldBackItems, "gauge", "", "Batch items that could run now but for the limits of the servers."},
 		{dials, "counter", "", "Connections made to backend servers."},
@@ -81,6 +83,7 @@
 	ReachableHosts   func() int
 	QuarantinedCalls func() int
 	LimitedServers   func() int
+	PacedServers     func() int
 	HeldBackCalls    func() uint64
 	Dials            func() uint64
 	DroppedLines     func() uint64
@@ -134,6 +137,7 @@
 		reachableHosts:   func() int64 { return int64(o.ReachableHosts()) },
 		quarantinedCalls: func() int64 { return int64(o.QuarantinedCalls()) },
 		serverLimits:     func() int64 { return int64(o.LimitedServers()) },
+		serverPaces:      func() int64 { return int64(o.PacedServers()) },
 	}
 	for name, read := range gauges {
 		_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe(read)))
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -24,7 +24,7 @@
 	one := func() uint64 { return 1 }
 	require.NoError(t, m.Observe(measurer.Callbacks{
 		ConfirmationAge: func() timer.Millis { return 1 }, KnownServers: func() int { return 1 },
-		ReachableHosts: func() int { return 1 }, QuarantinedCalls: func() int { return 1 }, LimitedServers: func() int { return 1 }, HeldBackCalls: one, Dials: one, DroppedLines: one,
+		ReachableHosts: func() int { return 1 }, QuarantinedCalls: func() int { return 1 }, LimitedServers: func() int { return 1 }, PacedServers: func() int { return 1 }, HeldBackCalls: one, Dials: one, DroppedLines: one,
 	}))
 	m.Request("delivered", 55)
 	m.StoreCall("watch")
--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -87,6 +87,26 @@
 	require.Empty(t, f.seen())
 }
 
+// A slow server has a free slot, but the call has no time for it. Guards against its refusal
+// while it would end in time at a busy server of the mean pace.
+func TestCallIsNotRefusedForASlowServersPace(t *testing.T) {
+	f := newFixture(t, 2, text("200 OK", signed, "ok"))
+	f.slowdowns = map[string]float64{"s0": 3}
+	f.observe(50, 600)
+	for range 4 {
+		_, ok := f.picker.Reserve(f.current().Servers["s1"], throttler.Batch{})
+		require.True(t, ok)
+	}
+	r, err := f.picker.Pick("svc", selector.Request{})
+	require.NoError(t, err)
+	require.Equal(t, "s0", r.Server.ID)
+	r.Release()
+	o, _ := f.runFor(1000, route(cataloger.Idempotent, false, 1))
+	require.IsType(t, relayer.Delivered{}, o)
+	require.Equal(t, []string{"s1"}, f.targets())
+	require.Empty(t, f.picker.Loads()["s0"], "the slow server is still reserved")
+}
+
 // Callers were told to come again after a third of their time, whatever the queue was, and
 // all of them within the same tenth of a second.
 func TestCallersOfBusyServersAreToldOfPlacesOneAfterTheOther(t *testing.T) {
--- a/relayer/admit.go
+++ b/relayer/admit.go
@@ -66,7 +66,7 @@
 // server. Its caller is told when a call with as much time left would be taken.
 func (u *run) refuseOverloaded(r *picker.Reservation, p forecaster.Prediction, late, left timer.Millis) Outcome {
 	retryAfter := u.postpone(late, left)
-	u.relayer.options.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Int("ahead", r.Load.Online), zap.Int("slots", r.Slots),
+	u.relayer.options.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Int("ahead", r.Load.Online), zap.Int("slots", r.Slots), zap.Float64("pace", r.Slowdown),
 		zap.Int64("wait-ms", int64(p.Wait)), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
 	return u.giveUp(reasonTooLate, retryAfter)
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -57,6 +57,8 @@
 	throttler *throttler.Throttler
 	ejector   *ejector.Ejector
 	clock     timer.Clock
+	// slowdowns holds the slowdown factors of servers; others have the mean pace.
+	slowdowns map[string]float64
 	memory    *holder.Holder
 
 	mu       sync.Mutex
@@ -78,7 +80,7 @@
 	f.throttler = throttler.New(clock, zap.NewNop())
 	f.picker = picker.New(picker.Options{
 		Snapshot: f.current, RemoteLoad: func(string) gossiper.Load { return gossiper.Load{} },
-		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
+		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(id string) float64 { return f.slowdowns[id] },
 	})
 	f.memory = holder.New(memoryForAnswers)
 	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock, Memory: f.memory})
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -95,12 +95,11 @@
 	if retryAfter, refused := o.Tracker.Refused(u.call.Suspect); refused {
 		return u.refuseSuspect(retryAfter), false
 	}
-	reservation, err := o.Picker.Pick(u.call.Service, selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded, Rank: u.call.Rank})
+	reservation, prediction, err := u.pick()
 	if err != nil {
 		return u.handleNoServer(ctx, err, left)
 	}
 	defer reservation.Release()
-	prediction := o.Forecaster.Predict(u.forecastInput(reservation))
 	if late := u.lateness(prediction); late > 0 {
 		return u.refuseOverloaded(reservation, prediction, late, left), false
 	}
@@ -114,7 +113,7 @@
 	defer o.Ejector.End(reservation.Server.ID)
 	u.eventCount, u.firstEvent, u.sentAt = 0, 0, o.Clock.Now()
 	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID),
-		zap.Int("online", reservation.Load.Online), zap.Int("batch", reservation.Load.Batch), zap.Int("tried", len(u.excluded)),
+		zap.Int("online", reservation.Load.Online), zap.Int("batch", reservation.Load.Batch), zap.Float64("pace", reservation.Slowdown), zap.Int("tried", len(u.excluded)),
 		zap.Int64("left-ms", int64(left)), zap.Int64("after-event", u.lastEvent))
 	attemptCtx, flight := o.Tracker.Start(ctx, u.call.Suspect)
 	u.flight = flight
@@ -137,6 +136,25 @@
 	return u.handleAnswer(ctx, reservation, answer)
 }
 
+// pick reserves a server and predicts the call there. If the server is slower than others and
+// the call is predicted to be late there, it takes the one where the call ends first.
+func (u *run) pick() (*picker.Reservation, forecaster.Prediction, error) {
+	o := u.relayer.options
+	q := selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded, Rank: u.call.Rank}
+	for {
+		r, err := o.Picker.Pick(u.call.Service, q)
+		if err != nil {
+			return nil, forecaster.Prediction{}, err
+		}
+		p := o.Forecaster.Predict(u.forecastInput(r))
+		if q.Late || r.Slowdown <= 1 || u.lateness(p) <= 0 {
+			return r, p, nil
+		}
+		r.Release()
+		q.Late = true
+	}
+}
+
 // isFresh reports whether no server can have run the call.
 func (u *run) isFresh() bool { return u.attempts == 0 && !u.headSent }
 
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -39,6 +39,9 @@
 	// taken by the time the call arrives. With 3 calls took 2% longer in the simulation of
 	// picker, with 5 more of them met a full server.
 	ownWeight = 4.0
+	// lateWeight is the weight of a run at pace 1 for a call that is late: differences of a
+	// hundredth of a run decide before the others do.
+	lateWeight = 100.0
 	// limitShare is the share of its slots that is added for a server with a limit: it is
 	// chosen when the others have hardly a free slot, before a call has to wait for one.
 	// probeWeight is subtracted for one that should get a request.
@@ -79,6 +82,9 @@
 	// hosts that choose at the same time by the same counts do not all choose the same
 	// server. Zero means the best of all; it is the same on all hosts of a data centre.
 	Seed uint64
+	// Late is set if the call would be too late at the server chosen before. The server where
+	// it ends first is chosen then, whatever that leaves to other calls.
+	Late bool
 }
 
 // HeldBack reports whether the server's limit leaves no room for the call.
@@ -109,7 +115,7 @@
 // not, or -1.
 func choose(r Request, list []Candidate, usable bool) int {
 	home := promptHome(r, list)
-	if r.Seed != 0 {
+	if r.Seed != 0 && !r.Late {
 		var drawn [maxDrawn]int
 		n := draw(&drawn, r, list, home, usable)
 		best, bestScore := -1, 0.0
@@ -147,6 +153,9 @@
 // score returns what a call at the candidate costs, in calls.
 func (r *Request) score(i int, c *Candidate, home int) float64 {
 	s := c.completion() + c.limitScore()
+	if r.Late {
+		s = lateWeight * c.time()
+	}
 	if c.Server.DataCentre != r.DataCentre {
 		s += farWeight
 	}
@@ -164,14 +173,26 @@
 // run of a slow server counts less than its pace, up to ownWeight, so that a call takes its free
 // slots before it waits at another server. At pace 1 the result is the number of calls there.
 func (c *Candidate) completion() float64 {
-	load, pace := c.load(), c.Slowdown
-	if pace <= 0 {
-		pace = 1
-	}
-	over := max(0, load+1-float64(c.Slots))
+	load, pace, over := c.load(), c.pace(), c.waiting()
 	return load - over + ownWeight*(1-1/pace) + max(pace, 1)*over
 }
 
+// time returns when the call would complete, as a multiple of a call's run at pace 1.
+func (c *Candidate) time() float64 {
+	return c.pace() * (1 + c.waiting()/float64(max(c.Slots, 1)))
+}
+
+// pace returns the server's slowdown factor.
+func (c *Candidate) pace() float64 {
+	if c.Slowdown <= 0 {
+		return 1
+	}
+	return c.Slowdown
+}
+
+// waiting returns how many calls, this one included, would wait for a slot.
+func (c *Candidate) waiting() float64 { return max(0, c.load()+1-float64(c.Slots)) }
+
 // limitScore returns what the server's limit adds to its score, in calls.
 func (c Candidate) limitScore() float64 {
 	if c.Room.Probe {
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -108,6 +108,18 @@
 	require.Equal(t, "other", choose(selector.Request{}, fast, other), "calls queue at a fast server while another one has free slots")
 }
 
+// A call has no time for a slow server with free slots. Guards against its refusal while it
+// would end in time at a busy server.
+func TestLateCallGoesWhereItEndsFirst(t *testing.T) {
+	slow, fast := candidate("slow", 0, 0), candidate("fast", 9, 0)
+	slow.Slots, slow.Slowdown, fast.Slots = 8, 1.7, 8
+	require.Equal(t, "slow", choose(selector.Request{}, slow, fast))
+	require.Equal(t, "fast", choose(selector.Request{Late: true}, slow, fast))
+	require.Equal(t, "fast", choose(selector.Request{Late: true, Seed: 1}, slow, fast))
+	fast.Online = 16
+	require.Equal(t, "slow", choose(selector.Request{Late: true}, slow, fast))
+}
+
 // Many hosts choose by the same counts. Guards against all of them choosing the same server.
 func TestSeedsSpreadChoices(t *testing.T) {
 	var list []selector.Candidate
