--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -26,6 +26,7 @@
 		ReachableHosts:   b.gossiper.Hosts,
 		QuarantinedCalls: func() int { return len(b.follower.Snapshot().Quarantined) },
 		LimitedServers:   b.throttler.InForce,
+		PacedServers:     b.comparer.Paces,
 		HeldBackCalls:    b.throttler.Refused,
 		ColdServers:      b.coldServers,
 		Evacuations:      func() []string { return slices.Collect(maps.Keys(b.follower.Snapshot().Evacuated)) },
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -58,6 +58,8 @@
 	throttler *throttler.Throttler
 	ejector   *ejector.Ejector
 	clock     timer.Clock
+	// slowdowns holds the slowdown factors of servers; others have the mean pace.
+	slowdowns map[string]float64
 	memory    *holder.Holder
 	// pickerOptions are those of picker.
 	pickerOptions picker.Options
@@ -81,7 +83,7 @@
 	f.throttler = throttler.New(clock, zap.NewNop())
 	f.pickerOptions = picker.Options{
 		Snapshot: f.current, RemoteLoad: func(string) gossiper.Load { return gossiper.Load{} },
-		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
+		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(id string) float64 { return f.slowdowns[id] },
 	}
 	f.picker = picker.New(f.pickerOptions)
 	f.memory = holder.New(memoryForAnswers)
