--- a/comparer/comparer_test.go
+++ b/comparer/comparer_test.go
@@ -195,3 +195,18 @@
 	}
 	require.Equal(t, 1.0, h.Slowdown("s1"))
 }
+
+// BenchmarkSlowdown is what a choice among 90 servers asks.
+func BenchmarkSlowdown(b *testing.B) {
+	h := newWarm(&harness.Clock{Time: 1000})
+	ids := make([]string, 90)
+	for i := range ids {
+		ids[i] = "s" + strconv.Itoa(i)
+		h.Observe(sample(ids[i], 150))
+	}
+	for b.Loop() {
+		for _, id := range ids {
+			h.Slowdown(id)
+		}
+	}
+}
