--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -66,6 +66,8 @@
 	Disk string `cbor:"7,keyasint"`
 	// Leaving is set when the host is about to stop.
 	Leaving bool `cbor:"8,keyasint"`
+	// Region is the region of the host's data centre; empty in entries that do not state it.
+	Region string `cbor:"9,keyasint,omitempty"`
 	// Revision is the store's revision of the entry.
 	Revision uint64 `cbor:"-"`
 }
--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -50,6 +50,9 @@
 	RunObjective timer.Millis
 	Retention    timer.Millis
 	MaxQueued    int64
+	// AllowedRegions are the regions in which the route's requests may be placed; none means
+	// that there is no restriction.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -88,6 +91,8 @@
 	// Rate is in requests a second over all hosts; zero means no limit.
 	Rate  float64
 	Burst float64
+	// AllowedRegions are as for a Route.
+	AllowedRegions []string
 }
 
 // Limits bound what callers may send.
@@ -107,6 +112,8 @@
 	workspaces map[string]*Workspace
 	keys       map[string]*Workspace
 	anonymous  bool
+	// regions are the regions that any route or workspace names, sorted.
+	regions []string
 	// workspacePriorities and routePriorities are the distinct priorities of workspaces and
 	// of routes that are not for batch jobs, in ascending order.
 	workspacePriorities, routePriorities []int
@@ -136,6 +143,7 @@
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
+		c.regions = append(c.regions, r.AllowedRegions...)
 		if r.Kind != Batch {
 			c.routePriorities = append(c.routePriorities, r.Priority)
 		}
@@ -150,9 +158,12 @@
 	for i := range p.Workspaces {
 		w := &p.Workspaces[i]
 		c.workspaces[w.Name] = w
+		c.regions = append(c.regions, w.AllowedRegions...)
 		c.workspacePriorities = append(c.workspacePriorities, w.Priority)
 	}
 	c.workspacePriorities = distinct(c.workspacePriorities)
+	slices.Sort(c.regions)
+	c.regions = slices.Compact(c.regions)
 	for key, name := range p.Keys {
 		if w, ok := c.workspaces[name]; ok {
 			c.keys[key] = w
@@ -189,6 +200,26 @@
 	return nil, false
 }
 
+// Regions returns the regions that any route or workspace names, sorted. It is empty if no
+// request is restricted to regions. The caller must not change the slice.
+func (c *Config) Regions() []string { return c.regions }
+
+// RoutesOf returns the routes of a host. The caller must not change the slice.
+func (c *Config) RoutesOf(host string) []*Route { return c.routes[host] }
+
+// BatchRoutes returns the routes for batch jobs of all hosts.
+func (c *Config) BatchRoutes() []*Route {
+	var out []*Route
+	for _, list := range c.routes {
+		for _, r := range list {
+			if r.Kind == Batch {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
 // HasHost reports whether any route has this host.
 func (c *Config) HasHost(host string) bool { return len(c.routes[host]) > 0 }
 
