checker: table of data centres and their regions

Servers state a data centre, operators allow regions; the table joins them. The template uses one pair for each data centre, which can be read and edited in an INI file; JSON in a value was ruled out for that.

A malformed pair, a data centre given twice, or a region of the host's own data centre that contradicts the setting region ends the start with the line and the problem: such a table would place requests elsewhere.

--- a/checker/member.go
+++ b/checker/member.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -22,7 +23,9 @@
 	Name       string `key:"name" check:"name" doc:"Name of the host, unique in the fleet. It stays the same when its process starts again."`
 	DataCentre string `key:"data-centre" check:"name" doc:"Data centre of the host."`
 	Region     string `key:"region" default:"default" check:"name" doc:"Region of the data centre."`
-	MemoryMB   int    `key:"memory-mb" default:"0" check:"any" doc:"Memory that the process may use, in MB; 0 for no limit."`
+	// Zones maps data centres to their regions.
+	Zones    map[string]string `key:"zones" default:"" check:"zones" doc:"Region of each data centre, as DATA-CENTRE=REGION, separated by commas. Requests that are restricted to regions reach only servers and hosts in data centres listed here, and in this host's own."`
+	MemoryMB int               `key:"memory-mb" default:"0" check:"any" doc:"Memory that the process may use, in MB; 0 for no limit."`
 }
 
 // MemberListen sets the addresses that the host listens on. The host does not
@@ -65,6 +68,13 @@
 // MemberOptions returns the options of MemberSettings in the order of the struct.
 func MemberOptions() []Option { return options(&MemberSettings{}) }
 
+// checkZones reports a table of data centres that contradicts the host's own region.
+func (v *validator) checkZones(h MemberHost) {
+	if r, ok := h.Zones[h.DataCentre]; ok && r != h.Region {
+		v.report("host", "zones", fmt.Sprintf("%q is in region %q here and in %q by the setting region", h.DataCentre, r, h.Region), "give the host's data centre the same region in both")
+	}
+}
+
 // LoadMember reads and validates the file at path. If the file can be read but is
 // invalid, the error is an *InvalidError.
 func LoadMember(path string) (MemberSettings, error) {
@@ -73,7 +83,7 @@
 		return MemberSettings{}, eris.Wrap(err, "read settings")
 	}
 	var s MemberSettings
-	if err := parseSections(path, data, &s, func(*validator) {}); err != nil {
+	if err := parseSections(path, data, &s, func(v *validator) { v.checkZones(s.Host) }); err != nil {
 		return MemberSettings{}, err
 	}
 	return s, nil
--- a/checker/values.go
+++ b/checker/values.go
@@ -25,6 +25,12 @@
 		*p = text
 	case *[]string:
 		*p = splitList(text)
+	case *map[string]string:
+		m, problem := parseTable(text)
+		if problem != "" {
+			return problem
+		}
+		*p = m
 	case *int:
 		n, err := strconv.Atoi(text)
 		if err != nil {
@@ -66,12 +72,30 @@
 	return out
 }
 
+// parseTable parses a comma-separated list of KEY=VALUE, all of which are names. It returns a
+// description of the problem, or "" if text was valid.
+func parseTable(text string) (table map[string]string, problem string) {
+	table = make(map[string]string)
+	for _, entry := range splitList(text) {
+		key, value, _ := strings.Cut(entry, "=")
+		key, value = strings.TrimSpace(key), strings.TrimSpace(value)
+		if !namePattern.MatchString(key) || !namePattern.MatchString(value) {
+			return nil, fmt.Sprintf("%q is not NAME=NAME", entry)
+		}
+		if _, ok := table[key]; ok {
+			return nil, fmt.Sprintf("%q is given twice", key)
+		}
+		table[key] = value
+	}
+	return table, ""
+}
+
 // checkRule checks a parsed value against the rule of its option. It returns a
 // description of the problem, or "" if the value is allowed. A rule without a name
 // of its own is a list of allowed values, separated by "|".
 func checkRule(rule, text string, v reflect.Value) string {
 	switch rule {
-	case "any":
+	case "any", "zones":
 		return ""
 	case "name":
 		return problemUnless(namePattern.MatchString(text), text, "not a name")
@@ -133,6 +157,8 @@
 		return "an IP address and port such as 127.0.0.1:8480"
 	case "addresses":
 		return "IP addresses and ports, separated by commas"
+	case "zones":
+		return "pairs such as kolkata=asia, separated by commas; each name in lower-case letters, digits, '.' and '-'"
 	case "positive":
 		return "above zero, with a unit (ms, s, m, h) if it is a time"
 	case "share":
--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -231,6 +231,7 @@
 	}
 	text := strings.ReplaceAll(string(template), "{{ip}}:{{portRange.0}}", h.peers)
 	text = strings.ReplaceAll(text, "{{ip}}:{{portRange.1}}", at(metricsPort))
+	text = regexp.MustCompile(`\{\{#zones\}\}.*\{\{/zones\}\}`).ReplaceAllString(text, h.Zone+"="+bounds["region"])
 	text = regexp.MustCompile(`\{\{[#/][^}]*\}\}`).ReplaceAllString(text, "")
 	text = regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(s string) string {
 		name := strings.Trim(s, "{}")
