picker: servers outside of the allowed regions are no candidates

Filtering within the candidates was ruled out: a sample of many servers may have none in the region, and the prompt's home server would be one that cannot be used. Where no server is left, the call ends at once with that reason, a log line and a metric.

--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/holder"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/postponer"
 	"github.com/jackdawgate/jackdawgate/rationer"
@@ -235,6 +236,7 @@
 		ID: x.id, Method: x.request.Method, Target: target(x.request), Host: x.request.Host, Header: h, Body: body,
 		Route: x.route, Service: x.route.Pick(rand.Float64()), Deadline: x.deadline(), Prompt: strings.Join(parts, ","),
 	}
+	c.Subject = localizer.Subject{Route: x.route, Workspace: x.workspace, Path: x.request.URL.Path}
 	c.Rank = x.snapshot.Config.Rank(x.workspace, x.route)
 	c.Workspace = x.workspaceName()
 	c.Suspect = suspector.Call{
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -36,6 +36,7 @@
 	serverLimits     = "jackdawgate.servers.limited"
 	heldBackCalls    = "jackdawgate.calls.limited"
 	heldBackItems    = "jackdawgate.items.limited"
+	notPlaced        = "jackdawgate.refusals.region"
 	dials            = "jackdawgate.dials"
 	droppedLines     = "jackdawgate.log.dropped"
 )
@@ -54,6 +55,7 @@
 		{serverLimits, "gauge", "", "Backend servers that named a limit which is in force."},
 		{heldBackCalls, "counter", "", "Calls that were refused because the limits of the servers left no room."},
 		{heldBackItems, "gauge", "", "Batch items that could run now but for the limits of the servers."},
+		{notPlaced, "counter", "kind", "Requests that were refused or broken off because their allowed regions had no place for them, by kind: call, job, read."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
 	}
@@ -93,9 +95,9 @@
 	provider *sdkmetric.MeterProvider
 	handler  http.Handler
 
-	requests, storeCalls, items metric.Int64Counter
-	requestDuration             metric.Int64Histogram
-	heldBackItems               metric.Int64Gauge
+	requests, storeCalls, items, notPlaced metric.Int64Counter
+	requestDuration                        metric.Int64Histogram
+	heldBackItems                          metric.Int64Gauge
 }
 
 // durationBounds holds the bucket bounds of the histogram of request durations, in
@@ -114,7 +116,7 @@
 		meter: p.Meter("github.com/jackdawgate/jackdawgate"), provider: p,
 		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
-	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items} {
+	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items, notPlaced: &m.notPlaced} {
 		if *to, err = m.meter.Int64Counter(name); err != nil {
 			return nil, eris.Wrap(err, "make counter")
 		}
@@ -185,6 +187,14 @@
 	m.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// NotPlaced counts a request whose allowed regions had no place for it.
+func (m *Measurer) NotPlaced(kind string) {
+	if m == nil {
+		return
+	}
+	m.notPlaced.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 // ItemsHeldBack sets the number of batch items that could run but for the limits of servers.
 func (m *Measurer) ItemsHeldBack(n int) {
 	if m == nil {
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -30,6 +30,7 @@
 	m.StoreCall("watch")
 	m.Item("completed")
 	m.ItemsHeldBack(3)
+	m.NotPlaced("call")
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	for _, i := range measurer.Instruments() {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -5,12 +5,14 @@
 package picker
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/selector"
 	"github.com/jackdawgate/jackdawgate/throttler"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -39,6 +41,8 @@
 	// OnChange is called, without the lock, after a count has changed.
 	OnChange   func()
 	DataCentre string
+	// Zones holds the regions of the servers' data centres.
+	Zones localizer.Zones
 }
 
 // Picker chooses servers and counts calls. It is safe for concurrent use.
@@ -110,6 +114,22 @@
 
 func (e *NoServerError) Error() string { return "no usable server of service " + e.Service }
 
+// NotPermittedError reports that no server in the allowed regions of a call can be used.
+type NotPermittedError struct {
+	Service string
+	Allowed localizer.Set
+	// Servers is the number of the service's servers, Permitted that of those in the allowed
+	// regions.
+	Servers, Permitted int
+}
+
+func (e *NotPermittedError) Error() string {
+	if e.Allowed.Empty() {
+		return "the allowed regions of the route and of the workspace have none in common"
+	}
+	return "no usable server of service " + e.Service + " in the allowed regions"
+}
+
 // HeldBackError reports that the limits of the usable servers leave no room for a call.
 type HeldBackError struct {
 	Service string
@@ -141,18 +161,26 @@
 }
 
 // Pick chooses a server of service for an online call and counts the call there. If a
-// sample of the servers has none, it considers all of them. It returns a *NoServerError
-// or a *HeldBackError if there is none.
+// sample of the servers has none, it considers all of them. It returns a *NoServerError,
+// a *NotPermittedError or a *HeldBackError if there is none.
 func (p *Picker) Pick(service string, r selector.Request) (*Reservation, error) {
 	s := p.options.Snapshot()
 	r.DataCentre = p.options.DataCentre
-	servers := s.ServersOf(service)
+	allowed := r.Subject.Allowed(s.Config)
+	servers, known := s.ServersOf(service), len(s.ServersOf(service))
+	if allowed.Restricted() {
+		servers = p.permitted(servers, allowed)
+	}
 	p.mu.Lock()
 	out, err := p.pick(s, r, service, sample(servers, r.PromptPrefix))
 	if err != nil && len(servers) >= sampleThreshold {
 		out, err = p.pick(s, r, service, allOf(servers))
 	}
 	p.mu.Unlock()
+	var none *NoServerError
+	if allowed.Restricted() && errors.As(err, &none) {
+		err = &NotPermittedError{Service: service, Allowed: allowed, Servers: known, Permitted: len(servers)}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -160,6 +188,17 @@
 	return out, nil
 }
 
+// permitted returns the servers of list in the allowed regions.
+func (p *Picker) permitted(list []cataloger.Server, allowed localizer.Set) []cataloger.Server {
+	var out []cataloger.Server
+	for _, v := range list {
+		if allowed.Permits(p.options.Zones.RegionOf(v.DataCentre)) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
 // pick chooses one of servers and counts the call there. p.mu must be held.
 func (p *Picker) pick(s cataloger.Snapshot, r selector.Request, service string, servers subset) (*Reservation, error) {
 	class := throttler.Online{Rank: r.Rank}
--- a/relayer/admit.go
+++ b/relayer/admit.go
@@ -108,6 +108,15 @@
 	return at == 0 || p.EndsSurelyWithin(at-u.relayer.options.Clock.Now())
 }
 
+// refuseNotPermitted ends a call for which there is no server in its allowed regions.
+func (u *run) refuseNotPermitted(e *picker.NotPermittedError) Outcome {
+	o := u.relayer.options
+	o.Measurer.NotPlaced("call")
+	o.Logger.Info("no permitted place", zap.String("request", u.call.ID), zap.String("service", e.Service), zap.Strings("allowed", e.Allowed.Regions()),
+		zap.Int("servers", e.Servers), zap.Int("permitted", e.Permitted), zap.Int("tried", len(u.excluded)), zap.Bool("may-have-run", !u.isFresh()), zap.Error(e))
+	return u.giveUp(e.Error(), retryNoServer)
+}
+
 // handleNoServer handles a call for which there is no server now. Its results are those
 // of attempt. If only the limits of servers hold it back, a call that may have run, or whose
 // answer has begun, waits for room as long as it can then end in time and its caller stays:
@@ -115,6 +124,10 @@
 // other call is refused at once, and its caller may go to any host.
 func (u *run) handleNoServer(ctx context.Context, err error, left timer.Millis) (Outcome, bool) {
 	o := u.relayer.options
+	var outside *picker.NotPermittedError
+	if errors.As(err, &outside) {
+		return u.refuseNotPermitted(outside), false
+	}
 	var held *picker.HeldBackError
 	if !errors.As(err, &held) {
 		return u.giveUp("no server to send to", retryNoServer), false
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -22,6 +22,8 @@
 	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
+	"github.com/jackdawgate/jackdawgate/localizer"
+	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/postponer"
@@ -53,6 +55,8 @@
 	Suspect suspector.Call
 	// Rank is the number of configured classes of calls that are more urgent.
 	Rank int
+	// Subject is what the regions depend on in which the call may be placed.
+	Subject localizer.Subject
 	// Prompt identifies the leading part of the prompt, which other calls may
 	// share. It is empty if unknown.
 	Prompt string
@@ -108,7 +112,7 @@
 func (Interrupted) outcome() {}
 func (CallerGone) outcome()  {}
 
-// Options configures a Relayer. All fields are required.
+// Options configures a Relayer. All fields but Measurer are required.
 type Options struct {
 	Names       namer.Names
 	Transporter *transporter.Transporter
@@ -122,6 +126,7 @@
 	Comparer    *comparer.Comparer
 	Clock       timer.Clock
 	Logger      *zap.Logger
+	Measurer    *measurer.Measurer
 }
 
 // Relayer runs calls. It is safe for concurrent use.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -20,6 +20,7 @@
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/holder"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/relayer"
@@ -79,6 +80,7 @@
 	f.picker = picker.New(picker.Options{
 		Snapshot: f.current, RemoteLoad: func(string) gossiper.Load { return gossiper.Load{} },
 		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
+		Zones: localizer.Zones{"z-eu": "eu", "z-us": "us"},
 	})
 	f.memory = holder.New(memoryForAnswers)
 	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock, Memory: f.memory})
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -95,7 +95,7 @@
 	if retryAfter, refused := o.Tracker.Refused(u.call.Suspect); refused {
 		return u.refuseSuspect(retryAfter), false
 	}
-	reservation, err := o.Picker.Pick(u.call.Service, selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded, Rank: u.call.Rank})
+	reservation, err := o.Picker.Pick(u.call.Service, selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded, Rank: u.call.Rank, Subject: u.call.Subject})
 	if err != nil {
 		return u.handleNoServer(ctx, err, left)
 	}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -15,6 +15,7 @@
 import (
 	"github.com/jackdawgate/jackdawgate/assigner"
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/throttler"
 )
 
@@ -65,6 +66,9 @@
 	Excluded []string
 	// Rank is the number of configured classes of calls that are more urgent.
 	Rank int
+	// Subject is what the regions depend on in which the call may be placed. Candidates are
+	// in these regions only.
+	Subject localizer.Subject
 }
 
 // HeldBack reports whether the server's limit leaves no room for the call.
