resolver: no host that is not heard beside one that runs

A host that is leaving and hears no other returned all hosts but itself, among them those that were killed: not leaving came before reachable. Reachable hosts now come first in every case, and the time-out is part of the choice, so that a test covers all combinations.

More than 64 hosts were cut from the sorted list, which always dropped the same ones; a random draw for each answer selects them now.

For a route's host name and a caller's region, hosts in that region and in the allowed ones come first. A region's hosts that are not ready come before those elsewhere, leaving or silent ones after them: those cannot serve the caller.

--- a/cmd/jackdawgated/host.go
+++ b/cmd/jackdawgated/host.go
@@ -92,7 +92,8 @@
 		MemberKey: platform.MemberKey, GroupKey: platform.GroupKey, QuarantineKey: platform.QuarantineKey,
 		RetireStatusKey: platform.RetireStatusKey, RetireStatus: platform.RetireStatus,
 		ReadyPath: platform.ReadyPath, DirectoryPath: platform.DirectoryPath, Addresses: platform.EncodeAddresses,
-		JobFormats: platform.JobFormats(),
+		DirectoryQuery: platform.DirectoryQuery,
+		JobFormats:     platform.JobFormats(),
 	}
 }
 
--- a/hoster/directory.go
+++ b/hoster/directory.go
@@ -1,35 +1,33 @@
 package hoster
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"slices"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/resolver"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
 
-const (
-	// directoryTTL is how long callers may cache the directory's answer.
-	directoryTTL timer.Millis = 1000
-	// hostTimeout is the time without a digest after which a host counts as
-	// unreachable.
-	hostTimeout timer.Millis = 700
-)
+// directoryTTL is how long callers may cache the directory's answer.
+const directoryTTL timer.Millis = 1000
 
-// otherEntryHosts returns the other entry hosts in this host's snapshot.
-func (e *EntryHost) otherEntryHosts() []resolver.Host {
+// otherEntryHosts returns the other entry hosts in a snapshot. prefers reports whether callers
+// should be sent to hosts in a region.
+func (e *EntryHost) otherEntryHosts(s cataloger.Snapshot, prefers func(region string) bool) []resolver.Host {
 	now := e.clock.Now()
 	var out []resolver.Host
-	for name, m := range e.follower.Snapshot().Members {
+	for name, m := range s.Members {
 		if name == e.member.Name || m.Role != cataloger.Entry {
 			continue
 		}
-		h := resolver.Host{Address: m.CallerAddress, Leaving: m.Leaving}
-		if at, ok := e.gossiper.LastReceived(name); ok && now-at < hostTimeout {
+		h := resolver.Host{Address: m.CallerAddress, Leaving: m.Leaving, Preferred: prefers(e.zones.RegionOfMember(m))}
+		if at, ok := e.gossiper.LastReceived(name); ok {
 			d, _ := e.gossiper.Newest(name)
-			h.Reachable, h.Ready = true, d.Ready
+			h.Received, h.Silence, h.Ready = true, now-at, d.Ready
 		}
 		out = append(out, h)
 	}
@@ -38,13 +36,24 @@
 
 // othersReady reports whether another entry host is known to admit requests.
 func (e *EntryHost) othersReady() bool {
-	return slices.ContainsFunc(e.otherEntryHosts(), resolver.Host.TakesCallers)
+	return slices.ContainsFunc(e.otherEntryHosts(e.follower.Snapshot(), func(string) bool { return true }), resolver.Host.TakesCallers)
 }
 
 // serveDirectory answers a caller with the addresses to connect to.
-func (e *EntryHost) serveDirectory(w http.ResponseWriter, _ *http.Request) {
-	self := resolver.Host{Address: e.member.CallerAddress, Reachable: true, Ready: e.ready(), Leaving: e.leaving.Load()}
-	body, err := e.platform.Addresses(resolver.Choose(append(e.otherEntryHosts(), self)), directoryTTL)
+func (e *EntryHost) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	s, q := e.follower.Snapshot(), e.platform.DirectoryQuery(r.URL.RawQuery)
+	if q.Region == "" {
+		q.Region = e.zones.RegionOf(q.DataCentre)
+	}
+	allowed := localizer.Entering(s.Config, q.Host)
+	prefers := func(region string) bool {
+		return allowed.Permits(region) || (q.Region != "" && region == q.Region)
+	}
+	self := resolver.Host{
+		Address: e.member.CallerAddress, Received: true, Ready: e.ready(), Leaving: e.leaving.Load(), Preferred: prefers(e.member.Region),
+	}
+	addresses := resolver.Choose(append(e.otherEntryHosts(s, prefers), self), rand.Float64())
+	body, err := e.platform.Addresses(addresses, directoryTTL)
 	if err != nil {
 		e.logger.Error("cannot encode directory answer", zap.Error(err))
 		w.WriteHeader(http.StatusInternalServerError)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -26,11 +26,13 @@
 	"github.com/jackdawgate/jackdawgate/follower"
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/holder"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/quarantiner"
+	"github.com/jackdawgate/jackdawgate/resolver"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/throttler"
@@ -58,6 +60,8 @@
 	ReadyPath, DirectoryPath string
 	// Addresses encodes the directory: the addresses to which a caller may connect.
 	Addresses func(addresses []string, ttl timer.Millis) ([]byte, error)
+	// DirectoryQuery decodes the query of a request to the directory.
+	DirectoryQuery func(rawQuery string) resolver.Query
 	// Measurer collects the host's metrics.
 	Measurer *measurer.Measurer
 	// DroppedLines returns the number of dropped log lines.
@@ -97,6 +101,8 @@
 	platform Platform
 	logger   *zap.Logger
 	member   cataloger.Member
+	// zones holds the regions of data centres, this host's own included.
+	zones localizer.Zones
 	// clock includes the time during which the machine is suspended.
 	clock       timer.Clock
 	follower    *follower.Follower
@@ -127,7 +133,8 @@
 	}
 	clock := timer.Boot()
 	m.Name, m.DataCentre, m.PeerAddress, m.Incarnation = s.Host.Name, s.Host.DataCentre, s.Listen.Peers, newIncarnation()
-	b := &base{settings: s, platform: p, logger: l, member: m, clock: clock}
+	m.Region = s.Host.Region
+	b := &base{settings: s, platform: p, logger: l, member: m, zones: localizer.Zones(s.Host.Zones).With(m.DataCentre, m.Region), clock: clock}
 	datagrams, err := net.ListenPacket("udp4", s.Listen.Peers)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for datagrams")
@@ -162,6 +169,7 @@
 		Throttler: b.throttler,
 		Snapshot:  b.follower.Snapshot, RemoteLoad: func(id string) gossiper.Load { return b.gossiper.PeerLoad(id) },
 		Ejector: b.ejector, Leaving: b.departer.IsLeaving, Slowdown: b.comparer.Slowdown, OnChange: func() { b.gossiper.Touch() }, DataCentre: m.DataCentre,
+		Zones: b.zones,
 	})
 	b.gossiper = gossiper.New(gossiper.Options{
 		Conn: datagrams, Clock: clock, Build: build, Self: asPeer(m), Peers: b.peers, Logger: l,
@@ -175,6 +183,7 @@
 	})
 	close(gossiperSet)
 	b.follower.Notify(b.removeServers)
+	b.follower.Notify(LogUnknownRegions(b.zones, l))
 	b.follower.Notify(b.tracker.ApplySnapshot)
 	b.serveSuspects()
 	b.serveLimits()
