executor: items run in their allowed regions only

The plan for a service says how many items start on a server, not which.

A server is filled by one host, chosen by a hash weighted by backlogs. A host whose items may not run there was chosen too and left it idle. Hosts now report how much of their backlog is restricted, by region, in a new optional field of the digest; without restricted items nothing is sent. Letting each host fill regardless of the others was ruled out: they would all take the same free slots.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -21,6 +21,7 @@
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/filler"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
@@ -59,6 +60,8 @@
 	Logger      *zap.Logger
 	Policy      filler.Policy
 	Measurer    *measurer.Measurer
+	// Zones holds the regions of the servers' data centres.
+	Zones localizer.Zones
 	// Stall is how long a run may go without a whole event that has data, even if
 	// bytes keep arriving; default 6 s.
 	Stall timer.Millis
@@ -105,6 +108,8 @@
 	// noRouteSince is when the item was first seen to match no route; zero if it
 	// matches one.
 	noRouteSince timer.Millis
+	// allowed are the regions in which the item may run, as of the last decision.
+	allowed localizer.Set
 
 	progress
 }
@@ -146,6 +151,11 @@
 	backlog int
 	// limited is the number of items that could start but for the limits of servers.
 	limited int
+	// restricted is the number of items that could start in some regions only, by region;
+	// the empty name stands for all of them. It is replaced, never modified. unplaced is the
+	// number of items whose service has no server in their regions.
+	restricted map[string]int
+	unplaced   int
 	// peaks holds the recent peak number of online calls, by service. Only the
 	// deciding goroutine uses it, with mu held.
 	peaks map[string]peak
@@ -243,6 +253,7 @@
 			byService[service] = append(byService[service], t)
 		}
 	}
+	x.countRestricted(s, byService)
 	heldBack := 0
 	for service, list := range byService {
 		heldBack += x.fill(ctx, now, service, list)
@@ -355,6 +366,7 @@
 		return "", false
 	}
 	t.noRouteSince = 0
+	t.allowed = localizer.Item(localizer.Job{Host: t.job.Host, Route: t.job.Route, Workspace: t.job.Workspace}.Allowed(s.Config), r)
 	// The item's number modulo 100 takes the place of a random draw. The service is
 	// picked again before each start, from the route in force then.
 	return r.Pick(float64(t.key.ref.Item%100) / 100), true
--- a/executor/fill.go
+++ b/executor/fill.go
@@ -26,7 +26,7 @@
 // fill starts and evicts items on the servers of one service as filler.Plan decides. It
 // returns how many of the ready items the limits of servers hold back.
 func (x *Executor) fill(ctx context.Context, now timer.Millis, service string, ready []*task) int {
-	in, servers := x.input(service, len(ready))
+	in, servers := x.input(service, ready)
 	start, evict := filler.Plan(in)
 	for id, n := range evict {
 		x.evict(id, n)
@@ -47,10 +47,10 @@
 }
 
 // input returns what filler.Plan needs to decide about a service for which this host
-// has backlog items ready, and the servers of the service by identifier.
-func (x *Executor) input(service string, backlog int) (filler.Input, map[string]cataloger.Server) {
+// has these items ready, and the servers of the service by identifier.
+func (x *Executor) input(service string, ready []*task) (filler.Input, map[string]cataloger.Server) {
 	digests := x.options.Digests()
-	in := filler.Input{Self: x.options.Host, Backlogs: map[string]int{x.options.Host: backlog}, Policy: x.options.Policy}
+	in := filler.Input{Self: x.options.Host, Backlogs: map[string]int{x.options.Host: len(ready)}, Policy: x.options.Policy}
 	for _, d := range digests {
 		in.Backlogs[d.Host] = d.Backlog
 	}
@@ -74,6 +74,7 @@
 				v.Batch[d.Host] = n
 			}
 		}
+		v.Barred = x.barred(c.Server, ready, digests)
 		servers[v.ID] = c.Server
 		in.Servers = append(in.Servers, v)
 		online += v.Online
@@ -93,7 +94,7 @@
 func (x *Executor) assign(ctx context.Context, now timer.Millis, start filler.Counts, ready []*task, servers map[string]cataloger.Server) []*task {
 	for id, n := range start {
 		for range n {
-			i := slices.IndexFunc(ready, func(t *task) bool { return !t.avoids(id, now) })
+			i := slices.IndexFunc(ready, func(t *task) bool { return !t.avoids(id, now) && x.permits(t, servers[id]) })
 			if i < 0 {
 				break
 			}
--- a/executor/fixture_test.go
+++ b/executor/fixture_test.go
@@ -21,6 +21,7 @@
 	"github.com/jackdawgate/jackdawgate/executor"
 	"github.com/jackdawgate/jackdawgate/filler"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
@@ -219,6 +220,7 @@
 	queue    *queuer.Queue
 	executor *executor.Executor
 	options  executor.Options
+	digests  func() []gossiper.Digest
 
 	mu       sync.Mutex
 	online   int
@@ -272,12 +274,13 @@
 		Snapshot: f.current, Ejector: ej, Leaving: d.IsLeaving, Throttler: throttler.New(clock, zap.NewNop()), OnChange: func() {}, Slowdown: func(string) float64 { return 1 },
 		RemoteLoad: func(string) gossiper.Load { return gossiper.Load{Online: f.onlineNow()} },
 	})
+	f.digests = func() []gossiper.Digest { return nil }
 	c := transporter.New(transporter.Options{IDHeader: names.RequestID, Clock: clock})
 	t.Cleanup(c.Close)
 	f.options = executor.Options{
-		Host: "self", Names: names, Snapshot: f.current, Digests: func() []gossiper.Digest { return nil }, Hosts: func() int { return 0 },
+		Host: "self", Names: names, Snapshot: f.current, Digests: func() []gossiper.Digest { return f.digests() }, Hosts: func() int { return 0 },
 		Picker: p, Transporter: c, Ejector: ej, Departer: d, Tracker: suspector.NewTracker(clock, zap.NewNop(), nil), Clock: clock, Logger: zap.NewNop(), Policy: policy,
-		Stall: 300,
+		Stall: 300, Zones: localizer.Zones{"z-eu": "eu", "z-us": "us"},
 		Groups: []executor.Group{{Queue: f.queue, Propose: func(_ context.Context, entries ...[]byte) error {
 			f.record(entries)
 			return nil
--- a/filler/filler.go
+++ b/filler/filler.go
@@ -47,6 +47,8 @@
 	// Limited is set if the server named a limit, which lets Starts items start now.
 	Limited bool
 	Starts  int
+	// Barred is the number of items of the backlogs that may not run there, by host.
+	Barred map[string]int
 }
 
 // batchTotal returns the number of batch items of all hosts.
@@ -96,10 +98,10 @@
 		}
 		left := min(free, waiting)
 		free, waiting = free-left, waiting-left
-		if free <= 0 || remaining <= 0 || in.filler(s.ID) != in.Self {
+		if free <= 0 || remaining <= 0 || in.filler(s) != in.Self {
 			continue
 		}
-		start[s.ID] = min(free, remaining)
+		start[s.ID] = min(free, remaining, in.Backlogs[in.Self]-s.Barred[in.Self])
 		remaining -= start[s.ID]
 	}
 	return start, evict
@@ -157,17 +159,17 @@
 	return out
 }
 
-// filler returns the host that may start items on a server. All hosts with a backlog
-// compete, weighted by its size.
-func (in Input) filler(server string) string {
+// filler returns the host that may start items on a server. All hosts with a backlog that
+// may run there compete, weighted by its size.
+func (in Input) filler(s Server) string {
 	best, bestScore := "", math.Inf(-1)
 	for host, n := range in.Backlogs {
-		if n <= 0 {
+		if n -= s.Barred[host]; n <= 0 {
 			continue
 		}
 		// With u uniform in (0, 1), the host with the highest -weight/ln(u) wins with
 		// a probability proportional to its weight.
-		u := (float64(assigner.Score(server, host)>>11) + 1) / (1<<53 + 1)
+		u := (float64(assigner.Score(s.ID, host)>>11) + 1) / (1<<53 + 1)
 		score := -float64(n) / math.Log(u)
 		if score > bestScore || (score == bestScore && host < best) {
 			best, bestScore = host, score
--- a/filler/filler_test.go
+++ b/filler/filler_test.go
@@ -51,6 +51,15 @@
 	require.Equal(t, filler.Counts{"idle": 3}, start)
 }
 
+// Items that may not run on the first server took all starts there and left the other idle.
+func TestBarredItemsTakeNoStarts(t *testing.T) {
+	one, other := server("one", 0, nil), server("other", 0, nil)
+	one.Barred, other.Barred = map[string]int{"a": 1, "b": 9}, map[string]int{"a": 1, "b": 9}
+	in := filler.Input{Self: "a", Backlogs: map[string]int{"a": 2, "b": 9}, Policy: policy, Servers: []filler.Server{one, other}}
+	start, _ := filler.Plan(in)
+	require.Equal(t, filler.Counts{"one": 1, "other": 1}, start)
+}
+
 func TestClosedServersStartNoItemsAndStillEvict(t *testing.T) {
 	s := server("s", 7, map[string]int{"a": 3})
 	s.Closed = true
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -83,6 +83,9 @@
 	Slowdowns comparer.Report `cbor:"12,keyasint,omitempty"`
 	// Limits are limits that servers named, and what the host sent to these servers.
 	Limits []throttler.Notice `cbor:"13,keyasint,omitempty"`
+	// RestrictedBacklog is the number of items of Backlog that may run in some regions only,
+	// by region; the empty name stands for all of them.
+	RestrictedBacklog map[string]int `cbor:"14,keyasint,omitempty"`
 }
 
 // maxDatagram is the size of the receive buffer, in bytes.
