mirrorer: disks that must not receive a group's log

A group may hold jobs that must stay in some regions. A disk elsewhere that replaced a lost holder, or was about to, would receive their bodies. The view names such disks: none is made a learner or a holder, and one that is a learner already gets no further entries.

Holders stay what they are: taking one out would cost durability for data that it has already. Recipients tells which disks receive the log now.

--- a/mirrorer/fleet_test.go
+++ b/mirrorer/fleet_test.go
@@ -124,6 +124,8 @@
 	hosts []*host
 	// changed is when a host last started or stopped.
 	changed timer.Millis
+	// barred are the disks that must not receive the log.
+	barred map[string]bool
 	// commits counts the transactions that hosts tried to commit.
 	commits int
 }
@@ -297,7 +299,7 @@
 func (f *fleet) view(h *host, g cataloger.Group, started timer.Millis) mirrorer.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := mirrorer.View{MinHolders: 2, WantedHolders: 3, Stable: f.clock.Now()-f.changed > 3000, SilentFor: make(map[string]timer.Millis), Leaving: make(map[string]bool), Retiring: make(map[string]bool)}
+	v := mirrorer.View{MinHolders: 2, WantedHolders: 3, Stable: f.clock.Now()-f.changed > 3000, SilentFor: make(map[string]timer.Millis), Leaving: make(map[string]bool), Retiring: make(map[string]bool), Barred: f.barred}
 	for _, o := range f.hosts {
 		if o == h || (o.running && !h.cut[o.name]) {
 			v.Reachable = append(v.Reachable, o.disk)
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -265,6 +265,9 @@
 	v := r.options.View(r.group)
 	v.Group, v.GroupNumber, v.Self = r.group, r.options.Group, r.options.Disk
 	v.CaughtUp = r.caughtUp()
+	if r.session != nil && v.Barred[r.session.learner] {
+		r.session.learner = ""
+	}
 	step := Plan(v)
 	r.dropPendingHolders(step)
 	if _, idle := step.(NoStep); idle && r.session != nil && (!r.session.priorWritesSettled || len(r.session.pendingHolders) > 0) {
@@ -283,6 +286,26 @@
 	}
 }
 
+// Recipients returns the other disks to which this host, as the owner, sends the log: those of
+// holders, and that of a host that is to become one. It returns none if ctx ends.
+func (r *Replica) Recipients(ctx context.Context) []string {
+	out := make(chan []string, 1)
+	r.post(func() {
+		if r.session == nil {
+			out <- nil
+			return
+		}
+		out <- r.recipients()
+	})
+	select {
+	case list := <-out:
+		return list
+	case <-ctx.Done():
+	case <-r.done:
+	}
+	return nil
+}
+
 // caughtUp returns the disks that had the owner's entire log within ServingLease. In a busy
 // group, more entries are always under way.
 func (r *Replica) caughtUp() map[string]bool {
--- a/mirrorer/plan.go
+++ b/mirrorer/plan.go
@@ -24,6 +24,8 @@
 	// moved if enough other disks are there. Emptied are those of hosts that were reported
 	// as empty and may be removed at any moment.
 	Retiring, Emptied map[string]bool
+	// Barred are the disks that must not receive the log. Holders remain what they are.
+	Barred map[string]bool
 	// CaughtUp are the disks that had the owner's entire log a moment ago. It is empty
 	// unless this host owns the group.
 	CaughtUp map[string]bool
@@ -238,7 +240,7 @@
 		return NoStep{}
 	}
 	for _, d := range v.ranked(v.staying()) {
-		if v.Group.Holds(d) {
+		if v.Group.Holds(d) || v.Barred[d] {
 			continue
 		}
 		if v.CaughtUp[d] {
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -283,6 +283,17 @@
 	return s.job.Workspace, true
 }
 
+// Jobs returns all jobs that are kept, which must not be modified.
+func (q *Queue) Jobs() []*Job {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make([]*Job, 0, len(q.jobs))
+	for _, s := range q.jobs {
+		out = append(out, s.job)
+	}
+	return out
+}
+
 // Active reports whether a job can still get results.
 func (q *Queue) Active(job string) bool {
 	q.mu.Lock()
