broker: jobs are stored and passed on within their regions

A job is refused with the reason before its body leaves the entry host if its regions are empty, its group has a holder elsewhere or one of its services has no server there. The owner and a relay decide again from what they know, which may be newer; the owner also counts a disk that is about to become a holder. A refusal after an attempt of unknown outcome is no refusal but 502, as before.

What is read of jobs goes through relays too. The route of a job is known only to its owner, so a relay must be in the regions of all batch routes; a flag in the messages was ruled out, since hosts of the earlier version reject messages with more fields.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -23,6 +23,8 @@
 	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/localizer"
+	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/queuer"
@@ -56,6 +58,9 @@
 	// Wall returns the wall-clock time, in Unix milliseconds.
 	Wall   func() timer.Millis
 	Logger *zap.Logger
+	// Zones holds the regions of hosts' data centres.
+	Zones    localizer.Zones
+	Measurer *measurer.Measurer
 }
 
 const (
@@ -148,7 +153,11 @@
 	if size := int64(len(body)); size > b.options.MaxJobBytes {
 		return refusal(http.StatusRequestEntityTooLarge, fmt.Sprintf("job of %d bytes exceeds the %d bytes that one message to another host may take of its memory", size, b.options.MaxJobBytes))
 	}
-	r, sent := b.callServingHost(ctx, s.ID, methodSubmit, body, callTimeout+timer.Millis(len(body)/storedPerMilli))
+	allowed, reason := jobRegions(b.options.Snapshot(), b.options.Zones, &m.Job, noRecipients)
+	if reason != "" {
+		return b.refuseNotPermitted(s.ID, allowed, reason)
+	}
+	r, sent := b.callServingHost(ctx, request{s.ID, methodSubmit, body, callTimeout + timer.Millis(len(body)/storedPerMilli), allowed})
 	switch r.Verdict {
 	case verdictDone:
 		return gatekeeper.JobAnswer{Status: http.StatusAccepted}
@@ -156,6 +165,10 @@
 		return retryableRefusal(http.StatusTooManyRequests, "too many tokens wait")
 	case verdictConflict:
 		return refusal(http.StatusConflict, "another workspace has a job of this name")
+	case verdictNotPermitted:
+		if !sent {
+			return b.refuseNotPermitted(s.ID, allowed, string(r.Body))
+		}
 	}
 	if sent {
 		return refusal(http.StatusBadGateway, "it is not known whether the job was accepted")
@@ -169,10 +182,12 @@
 	case namer.ReadResults:
 		return b.results(ctx, workspace, t, wait)
 	case namer.ReadBody:
-		r := b.callAboutJob(ctx, methodBody, jobRequest{Job: t.Job, Workspace: workspace, Item: t.Item})
+		q := jobRequest{Job: t.Job, Workspace: workspace, Item: t.Item}
+		r := b.callAboutJob(ctx, methodBody, q, b.readingRegions(workspace))
 		return b.answerFor(r, gatekeeper.JobAnswer{Status: http.StatusOK, ContentType: "application/octet-stream", Body: r.Body})
 	case namer.CancelJob:
-		r := b.callAboutJob(ctx, methodEnd, jobRequest{Job: t.Job, Workspace: workspace})
+		q := jobRequest{Job: t.Job, Workspace: workspace}
+		r := b.callAboutJob(ctx, methodEnd, q, localizer.Set{})
 		return b.answerFor(r, gatekeeper.JobAnswer{Status: http.StatusOK})
 	}
 	return refusal(http.StatusNotFound, "no such call")
@@ -183,7 +198,7 @@
 	if ms, err := strconv.ParseInt(wait, 10, 64); err == nil {
 		m.Wait = min(timer.Millis(ms), maxResultWait)
 	}
-	r := b.callAboutJob(ctx, methodResults, m)
+	r := b.callAboutJob(ctx, methodResults, m, b.readingRegions(workspace))
 	if r.Verdict != verdictDone {
 		return b.answerFor(r, gatekeeper.JobAnswer{})
 	}
@@ -203,28 +218,47 @@
 		return done
 	case verdictNotFound:
 		return refusal(http.StatusNotFound, "no such job or item")
+	case verdictNotPermitted:
+		return retryableRefusal(http.StatusServiceUnavailable, string(r.Body))
 	}
 	return b.unavailable()
 }
 
-// callAboutJob calls the host that serves the group of an existing job.
-func (b *Broker) callAboutJob(ctx context.Context, m messenger.Method, q jobRequest) reply {
+// callAboutJob calls the host that serves the group of an existing job. Its answer passes
+// only through hosts in the allowed regions, besides this one and the one that has the job.
+func (b *Broker) callAboutJob(ctx context.Context, m messenger.Method, q jobRequest, allowed localizer.Set) reply {
 	body, err := cbor.Marshal(q)
 	if err != nil {
 		b.options.Logger.Error("cannot encode call about a job", zap.String("job", q.Job), zap.Error(err))
 		return reply{}
 	}
-	r, _ := b.callServingHost(ctx, q.Job, m, body, callTimeout+q.Wait)
+	r, _ := b.callServingHost(ctx, request{q.Job, m, body, callTimeout + q.Wait, allowed})
+	if r.Verdict == verdictNotPermitted {
+		b.recordNotPermitted("read", q.Job, allowed, string(r.Body))
+	}
 	return r
 }
 
+// request is a call about a job. Hosts that pass it on, and for a submission also those that
+// receive it, are in the allowed regions.
+type request struct {
+	job     string
+	method  messenger.Method
+	body    []byte
+	timeout timer.Millis
+	allowed localizer.Set
+}
+
 // callServingHost calls the host that serves the job's group, directly or, if no bulk
 // host is reachable, through other entry hosts. It also reports whether a call was sent
 // whose outcome is unknown.
-func (b *Broker) callServingHost(ctx context.Context, job string, m messenger.Method, body []byte, timeout timer.Millis) (reply, bool) {
-	r, uncertain := b.callOwner(ctx, job, m, body, timeout)
+func (b *Broker) callServingHost(ctx context.Context, q request) (reply, bool) {
+	r, uncertain := b.callOwner(ctx, q)
 	if !r.final() && !b.reachesBulkHost() {
-		return b.callThroughRelays(ctx, relayRequest{Job: job, Method: m, Body: body, Timeout: timeout}, uncertain)
+		if q.allowed.Restricted() && len(b.relayAddresses(q)) == 0 {
+			return notPermitted(reasonRelay), uncertain
+		}
+		return b.callThroughRelays(ctx, q, uncertain)
 	}
 	return r, uncertain
 }
@@ -232,14 +266,14 @@
 // callOwner calls the host that serves the job's group directly, and retries for
 // ownerSearchTimeout. The verdict is zero if no host gave a final one. It also reports
 // whether a call was sent whose outcome is unknown.
-func (b *Broker) callOwner(ctx context.Context, job string, m messenger.Method, body []byte, timeout timer.Millis) (reply, bool) {
+func (b *Broker) callOwner(ctx context.Context, q request) (reply, bool) {
 	until := b.options.Clock.Now() + ownerSearchTimeout
 	uncertain := false
 	for attempt := 0; ; attempt++ {
-		r, sent := b.call(ctx, b.targetAddress(GroupOf(job), attempt), m, body, timeout)
+		r, sent := b.call(ctx, b.targetAddress(q, attempt), q.method, q.body, q.timeout)
 		uncertain = uncertain || sent
 		if r.final() {
-			return r, false
+			return r, uncertain && r.Verdict == verdictNotPermitted
 		}
 		if b.options.Clock.Now() > until || !b.reachesBulkHost() || !timer.Sleep(ctx, retryPause) {
 			return reply{}, uncertain
@@ -254,18 +288,21 @@
 
 // targetAddress returns the address of the host to call: on even attempts that of a host
 // that reports that it serves the group, otherwise that of the owner in the manifest. It
-// returns "" if the owner is not reachable.
-func (b *Broker) targetAddress(group, attempt int) string {
-	s := b.options.Snapshot()
+// returns "" if the owner is not reachable, or may not receive the job.
+func (b *Broker) targetAddress(q request, attempt int) string {
+	s, group := b.options.Snapshot(), GroupOf(q.job)
+	permitted := func(m cataloger.Member) bool {
+		return q.method != methodSubmit || q.allowed.Permits(b.options.Zones.RegionOfMember(m))
+	}
 	if attempt%2 == 0 {
 		for _, d := range b.options.Digests() {
-			if m, ok := s.Members[d.Host]; ok && slices.Contains(d.Groups, group) && b.isReachable(d.Host) {
+			if m, ok := s.Members[d.Host]; ok && slices.Contains(d.Groups, group) && b.isReachable(d.Host) && permitted(m) {
 				return m.PeerAddress
 			}
 		}
 	}
 	m, _ := s.MemberWithDisk(s.Groups[group].Owner)
-	if !b.isReachable(m.Name) {
+	if !b.isReachable(m.Name) || !permitted(m) {
 		return ""
 	}
 	return m.PeerAddress
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -16,6 +16,7 @@
 	"github.com/jackdawgate/jackdawgate/executor"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/namer"
@@ -44,6 +45,12 @@
 	items []queuer.Item
 	// proposeTime is how long a proposal takes.
 	proposeTime timer.Millis
+	// snapshot is what entry hosts know of the fleet, otherSnapshot what the other one knows
+	// if it has a configuration, and bulkSnapshot what the bulk host knows.
+	snapshot, otherSnapshot, bulkSnapshot cataloger.Snapshot
+	zones                                 localizer.Zones
+	// recipients are the disks to which the bulk host sends the logs of all groups.
+	recipients []string
 	// applyOnError makes a proposal take effect although it fails with proposeErr.
 	applyOnError bool
 
@@ -66,7 +73,8 @@
 		f.queues = append(f.queues, q)
 		digest.Groups = append(digest.Groups, n)
 		seats = append(seats, broker.LocalGroup{
-			Group: executor.Group{Number: n, Queue: q, Propose: func(_ context.Context, entries ...[]byte) error { return f.propose(q, entries) }},
+			Recipients: func(context.Context) []string { return f.recipients },
+			Group:      executor.Group{Number: n, Queue: q, Propose: func(_ context.Context, entries ...[]byte) error { return f.propose(q, entries) }},
 			WhileServing: func(_ context.Context, read func()) bool {
 				if !f.serving {
 					return false
@@ -79,10 +87,12 @@
 			},
 		})
 	}
-	broker.NewHandler(seats, func() []gossiper.Digest { return nil }, bulk, zap.NewNop())
+	f.zones = localizer.Zones{"z-eu": "eu", "z-us": "us"}
+	broker.NewHandler(seats, func() []gossiper.Digest { return nil }, broker.Fleet{Snapshot: func() cataloger.Snapshot { return f.bulkSnapshot }, Zones: f.zones}, bulk, zap.NewNop())
 	clock := timer.System()
 	s := cataloger.Snapshot{}.WithMember(cataloger.Member{Name: "bulk", Role: cataloger.Bulk, PeerAddress: "bulk", Disk: "d"}).
 		WithMember(cataloger.Member{Name: "other", Role: cataloger.Entry, PeerAddress: "other"})
+	f.snapshot, f.bulkSnapshot = s, s
 	options := broker.Options{
 		Formats: broker.Formats{
 			Items: func(body []byte) ([]queuer.Item, error) {
@@ -97,7 +107,7 @@
 			},
 			Results: func(r queuer.Results) ([]byte, error) { return []byte{byte('0' + r.Total), byte('0' + r.Next)}, nil },
 		},
-		Caller: f.net.Host("entry", messenger.Peer{Name: "entry"}), Snapshot: func() cataloger.Snapshot { return s },
+		Caller: f.net.Host("entry", messenger.Peer{Name: "entry"}), Snapshot: func() cataloger.Snapshot { return f.snapshot }, Zones: f.zones,
 		Digests:      func() []gossiper.Digest { return []gossiper.Digest{digest} },
 		LastReceived: func(host string) (timer.Millis, bool) { return clock.Now(), f.receivesFromBulk || host != "bulk" },
 		Clock:        clock, Wall: timer.Wall, Logger: zap.NewNop(), MaxJobBytes: maxJobBytes,
@@ -105,6 +115,12 @@
 	f.broker = broker.New(options)
 	other := f.net.Host("other", messenger.Peer{Name: "other"})
 	options.Caller, options.LastReceived = other, func(host string) (timer.Millis, bool) { return clock.Now(), f.otherReceivesFromBulk || host != "bulk" }
+	options.Snapshot = func() cataloger.Snapshot {
+		if f.otherSnapshot.Config != nil {
+			return f.otherSnapshot
+		}
+		return f.snapshot
+	}
 	f.other = broker.New(options)
 	f.other.ServeRelays(other)
 	return f
--- a/broker/handler.go
+++ b/broker/handler.go
@@ -5,8 +5,10 @@
 	"errors"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/executor"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/queuer"
@@ -24,19 +26,29 @@
 	// WhileServing calls read, which must not block, if the host serves the group now, and
 	// reports whether it did. The group's state and owner do not change during read.
 	WhileServing func(ctx context.Context, read func()) bool
+	// Recipients returns the other disks to which the group's log is sent.
+	Recipients func(ctx context.Context) []string
 }
 
 // Handler handles calls about batch jobs on the host that serves their groups.
 type Handler struct {
 	groups  []LocalGroup
 	digests func() []gossiper.Digest
+	fleet   Fleet
 	logger  *zap.Logger
 }
 
+// Fleet is what a Handler knows of the fleet: the current Snapshot, and the regions of data
+// centres.
+type Fleet struct {
+	Snapshot func() cataloger.Snapshot
+	Zones    localizer.Zones
+}
+
 // NewHandler returns a Handler and registers its methods with to. groups are ordered by
 // group number and include every group.
-func NewHandler(groups []LocalGroup, digests func() []gossiper.Digest, to messenger.Registry, l *zap.Logger) *Handler {
-	d := &Handler{groups: groups, digests: digests, logger: l}
+func NewHandler(groups []LocalGroup, digests func() []gossiper.Digest, f Fleet, to messenger.Registry, l *zap.Logger) *Handler {
+	d := &Handler{groups: groups, digests: digests, fleet: f, logger: l}
 	handle(to, methodSubmit, d.submit)
 	handle(to, methodResults, d.results)
 	handle(to, methodBody, d.body)
@@ -78,6 +90,10 @@
 	case v != verdictNotFound:
 		return reply{Verdict: v}
 	}
+	if allowed, reason := jobRegions(d.fleet.Snapshot(), d.fleet.Zones, &m.Job, func() []string { return s.Recipients(ctx) }); reason != "" {
+		d.logger.Info("no permitted place", zap.String("job", m.Job.ID), zap.Strings("allowed", allowed.Regions()), zap.String("reason", reason))
+		return notPermitted(reason)
+	}
 	key := queuer.QueueKey{Workspace: m.Job.Workspace, Route: m.Job.Route}
 	tokens := m.Job.Tokens()
 	waiting := d.waiting(key)
--- a/broker/relay.go
+++ b/broker/relay.go
@@ -45,7 +45,20 @@
 // relay calls the serving host on behalf of another entry host. The verdict is
 // verdictUncertain if the call may have been executed although its outcome is unknown.
 func (b *Broker) relay(ctx context.Context, q relayRequest) reply {
-	r, uncertain := b.callOwner(ctx, q.Job, q.Method, q.Body, q.Timeout)
+	call := request{job: q.Job, method: q.Method, body: q.Body, timeout: q.Timeout}
+	if q.Method == methodSubmit {
+		var m submitRequest
+		if err := cbor.Unmarshal(q.Body, &m); err != nil {
+			b.options.Logger.Warn("cannot decode relayed job", zap.String("job", q.Job), zap.Error(err))
+			return reply{Verdict: verdictNotOwner}
+		}
+		var reason string
+		if call.allowed, reason = jobRegions(b.options.Snapshot(), b.options.Zones, &m.Job, noRecipients); reason != "" {
+			b.options.Logger.Info("no permitted place", zap.String("job", q.Job), zap.Strings("allowed", call.allowed.Regions()), zap.String("reason", reason))
+			return notPermitted(reason)
+		}
+	}
+	r, uncertain := b.callOwner(ctx, call)
 	switch {
 	case r.final():
 		return r
@@ -56,17 +69,17 @@
 }
 
 // callThroughRelays sends the call through other entry hosts, one after the other.
-func (b *Broker) callThroughRelays(ctx context.Context, q relayRequest, uncertain bool) (reply, bool) {
-	body, err := cbor.Marshal(q)
+func (b *Broker) callThroughRelays(ctx context.Context, q request, uncertain bool) (reply, bool) {
+	body, err := cbor.Marshal(relayRequest{Job: q.job, Method: q.method, Body: q.body, Timeout: q.timeout})
 	if err != nil {
-		b.options.Logger.Error("cannot encode relayed call", zap.String("job", q.Job), zap.Error(err))
+		b.options.Logger.Error("cannot encode relayed call", zap.String("job", q.job), zap.Error(err))
 		return reply{}, uncertain
 	}
-	for _, address := range b.relayAddresses(q.Job) {
-		r, sent := b.call(ctx, address, methodRelay, body, ownerSearchTimeout+q.Timeout)
+	for _, address := range b.relayAddresses(q) {
+		r, sent := b.call(ctx, address, methodRelay, body, ownerSearchTimeout+q.timeout)
 		uncertain = uncertain || sent
 		if r.final() {
-			return r, false
+			return r, uncertain && r.Verdict == verdictNotPermitted
 		}
 	}
 	return reply{}, uncertain
@@ -74,15 +87,15 @@
 
 // relayAddresses returns the addresses of up to maxRelays reachable entry hosts, in an
 // order that depends on the job.
-func (b *Broker) relayAddresses(job string) []string {
+func (b *Broker) relayAddresses(q request) []string {
 	var list []cataloger.Member
 	for _, m := range b.options.Snapshot().Members {
-		if m.Role == cataloger.Entry && !m.Leaving && b.isReachable(m.Name) {
+		if m.Role == cataloger.Entry && !m.Leaving && b.isReachable(m.Name) && q.allowed.Permits(b.options.Zones.RegionOfMember(m)) {
 			list = append(list, m)
 		}
 	}
 	slices.SortFunc(list, func(x, y cataloger.Member) int {
-		return cmp.Compare(assigner.Score(job, y.Name), assigner.Score(job, x.Name))
+		return cmp.Compare(assigner.Score(q.job, y.Name), assigner.Score(q.job, x.Name))
 	})
 	var out []string
 	for _, m := range list[:min(len(list), maxRelays)] {
--- a/broker/wire.go
+++ b/broker/wire.go
@@ -55,6 +55,9 @@
 	verdictQueueFull
 	// verdictConflict reports that another workspace has a job of this name.
 	verdictConflict
+	// verdictNotPermitted reports that the allowed regions of the job have no place for it.
+	// The Body of the reply is the reason.
+	verdictNotPermitted
 )
 
 type reply struct {
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -61,10 +61,11 @@
 	}
 	mirrorer.Serve(b.messenger, h.replica)
 	bootstrapper := b.newBootstrapper(h.rationer)
-	h.handler = broker.NewHandler(h.localGroups(), b.gossiper.Digests, b.messenger, l)
+	h.handler = broker.NewHandler(h.localGroups(), b.gossiper.Digests, broker.Fleet{Snapshot: b.follower.Snapshot, Zones: b.zones}, b.messenger, l)
 	h.executor = executor.New(executor.Options{
 		Host: b.member.Name, Groups: h.groups(), Names: p.Names, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests, Hosts: b.gossiper.Hosts,
 		Picker: b.picker, Transporter: b.transporter, Ejector: b.ejector, Departer: b.departer, Tracker: b.tracker, Clock: b.clock, Logger: l, Policy: batchPolicy, Measurer: p.Measurer,
+		Zones: b.zones,
 	})
 	close(started)
 	b.serve()
@@ -128,7 +129,7 @@
 		h.replicas = append(h.replicas, mirrorer.New(mirrorer.Options{
 			Group: n, Disk: disk, Incarnation: h.member.Incarnation, Log: log, Machine: q,
 			Ledger: h.platform.Ledger, Key: h.platform.GroupKey(n), Caller: h.messenger,
-			View: h.fleet.view, Address: h.fleet.address, HolderCondition: h.fleet.holderCondition, Clock: h.clock, Logger: h.logger,
+			View: h.view(n), Address: h.fleet.address, HolderCondition: h.fleet.holderCondition, Clock: h.clock, Logger: h.logger,
 			CompactAfter: int64(h.settings.Disk.CompactAfter),
 		}))
 	}
@@ -161,7 +162,7 @@
 func (h *BulkHost) localGroups() []broker.LocalGroup {
 	var out []broker.LocalGroup
 	for n, g := range h.groups() {
-		out = append(out, broker.LocalGroup{Group: g, WhileServing: h.replicas[n].WhileServing})
+		out = append(out, broker.LocalGroup{Group: g, WhileServing: h.replicas[n].WhileServing, Recipients: h.replicas[n].Recipients})
 	}
 	return out
 }
@@ -178,7 +179,7 @@
 
 func (h *BulkHost) digest() gossiper.Digest {
 	d := h.base.digest()
-	d.Backlog = h.executor.Backlog()
+	d.Backlog, d.RestrictedBacklog = h.executor.Backlog(), h.executor.RestrictedBacklog()
 	d.Waiting = make(map[string]int64)
 	for n, q := range h.queues {
 		if !q.Serving() {
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -63,10 +63,12 @@
 	e.relayer = relayer.New(relayer.Options{
 		Names: p.Names, Transporter: b.transporter, Picker: b.picker, Throttler: b.throttler, Ejector: b.ejector, Tracker: b.tracker, Departer: b.departer,
 		Budgeter: e.budgeter, Forecaster: e.forecaster, Comparer: b.comparer, Clock: b.clock, Logger: l,
+		Measurer: p.Measurer,
 	})
 	jobs := broker.New(broker.Options{
 		Formats: p.JobFormats, Caller: b.messenger, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests, LastReceived: b.gossiper.LastReceived,
 		Clock: b.clock, Wall: timer.Wall, Logger: l, MaxJobBytes: b.messenger.MaxCallBytes(),
+		Zones: b.zones, Measurer: p.Measurer,
 	})
 	jobs.ServeRelays(b.messenger)
 	e.gatekeeper = gatekeeper.New(gatekeeper.Options{
--- a/hoster/regions.go
+++ b/hoster/regions.go
@@ -1,10 +1,14 @@
 package hoster
 
 import (
+	"maps"
 	"slices"
 
+	"github.com/jackdawgate/jackdawgate/broker"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/localizer"
+	"github.com/jackdawgate/jackdawgate/mirrorer"
+	"github.com/jackdawgate/jackdawgate/queuer"
 	"go.uber.org/zap"
 )
 
@@ -24,3 +28,42 @@
 		}
 	}
 }
+
+// BarredDisks returns the disks of bulk hosts that must not get a replica of a group with these
+// jobs, and the regions that they allow in common.
+func BarredDisks(s cataloger.Snapshot, z localizer.Zones, jobs []*queuer.Job) (map[string]bool, localizer.Set) {
+	var allowed localizer.Set
+	for _, j := range jobs {
+		allowed = allowed.Intersect(broker.StoredIn(s.Config, j))
+	}
+	if !allowed.Restricted() {
+		return nil, allowed
+	}
+	out := make(map[string]bool)
+	for _, m := range s.Members {
+		if m.Disk != "" && !allowed.Permits(z.RegionOfMember(m)) {
+			out[m.Disk] = true
+		}
+	}
+	return out, allowed
+}
+
+// view returns a function that returns the view of the bulk hosts for group n. It is called by
+// one goroutine at a time.
+func (h *BulkHost) view(n int) func(cataloger.Group) mirrorer.View {
+	var logged map[string]bool
+	return func(g cataloger.Group) mirrorer.View {
+		v := h.fleet.view(g)
+		s := h.follower.Snapshot()
+		if s.Config == nil || g.Owner != h.member.Disk || (len(s.Config.Regions()) == 0 && logged == nil) {
+			return v
+		}
+		var allowed localizer.Set
+		if v.Barred, allowed = BarredDisks(s, h.zones, h.queues[n].Jobs()); !maps.Equal(v.Barred, logged) {
+			logged = v.Barred
+			h.logger.Info("disks outside of the regions of a group's jobs", zap.Int("group", n), zap.Strings("allowed", allowed.Regions()),
+				zap.Strings("disks", slices.Sorted(maps.Keys(v.Barred))), zap.Strings("holders", g.Holders))
+		}
+		return v
+	}
+}
--- a/hoster/regions_test.go
+++ b/hoster/regions_test.go
@@ -6,6 +6,7 @@
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/hoster"
 	"github.com/jackdawgate/jackdawgate/localizer"
+	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -31,3 +32,30 @@
 	}
 	require.Equal(t, []any{int64(1), int64(3)}, versions)
 }
+
+// A group has restricted jobs. A lost replica is not replaced by one in another region.
+func TestDisksElsewhereAreBarredFromAGroupWithRestrictedJobs(t *testing.T) {
+	p := cataloger.ConfigParts{Routes: []cataloger.Route{
+		{Name: "free", Host: "h", Prefix: "/free/", Kind: cataloger.Batch}, {Name: "eu", Host: "h", Prefix: "/eu/", Kind: cataloger.Batch, AllowedRegions: []string{"eu"}},
+	}}
+	s := cataloger.Snapshot{}.WithConfig(cataloger.NewConfig(p)).
+		WithMember(cataloger.Member{Name: "a", Disk: "near", DataCentre: "a"}).
+		WithMember(cataloger.Member{Name: "b", Disk: "far", Region: "us"}).
+		WithMember(cataloger.Member{Name: "c", Disk: "unknown", DataCentre: "z"}).
+		WithMember(cataloger.Member{Name: "d"})
+	job := func(route, path string) *queuer.Job {
+		return &queuer.Job{Host: "h", Route: route, Items: []queuer.Item{{Path: path}}}
+	}
+	for _, c := range []struct {
+		jobs []*queuer.Job
+		want map[string]bool
+	}{
+		{nil, nil},
+		{[]*queuer.Job{job("free", "/free/x")}, nil},
+		{[]*queuer.Job{job("free", "/free/x"), job("eu", "/eu/x")}, map[string]bool{"far": true, "unknown": true}},
+		{[]*queuer.Job{job("free", "/eu/x")}, map[string]bool{"far": true, "unknown": true}},
+	} {
+		barred, _ := hoster.BarredDisks(s, localizer.Zones{"a": "eu"}, c.jobs)
+		require.Equal(t, c.want, barred)
+	}
+}
