explainer: the unknown regions behind a refusal

Hosts name regions without a data centre once for each configuration. The line may be hours older than a request that was refused for it, so its newest line of the host is shown whatever its age.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -183,6 +183,11 @@
 const (
 	heldBack     = "held back by servers' limits"
 	limitChanged = "server's limit changed"
+	// notPlaced is the message of lines about requests for which their allowed regions have no
+	// place, unknownRegions that of lines about regions that a configuration names and no data
+	// centre has. These are written once for each configuration, long before.
+	notPlaced      = "no permitted place"
+	unknownRegions = "allowed regions without a data centre"
 )
 
 // contextMessages are the messages of lines that report a change in the state of a
@@ -192,6 +197,7 @@
 	"starting": true, "leaving": true, "stopped": true, "store did not answer": true, "store answers again": true,
 	"group given up": true, "group served": true, "manifest written": true, "log lines dropped": true,
 	limitChanged: true, "server takes no requests for a while": true, "host known": true, "host gone": true, "configuration in force": true,
+	unknownRegions: true, "items without a permitted place": true, "disks outside of the regions of a group's jobs": true,
 }
 
 // addContext fills t.Context from lines.
@@ -200,15 +206,21 @@
 		return
 	}
 	hosts, servers := make(map[string]bool), make(map[string]bool)
-	allLimits := false
+	allLimits, noPlace := false, false
 	for _, l := range t.Lines {
 		hosts[l.Host] = true
 		allLimits = allLimits || l.Message == heldBack
+		noPlace = noPlace || l.Message == notPlaced
 		servers[l.Text("server")] = true
 	}
 	delete(servers, "")
 	from, to := t.alignedMillis(t.Lines[0])-contextMillis, t.alignedMillis(t.Lines[len(t.Lines)-1])+contextMillis
+	newest := make(map[string]Line)
 	for _, l := range lines {
+		if noPlace && l.Message == unknownRegions && hosts[l.Host] && t.alignedMillis(l) < from {
+			newest[l.Host] = l
+			continue
+		}
 		if !contextMessages[l.Message] || t.alignedMillis(l) < from || t.alignedMillis(l) > to || !hosts[l.Host] || l.mentions(t.ID) {
 			continue
 		}
@@ -216,7 +228,7 @@
 			t.Context = append(t.Context, l)
 		}
 	}
-	t.Context = t.sortByTime(t.Context)
+	t.Context = t.sortByTime(slices.AppendSeq(t.Context, maps.Values(newest)))
 }
 
 // endMessages are the messages of lines with which a request, the submission of a
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// A call was refused because of a misspelt region, of which its host wrote when it read the
+// configuration, an hour before.
+func TestTimelineOfACallWithoutAPlaceShowsTheUnknownRegion(t *testing.T) {
+	const logs = `{"level":"warn","ts":100,"msg":"allowed regions without a data centre","host":"e1","regions":["eruope"],"version":6}
+{"level":"warn","ts":1000,"msg":"allowed regions without a data centre","host":"e1","regions":["uerope"],"version":7}
+{"level":"warn","ts":1000,"msg":"allowed regions without a data centre","host":"e2","regions":["uerope"],"version":7}
+{"level":"info","ts":3600000,"msg":"no permitted place","host":"e1","request":"r1","service":"x","allowed":["uerope"],"servers":9,"permitted":0}
+{"level":"info","ts":3600001,"msg":"refused","host":"e1","request":"r1","status":503,"reason":"no usable server of service x in the allowed regions"}
+`
+	lines, err := explainer.Read(strings.NewReader(logs))
+	require.NoError(t, err)
+	timeline := explainer.Explain("r1", lines)
+	require.Equal(t, []string{"no permitted place", "refused"}, messages(timeline.Lines))
+	require.Len(t, timeline.Context, 1)
+	require.Equal(t, "7", timeline.Context[0].Text("version"))
+}
+
 func TestTimelineReportsMissingEnd(t *testing.T) {
 	timeline, text := explain(t, "r1")
 	require.Len(t, timeline.Missing, 2)
