picker: what a call without a place is told costs other calls nothing

errors.As on each choice took one allocation of 8 bytes. It is done only after a choice failed: 2 allocations and 1.9 kB of 9 servers, as before allowed regions (benchmark Pick; times do not differ beyond their noise).

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -177,17 +177,23 @@
 		out, err = p.pick(s, r, service, allOf(servers))
 	}
 	p.mu.Unlock()
-	var none *NoServerError
-	if allowed.Restricted() && errors.As(err, &none) {
-		err = &NotPermittedError{Service: service, Allowed: allowed, Servers: known, Permitted: len(servers)}
-	}
 	if err != nil {
-		return nil, err
+		return nil, withRegions(err, NotPermittedError{Service: service, Allowed: allowed, Servers: known, Permitted: len(servers)})
 	}
 	p.options.OnChange()
 	return out, nil
 }
 
+// withRegions returns e in place of a *NoServerError for a call that is restricted to regions,
+// and otherwise err.
+func withRegions(err error, e NotPermittedError) error {
+	var none *NoServerError
+	if e.Allowed.Restricted() && errors.As(err, &none) {
+		return &e
+	}
+	return err
+}
+
 // permitted returns the servers of list in the allowed regions.
 func (p *Picker) permitted(list []cataloger.Server, allowed localizer.Set) []cataloger.Server {
 	var out []cataloger.Server
