localizer: which regions a caller of the directory prefers

The choice stood between the directory's handler and the regions of the routes, where no test without a network reached it: a query without a region, with a data centre only, for a host name that no route has.

--- a/hoster/directory.go
+++ b/hoster/directory.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
-	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/resolver"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
@@ -41,14 +40,8 @@
 
 // serveDirectory answers a caller with the addresses to connect to.
 func (e *EntryHost) serveDirectory(w http.ResponseWriter, r *http.Request) {
-	s, q := e.follower.Snapshot(), e.platform.DirectoryQuery(r.URL.RawQuery)
-	if q.Region == "" {
-		q.Region = e.zones.RegionOf(q.DataCentre)
-	}
-	allowed := localizer.Entering(s.Config, q.Host)
-	prefers := func(region string) bool {
-		return allowed.Permits(region) || (q.Region != "" && region == q.Region)
-	}
+	s := e.follower.Snapshot()
+	prefers := e.platform.DirectoryQuery(r.URL.RawQuery).Prefers(s.Config, e.zones)
 	self := resolver.Host{
 		Address: e.member.CallerAddress, Received: true, Ready: e.ready(), Leaving: e.leaving.Load(), Preferred: prefers(e.member.Region),
 	}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -32,7 +32,6 @@
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/quarantiner"
-	"github.com/jackdawgate/jackdawgate/resolver"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/throttler"
@@ -61,7 +60,7 @@
 	// Addresses encodes the directory: the addresses to which a caller may connect.
 	Addresses func(addresses []string, ttl timer.Millis) ([]byte, error)
 	// DirectoryQuery decodes the query of a request to the directory.
-	DirectoryQuery func(rawQuery string) resolver.Query
+	DirectoryQuery func(rawQuery string) localizer.Caller
 	// Measurer collects the host's metrics.
 	Measurer *measurer.Measurer
 	// DroppedLines returns the number of dropped log lines.
--- a/localizer/localizer_test.go
+++ b/localizer/localizer_test.go
@@ -71,19 +71,40 @@
 }
 
 // The callers of a host name are sent to regions that suit all of its restricted routes, or
-// else some of them.
-func TestCallersEnterInRegionsThatSuitTheRoutesOfTheirHostName(t *testing.T) {
-	entering := func(routes ...*cataloger.Route) []string {
+// else some of them, and to their own. A query without a region, or for a host name that no
+// route has, is answered too.
+func TestCallersEnterInTheirRegionAndThoseOfTheirRoutes(t *testing.T) {
+	z := localizer.Zones{"z-asia": "asia"}
+	eu, both, free := route("eu"), route("eu", "us"), route()
+	for _, c := range []struct {
+		caller localizer.Caller
+		routes []*cataloger.Route
+		want   []string
+	}{
+		{localizer.Caller{Host: "h"}, nil, []string{"eu", "us", "asia", ""}},
+		{localizer.Caller{Host: "h", Region: "us"}, []*cataloger.Route{free}, []string{"eu", "us", "asia", ""}},
+		{localizer.Caller{Region: "us"}, []*cataloger.Route{eu}, []string{"eu", "us", "asia", ""}},
+		{localizer.Caller{Host: "h"}, []*cataloger.Route{both, free, eu}, []string{"eu"}},
+		{localizer.Caller{Host: "h"}, []*cataloger.Route{eu, route("us")}, []string{"eu", "us"}},
+		{localizer.Caller{Host: "h", Region: "us"}, []*cataloger.Route{eu}, []string{"eu", "us"}},
+		{localizer.Caller{Host: "h", DataCentre: "z-asia"}, []*cataloger.Route{eu}, []string{"eu", "asia"}},
+		{localizer.Caller{Host: "h", DataCentre: "z-none"}, []*cataloger.Route{eu}, []string{"eu"}},
+		{localizer.Caller{Host: "h", Region: "mars"}, []*cataloger.Route{route("mars")}, nil},
+	} {
 		p := cataloger.ConfigParts{}
-		for _, r := range routes {
+		for _, r := range c.routes {
 			p.Routes = append(p.Routes, *r)
 		}
-		return localizer.Entering(cataloger.NewConfig(p), "h").Regions()
+		prefers := c.caller.Prefers(cataloger.NewConfig(p), z)
+		var got []string
+		for _, region := range []string{"eu", "us", "asia", ""} {
+			if prefers(region) {
+				got = append(got, region)
+			}
+		}
+		require.Equal(t, c.want, got, "%+v", c)
 	}
-	require.Empty(t, entering(route()))
-	require.Equal(t, []string{"eu"}, entering(route("eu", "us"), route(), route("eu")))
-	require.Equal(t, []string{"eu", "us"}, entering(route("eu"), route("us")))
-	require.False(t, localizer.Entering(config(route("eu"), nil), "other").Restricted())
+	require.True(t, localizer.Caller{Host: "h"}.Prefers(nil, z)("eu"))
 }
 
 func TestDataCentreWithoutARegionIsUnknown(t *testing.T) {
--- a/localizer/subject.go
+++ b/localizer/subject.go
@@ -1,10 +1,6 @@
 package localizer
 
-import (
-	"slices"
-
-	"github.com/jackdawgate/jackdawgate/cataloger"
-)
+import "github.com/jackdawgate/jackdawgate/cataloger"
 
 // Subject is what the allowed regions of a request depend on: its route and workspace as of
 // its admission, which may be nil, and its path.
@@ -68,24 +64,3 @@
 	}
 	return s
 }
-
-// Entering returns the regions in which callers' requests to a host name should arrive under
-// configuration c: those that all its restricted routes allow, or if these have none in
-// common, those that any of them allows.
-func Entering(c *cataloger.Config, host string) Set {
-	var all, some Set
-	if c == nil || len(c.Regions()) == 0 {
-		return all
-	}
-	for _, r := range c.RoutesOf(host) {
-		s := Allowed(r, nil)
-		all = all.Intersect(s)
-		if s.restricted {
-			some = Set{restricted: true, regions: append(slices.Clone(some.regions), s.regions...)}
-		}
-	}
-	if all.Empty() {
-		return some
-	}
-	return all
-}
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -16,14 +16,6 @@
 	SilenceTimeout timer.Millis = 700
 )
 
-// Query is what a caller states when it asks for hosts. Each field may be empty.
-type Query struct {
-	// Host is the host name of the caller's routes.
-	Host string
-	// Region and DataCentre are those of the caller.
-	Region, DataCentre string
-}
-
 // Host is the answering host's view of an entry host.
 type Host struct {
 	// Address is where callers connect.
