--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -185,6 +185,11 @@
 	limitChanged = "server's limit changed"
 	serverCold   = "server cold"
 	coldShare    = "share of a cold server"
+	// notPlaced is the message of lines about requests for which their allowed regions have no
+	// place, unknownRegions that of lines about regions that a configuration names and no data
+	// centre has. These are written once for each configuration, long before.
+	notPlaced      = "no permitted place"
+	unknownRegions = "allowed regions without a data centre"
 )
 
 // noServerLeft is the message of lines about calls whose servers are all in evacuated data
@@ -206,6 +211,7 @@
 	"group given up": true, "group served": true, "manifest written": true, "log lines dropped": true,
 	limitChanged: true, serverCold: true, coldShare: true, evacuated: true, evacuatedUnknown: true, evacuationCancelled: true,
 	"server takes no requests for a while": true, "host known": true, "host gone": true, "configuration in force": true,
+	unknownRegions: true, "items without a permitted place": true, "disks outside of the regions of a group's jobs": true,
 }
 
 // addContext fills t.Context from lines.
@@ -214,7 +220,7 @@
 		return
 	}
 	hosts, servers := make(map[string]bool), make(map[string]bool)
-	allLimits := false
+	allLimits, noPlace := false, false
 	// inForce holds the evacuations that the context has already, by host and data centre.
 	inForce := make(map[string]map[string]Line)
 	for _, l := range t.Lines {
@@ -224,11 +230,17 @@
 			t.Context = slices.AppendSeq(t.Context, maps.Values(inForce[l.Host]))
 		}
 		allLimits = allLimits || l.Message == heldBack
+		noPlace = noPlace || l.Message == notPlaced
 		servers[l.Text("server")] = true
 	}
 	delete(servers, "")
 	from, to := t.alignedMillis(t.Lines[0])-contextMillis, t.alignedMillis(t.Lines[len(t.Lines)-1])+contextMillis
+	newest := make(map[string]Line)
 	for _, l := range lines {
+		if noPlace && l.Message == unknownRegions && hosts[l.Host] && t.alignedMillis(l) < from {
+			newest[l.Host] = l
+			continue
+		}
 		if !contextMessages[l.Message] || t.alignedMillis(l) < from || t.alignedMillis(l) > to || !hosts[l.Host] || l.mentions(t.ID) {
 			continue
 		}
@@ -239,7 +251,7 @@
 			t.Context = append(t.Context, l)
 		}
 	}
-	t.Context = t.sortByTime(t.Context)
+	t.Context = t.sortByTime(slices.AppendSeq(t.Context, maps.Values(newest)))
 }
 
 // evacuationsBefore returns the lines of the host of l about the data centres that were
--- a/filler/filler.go
+++ b/filler/filler.go
@@ -52,6 +52,8 @@
 	// Slowdown is how many times as long as the service's mean the server takes. Zero counts
 	// as one.
 	Slowdown float64
+	// Barred is the number of items of the backlogs that may not run there, by host.
+	Barred map[string]int
 }
 
 // batchTotal returns the number of batch items of all hosts.
@@ -101,10 +103,10 @@
 		}
 		left := min(free, waiting)
 		free, waiting = free-left, waiting-left
-		if free <= 0 || remaining <= 0 || in.filler(s.ID) != in.Self {
+		if free <= 0 || remaining <= 0 || in.filler(s) != in.Self {
 			continue
 		}
-		start[s.ID] = min(free, remaining)
+		start[s.ID] = min(free, remaining, in.Backlogs[in.Self]-s.Barred[in.Self])
 		remaining -= start[s.ID]
 	}
 	return start, evict
@@ -172,17 +174,17 @@
 	return free / s.Slowdown
 }
 
-// filler returns the host that may start items on a server. All hosts with a backlog
-// compete, weighted by its size.
-func (in Input) filler(server string) string {
+// filler returns the host that may start items on a server. All hosts with a backlog that
+// may run there compete, weighted by its size.
+func (in Input) filler(s Server) string {
 	best, bestScore := "", math.Inf(-1)
 	for host, n := range in.Backlogs {
-		if n <= 0 {
+		if n -= s.Barred[host]; n <= 0 {
 			continue
 		}
 		// With u uniform in (0, 1), the host with the highest -weight/ln(u) wins with
 		// a probability proportional to its weight.
-		u := (float64(assigner.Score(server, host)>>11) + 1) / (1<<53 + 1)
+		u := (float64(assigner.Score(s.ID, host)>>11) + 1) / (1<<53 + 1)
 		score := -float64(n) / math.Log(u)
 		if score > bestScore || (score == bestScore && host < best) {
 			best, bestScore = host, score
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -40,6 +40,7 @@
 	coldServers      = "jackdawgate.servers.cold"
 	evacuations      = "jackdawgate.evacuations"
 	overShareCalls   = "jackdawgate.calls.overshare"
+	notPlaced        = "jackdawgate.refusals.region"
 	dials            = "jackdawgate.dials"
 	droppedLines     = "jackdawgate.log.dropped"
 )
@@ -62,6 +63,7 @@
 		{coldServers, "gauge", "", "Backend servers that are cold, as they last stated, whether or not their service limits what they get."},
 		{evacuations, "gauge", "data_centre", "1 for each evacuated data centre; none is listed without an evacuation."},
 		{overShareCalls, "counter", "", "Calls that were refused because the servers had no free slot and the workspace was over its share."},
+		{notPlaced, "counter", "kind", "Requests that were refused or broken off because their allowed regions had no place for them, by kind: call, job, read."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
 	}
@@ -106,9 +108,9 @@
 	provider *sdkmetric.MeterProvider
 	handler  http.Handler
 
-	requests, storeCalls, items metric.Int64Counter
-	requestDuration             metric.Int64Histogram
-	heldBackItems               metric.Int64Gauge
+	requests, storeCalls, items, notPlaced metric.Int64Counter
+	requestDuration                        metric.Int64Histogram
+	heldBackItems                          metric.Int64Gauge
 }
 
 // durationBounds holds the bucket bounds of the histogram of request durations, in
@@ -127,7 +129,7 @@
 		meter: p.Meter("github.com/jackdawgate/jackdawgate"), provider: p,
 		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
-	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items} {
+	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items, notPlaced: &m.notPlaced} {
 		if *to, err = m.meter.Int64Counter(name); err != nil {
 			return nil, eris.Wrap(err, "make counter")
 		}
@@ -209,6 +211,14 @@
 	m.items.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// NotPlaced counts a request whose allowed regions had no place for it.
+func (m *Measurer) NotPlaced(kind string) {
+	if m == nil {
+		return
+	}
+	m.notPlaced.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
+}
+
 // ItemsHeldBack sets the number of batch items that could run but for the limits of servers.
 func (m *Measurer) ItemsHeldBack(n int) {
 	if m == nil {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -21,6 +21,7 @@
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/gossiper"
 	"github.com/jackdawgate/jackdawgate/holder"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/relayer"
@@ -84,6 +85,7 @@
 	f.pickerOptions = picker.Options{
 		Snapshot: f.current, RemoteLoad: func(string) gossiper.Load { return gossiper.Load{} },
 		Ejector: e, Leaving: f.departer.IsLeaving, Throttler: f.throttler, OnChange: func() {}, Slowdown: func(id string) float64 { return f.slowdowns[id] },
+		Zones: localizer.Zones{"z-eu": "eu", "z-us": "us"},
 	}
 	f.picker = picker.New(f.pickerOptions)
 	f.memory = holder.New(memoryForAnswers)
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -150,7 +150,7 @@
 // the call is predicted to be late there, it takes the one where the call ends first.
 func (u *run) pick() (*picker.Reservation, forecaster.Prediction, error) {
 	o := u.relayer.options
-	q := selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded, Rank: u.call.Rank}
+	q := selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded, Rank: u.call.Rank, Subject: u.call.Subject}
 	for {
 		r, err := o.Picker.Pick(u.call.Service, q)
 		if err != nil {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -23,6 +23,7 @@
 
 	"github.com/jackdawgate/jackdawgate/assigner"
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/throttler"
 )
 
@@ -87,6 +88,9 @@
 	// Late is set if the call would be too late at the server chosen before. The server where
 	// it ends first is chosen then, whatever that leaves to other calls.
 	Late bool
+	// Subject is what the regions depend on in which the call may be placed. Candidates are
+	// in these regions only.
+	Subject localizer.Subject
 }
 
 // HeldBack reports whether the server's limit leaves no room for the call.
