--- a/holder/holder.go
+++ b/holder/holder.go
@@ -63,13 +63,13 @@
 // InUse returns the reserved memory in bytes.
 func (h *Holder) InUse() int64 { return h.inUse.Load() }
 
-// add adds n bytes to the reserved memory unless that would exceed the limit, and returns
+// add adds n bytes to the reserved memory unless that would exceed limit, and returns
 // the reserved memory. A reservation that fails is never counted, not even for a moment, so
 // that it makes no other one fail.
-func (h *Holder) add(n int64) (inUse int64, ok bool) {
+func (h *Holder) add(n, limit int64) (inUse int64, ok bool) {
 	for {
 		inUse = h.inUse.Load()
-		if n > 0 && inUse+n > h.limit() {
+		if n > 0 && inUse+n > limit {
 			return inUse, false
 		}
 		if h.inUse.CompareAndSwap(inUse, inUse+n) {
@@ -79,20 +79,27 @@
 }
 
 // Open returns an Account for one call.
-func (h *Holder) Open() *Account { return &Account{holder: h} }
+func (h *Holder) Open() *Account { return &Account{holder: h, allowance: Allowance, limit: h.limit()} }
 
 // Account is the memory that one call uses. It must be used by one goroutine at a time.
 type Account struct {
 	holder *Holder
-	// used is what the call uses, reserved the part of it beyond Allowance.
-	used, reserved int64
+	// allowance is what the call may use without reserving memory. used is what it uses,
+	// reserved the part of it beyond allowance.
+	allowance, used, reserved int64
+	// limit is up to how much reserved memory of all calls together this one reserves more.
+	limit int64
 }
 
+// Fork returns another Account for the same call, for another goroutine. All that it uses is
+// reserved from the memory of all calls, of which it leaves half to others.
+func (a *Account) Fork() *Account { return &Account{holder: a.holder, limit: a.holder.limit() / 2} }
+
 // Reserve adds n bytes to what the call uses. After an error nothing was added.
 func (a *Account) Reserve(n int64) error {
-	more := max(0, a.used+n-Allowance) - a.reserved
+	more := max(0, a.used+n-a.allowance) - a.reserved
 	if more != 0 {
-		if inUse, ok := a.holder.add(more); !ok {
+		if inUse, ok := a.holder.add(more, a.limit); !ok {
 			return &TooLongError{Bytes: a.used + n, InUse: inUse}
 		}
 	}
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -171,3 +171,16 @@
 	a.Release()
 	require.Zero(t, h.InUse())
 }
+
+// Guards against what is buffered for slow callers taking the memory for the answers to others.
+func TestForkedAccountsLeaveHalfOfTheMemory(t *testing.T) {
+	h := holder.New(100)
+	fork := h.Open().Fork()
+	require.NoError(t, fork.Reserve(50))
+	require.Error(t, fork.Reserve(1))
+	other := h.Open()
+	require.NoError(t, other.Reserve(holder.Allowance+50))
+	fork.Release()
+	other.Release()
+	require.Zero(t, h.InUse())
+}
--- a/transporter/answer.go
+++ b/transporter/answer.go
@@ -56,6 +56,10 @@
 	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
 }
 
+// Interrupt makes a Read that waits fail, and all later ones. Unlike the other methods it may
+// be called by any goroutine.
+func (a *Answer) Interrupt() { a.connection.close() }
+
 // Close ends the exchange. The connection is kept for reuse if the answer was read
 // to its end and the connection can carry another exchange.
 func (a *Answer) Close() {
