relayer: slow callers hold up servers only once their buffer is full, and not for ever

A timer of each answer looks at its writes every 250 ms. A write that has taken 100 ms starts the reading ahead; one that has taken 10 s ends the call, and the connection is aborted. The run of a call ends for the forecaster and the comparison of servers when its stream was read to its end, and a caller that leaves after that does not count against its server.

relayer.Sink has Abort; the test sinks follow.

--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/holder"
@@ -317,6 +318,9 @@
 	return nil
 }
 
+// Abort implements relayer.Sink.
+func (s *sink) Abort() { _ = s.controller.SetWriteDeadline(time.Unix(1, 0)) }
+
 // Write implements relayer.Sink.
 func (s *sink) Write(p []byte) error {
 	if _, err := s.writer.Write(p); err != nil {
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -58,6 +58,7 @@
 	snapshot cataloger.Snapshot
 	relay    *relay
 	jobs     *jobs
+	options  gatekeeper.Options
 	gate     *gatekeeper.Gatekeeper
 	rationer *rationer.Rationer
 	memory   *holder.Holder
@@ -75,14 +76,21 @@
 	r := rationer.New(f.clock)
 	f.rationer = r
 	f.clock.Time += 10 * timer.Second
-	f.gate = gatekeeper.New(gatekeeper.Options{
+	f.options = gatekeeper.Options{
 		Names:    namer.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", SharedParts: platform.Names().SharedParts, ParseJobCall: jobCall},
 		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs, OthersReady: func() bool { return f.othersReady },
 		Clock: f.clock, Logger: l, MaxConfigAge: 3600, Memory: f.memory,
-	})
+	}
+	f.gate = gatekeeper.New(f.options)
 	return f
 }
 
+// setRelay replaces what calls are relayed by.
+func (f *fixture) setRelay(r gatekeeper.Relay) {
+	f.options.Relay = r
+	f.gate = gatekeeper.New(f.options)
+}
+
 func jobCall(_, path, _ string) (namer.JobCall, bool) {
 	if id, ok := strings.CutPrefix(path, "/jobs/"); ok {
 		return namer.ReadResults{Job: id}, true
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -10,8 +10,10 @@
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/picker"
+	"github.com/jackdawgate/jackdawgate/prefetcher"
 	"github.com/jackdawgate/jackdawgate/splitter"
 	"github.com/jackdawgate/jackdawgate/suspector"
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/jackdawgate/jackdawgate/transporter"
 	"go.uber.org/zap"
 )
@@ -42,7 +44,7 @@
 	}
 	var err error
 	if isStream(a) {
-		err = u.relayStream(r, a)
+		err = u.relayStream(ctx, r, a)
 	} else {
 		err = u.relayBody(a)
 	}
@@ -73,6 +75,12 @@
 // recordGivenUp records that the call's time was over, or its caller left, before the server
 // had answered it completely.
 func (u *run) recordGivenUp(r *picker.Reservation) {
+	if u.readAt != 0 {
+		// Only the caller had not read it.
+		u.relayer.options.Ejector.Succeeded(r.Server.ID)
+		u.recordTimes(r, false)
+		return
+	}
 	u.recordUnanswered(r)
 	u.recordTimes(r, true)
 }
@@ -84,7 +92,7 @@
 	if u.resuming {
 		return
 	}
-	now := u.relayer.options.Clock.Now()
+	now := u.endOfAnswer()
 	m := forecaster.Sample{Call: u.forecastInput(r), First: now - u.sentAt, Full: r.ServerFull(), GivenUp: givenUp}
 	switch {
 	case u.firstEvent != 0:
@@ -99,13 +107,22 @@
 	u.relayer.options.Forecaster.Observe(m)
 }
 
+// endOfAnswer returns when the answer of the current attempt was read to its end, if that was
+// before its caller had read it, or the time now.
+func (u *run) endOfAnswer() timer.Millis {
+	if u.readAt != 0 {
+		return u.readAt
+	}
+	return u.relayer.options.Clock.Now()
+}
+
 // recordRate reports the rate of the events of the current attempt to the
 // comparer.
 func (u *run) recordRate(r *picker.Reservation) {
 	if u.firstEvent == 0 {
 		return
 	}
-	took := u.relayer.options.Clock.Now() - u.firstEvent
+	took := u.endOfAnswer() - u.firstEvent
 	u.relayer.options.Comparer.Observe(comparer.Sample{Service: u.call.Service, Server: r.Server.ID, Events: u.eventCount, Took: took})
 }
 
@@ -145,14 +162,17 @@
 		return errCallerGone
 	}
 	u.headSent = true
-	if body.Write(u.sink.Write) != nil {
+	w := u.watchWrites(nil)
+	defer w.close()
+	if body.Write(func(p []byte) error { return w.write(p, u.relayer.options.Clock.Now()) }) != nil {
 		return errCallerGone
 	}
 	return nil
 }
 
-// relayStream passes events on as they arrive, each one complete.
-func (u *run) relayStream(r *picker.Reservation, a *transporter.Answer) error {
+// relayStream passes events on as they arrive, each one complete. While the caller does not
+// read, the server's stream is read on.
+func (u *run) relayStream(ctx context.Context, r *picker.Reservation, a *transporter.Answer) error {
 	u.resuming = u.headSent
 	if !u.headSent {
 		h := a.Header.Clone()
@@ -165,13 +185,22 @@
 	if u.canResend() && u.resumable {
 		a.SetSilenceTimeout(resumeAfter)
 	}
-	return splitter.Read(a, a.Memory().Reserve, func() { u.relayer.options.Ejector.BytesReceived(r.Server.ID) }, func(e splitter.Event) error { return u.relayEvent(r, e) })
+	o := u.relayer.options
+	p := prefetcher.New(ctx, prefetcher.Options{
+		Source: a, Interrupt: a.Interrupt, Memory: a.Memory().Fork(), OnRead: func() { o.Ejector.BytesReceived(r.Server.ID) }, Clock: o.Clock,
+	})
+	defer p.Close()
+	w := u.watchWrites(p)
+	defer w.close()
+	err := splitter.Read(p, a.Memory().Reserve, func() {}, func(e splitter.Event) error { return u.relayEvent(r, w, e) })
+	u.readAt = p.EndedAt()
+	return err
 }
 
 // relayEvent passes one event on. A resumable stream must continue right after the
 // last event that was passed on. All events of its rest have numbers; anything else
 // there is the text of an error.
-func (u *run) relayEvent(r *picker.Reservation, e splitter.Event) error {
+func (u *run) relayEvent(r *picker.Reservation, w *writeWatch, e splitter.Event) error {
 	if u.resuming && !e.HasID && !e.Filler {
 		return errUnnumbered
 	}
@@ -187,14 +216,14 @@
 		u.firstEvent = u.lastProgress
 	}
 	u.eventCount++
-	if u.eventCount == firstRateSample {
+	if u.eventCount == firstRateSample && !w.ahead.Buffering() {
 		u.recordRate(r)
 	}
 	if u.eventCount == suspector.ProgressEvents {
 		u.flight.Progressed()
 		u.relayer.options.Tracker.Progressed(u.call.Suspect)
 	}
-	if u.sink.Write(e.Raw) != nil {
+	if w.write(e.Raw, u.lastProgress) != nil {
 		return errCallerGone
 	}
 	return nil
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -20,6 +20,7 @@
 	"github.com/jackdawgate/jackdawgate/budgeter"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/comparer"
+	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
@@ -67,6 +68,9 @@
 	Head(status int, h http.Header, length int64) error
 	// Write passes a part of the body on without delay.
 	Write(p []byte) error
+	// Abort makes a Write that waits fail, and all later ones. It may be called by any
+	// goroutine.
+	Abort()
 }
 
 // Outcome is how a call ended: Delivered, NotRun, Unknown, Interrupted or
@@ -109,7 +113,7 @@
 func (Interrupted) outcome() {}
 func (CallerGone) outcome()  {}
 
-// Options configures a Relayer. All fields are required.
+// Options configures a Relayer. All fields but WriteTimeout are required.
 type Options struct {
 	Names       namer.Names
 	Transporter *transporter.Transporter
@@ -124,6 +128,8 @@
 	Comparer    *comparer.Comparer
 	Clock       timer.Clock
 	Logger      *zap.Logger
+	// WriteTimeout is how long a caller may read nothing until its call ends; default 10 s.
+	WriteTimeout timer.Millis
 }
 
 // Relayer runs calls. It is safe for concurrent use.
@@ -142,6 +148,7 @@
 
 // New returns a Relayer.
 func New(o Options) *Relayer {
+	defaulter.Set(&o.WriteTimeout, defaultWriteTimeout)
 	r := &Relayer{options: o, queues: postponer.New(o.Clock), limits: postponer.New(o.Clock), shares: postponer.New(o.Clock)}
 	r.ended, r.end = context.WithCancel(context.Background())
 	return r
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -148,6 +148,8 @@
 	return nil
 }
 
+func (s *sink) Abort() {}
+
 func (s *sink) Write(p []byte) error {
 	if s.disconnected {
 		return errDisconnected
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -63,6 +63,9 @@
 	// long earlier attempts streamed what the current one does not repeat.
 	firstEvent timer.Millis
 	streamed   timer.Millis
+	// readAt is when the current attempt's answer was read to its end, if that was ahead of
+	// its caller, or 0.
+	readAt timer.Millis
 	// within is set once the call was found to be within the share of its workspace.
 	within bool
 	// lastProgress is when the caller last received an event, or when the call began.
@@ -120,7 +123,7 @@
 	}
 	o.Ejector.Begin(reservation.Server.ID)
 	defer o.Ejector.End(reservation.Server.ID)
-	u.eventCount, u.firstEvent, u.sentAt = 0, 0, o.Clock.Now()
+	u.eventCount, u.firstEvent, u.readAt, u.sentAt = 0, 0, 0, o.Clock.Now()
 	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID),
 		zap.Int("online", reservation.Load.Online), zap.Int("batch", reservation.Load.Batch), zap.Int("tried", len(u.excluded)),
 		zap.Int64("left-ms", int64(left)), zap.Int64("after-event", u.lastEvent))
