apportioner: refunds lower the demand also in the interval after

A refund that came in a later interval than its request was dropped, as the difference is negative then.

--- a/apportioner/decider.go
+++ b/apportioner/decider.go
@@ -227,12 +227,13 @@
 	return timer.Millis(min(max(demandCount/d.fleet*float64(timer.Second), float64(minPeriod)), float64(maxPeriod)))
 }
 
-// update adds the requests since the last update to the averages.
+// update adds the requests since the last update to the averages. Their number is negative if
+// more of those before were refunded.
 func (d *demand) update(u Use, elapsed timer.Millis) {
 	if elapsed > 0 {
 		keep, seconds := decay(elapsed, d.period()), float64(elapsed)/float64(timer.Second)
-		d.own += (1 - keep) * (max(0, u.Own-d.last.Own)/seconds - d.own)
-		d.fleet += (1 - keep) * (max(0, u.Fleet-d.last.Fleet)/seconds - d.fleet)
+		d.own = max(0, keep*d.own+(1-keep)*(u.Own-d.last.Own)/seconds)
+		d.fleet = max(0, keep*d.fleet+(1-keep)*(u.Fleet-d.last.Fleet)/seconds)
 		for rank := range d.ranks {
 			if d.ranks[rank] *= decay(elapsed, rankPeriod); d.ranks[rank] < minRank {
 				delete(d.ranks, rank)
