apportioner: the only workspace that asks is not refused

A refusal gives a slot to nobody there; such deployments, also those without workspaces, go on as before: calls wait for as long as their callers do.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -91,6 +91,16 @@
 	return capacity * weight / (c.weights(workspace, rank) + weight)
 }
 
+// minDemand is the demand, in requests a second, up to which a workspace counts as one that
+// asks for nothing. Averages never reach zero.
+const minDemand = 0.01
+
+// alone reports whether no other workspace asks for anything, so that no one would gain by a
+// refusal.
+func (c Claims) alone(workspace string) bool {
+	return !slices.ContainsFunc(c, func(x Claim) bool { return x.Workspace != workspace && x.Demand > minDemand })
+}
+
 // weights returns the sum of the weights of the rivals of a workspace in a class.
 func (c Claims) weights(workspace string, rank int) float64 {
 	sum := 0.0
--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -104,6 +104,16 @@
 	require.EqualValues(t, 101-admitted, w.apportioner.Refused())
 }
 
+// Guards against refusals that help nobody: where there are no other workspaces, calls wait
+// for a slot as they did before there were shares.
+func TestOnlyWorkspaceIsNotRefused(t *testing.T) {
+	w := newWorld()
+	w.pass(map[string]float64{"large": 1000, "idle": 0})
+	for range 100 {
+		require.True(t, w.apportioner.Ask(waiting("large")).Admitted)
+	}
+}
+
 // Guards against a host that divides the whole capacity by what it sees, though it hears no
 // other: the parts of all hosts would add up to many times the capacity.
 func TestHostThatHearsNoOtherDividesItsPartOfTheCapacity(t *testing.T) {
--- a/apportioner/decider.go
+++ b/apportioner/decider.go
@@ -312,7 +312,7 @@
 	b := a.bucketFor(c, out)
 	out.Level = b.level
 	switch {
-	case out.Demand <= out.Share:
+	case out.Demand <= out.Share, a.claimsOf(c.Service).alone(c.Workspace):
 	case b.level >= 1:
 		b.level--
 	default:
