executor tests: a run that is held does not stall

TestLongOutputsAreSavedInSeveralRecords failed once under the race detector on a busy machine: 4 parts in a record, 2 at most allowed. Its engine holds runs open without further events, and the fixture's stall timeout of 300 ms resumed them, so that output was saved anew. The test states its own timeout; its checks are unchanged.

--- a/executor/fixture_test.go
+++ b/executor/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -57,6 +58,8 @@
 
 // engine is a backend server that streams lastEvent events for each item.
 type engine struct {
+	// stallTimeout is how long a run may go without an event; 300 ms if zero.
+	stallTimeout timer.Millis
 	// stalls is how many of the next runs stall; a stalled run sends stallBytes
 	// again and again instead of its third event.
 	stalls     int
@@ -298,7 +301,7 @@
 	f.options = executor.Options{
 		Host: "self", Names: names, Snapshot: f.current, Digests: func() []gossiper.Digest { return f.digests() }, Hosts: func() int { return 0 },
 		Picker: p, Transporter: c, Ejector: ej, Departer: d, Tracker: suspector.NewTracker(clock, zap.NewNop(), nil), Clock: clock, Logger: zap.NewNop(), Policy: policy,
-		Stall: 300, Zones: localizer.Zones{"z-eu": "eu", "z-us": "us"},
+		Stall: cmp.Or(e.stallTimeout, 300), Zones: localizer.Zones{"z-eu": "eu", "z-us": "us"},
 		Groups: []executor.Group{{Queue: f.queue, Propose: func(_ context.Context, entries ...[]byte) error {
 			f.record(entries)
 			return nil
--- a/executor/save_test.go
+++ b/executor/save_test.go
@@ -25,8 +25,9 @@
 // The output of all items of a group was saved in one record, which could exceed the length
 // of a log entry that can be read again.
 func TestLongOutputsAreSavedInSeveralRecords(t *testing.T) {
-	e := &engine{hold: make(chan struct{})}
+	e := &engine{hold: make(chan struct{}), stallTimeout: 20_000}
 	defer close(e.hold)
+	// A run that stalled on a busy machine would be resumed and saved once more.
 	data := "data: " + strings.Repeat("x", 511<<10) + "\n\n"
 	for range 4 {
 		whole := response("200 OK", "Content-Type: text/event-stream\r\n", "id: 1\n"+data+"id: 2\n"+data+"id: 3\n")
