holder: a budget for bytes and connections that sheds the stalled first

What a host held for callers was bounded by one counter that refused whoever asked next: bodies that stop short of their end kept the memory until their pause ended, and ordinary callers were refused. Connections were not bounded.

A body that can be shed (OpenFor) gives way, while it is being read, to another that needs memory if it has held more for longer without progress (bytes times time since the last 16 KB). A Group bounds connections: at the limit those that have waited longest are closed, a 32nd of the limit at once; those whose request is served are not. Refusals are counted and logged by cause, once a second, with the address that most came from.

Ruled out: refusing the newest (stalled bodies win), refusing the largest alone (a caller that sends fast loses to one that stalls at half its size), one counter for bodies, answers and messages (callers could take what peers need).

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -5,6 +5,11 @@
 // need memory, and a faulty server may send bytes without end. Each call has an Account,
 // whose first bytes are free, so that short answers are received whatever other servers do.
 // What goes beyond that is reserved from the memory of all calls together (Holder).
+//
+// A Budget holds all that a process holds for others: the Holders of answers, messages and
+// bodies, and the limits on connections. When the memory for bodies is used up, the body that
+// has held the most for the longest without progress is shed (OpenFor); when the connections
+// are, those that have waited longest are (Group).
 package holder
 
 import (
@@ -13,6 +18,8 @@
 	"io"
 	"sync"
 	"sync/atomic"
+
+	"github.com/jackdawgate/jackdawgate/timer"
 )
 
 const (
@@ -45,6 +52,19 @@
 type Holder struct {
 	total int64
 	inUse atomic.Int64
+	// clock and reporter may be nil.
+	clock    timer.Clock
+	reporter *Reporter
+
+	// mu guards what follows but waiting, and is taken only for accounts that can be shed.
+	mu       sync.Mutex
+	shedable map[*tracked]struct{}
+	// returning is what shed accounts have not given back yet, in bytes.
+	returning int64
+	// freed, if not nil, is closed when memory is given back. waiting is set while it is not
+	// nil.
+	freed   chan struct{}
+	waiting atomic.Bool
 }
 
 // New returns a Holder of total bytes, or of 32 MB if total is zero.
@@ -86,10 +106,18 @@
 	holder *Holder
 	// used is what the call uses, reserved the part of it beyond Allowance.
 	used, reserved int64
+	// tracked is set for accounts that can be shed.
+	tracked *tracked
 }
 
 // Reserve adds n bytes to what the call uses. After an error nothing was added.
 func (a *Account) Reserve(n int64) error {
+	if a.tracked != nil {
+		if !a.reserveTracked(n) {
+			return &TooLongError{Bytes: a.tracked.held.Load() + n, InUse: a.holder.InUse()}
+		}
+		return nil
+	}
 	more := max(0, a.used+n-Allowance) - a.reserved
 	if more != 0 {
 		if inUse, ok := a.holder.add(more); !ok {
@@ -103,6 +131,14 @@
 
 // Release returns the memory of the call.
 func (a *Account) Release() {
+	if a == nil {
+		return
+	}
+	if a.tracked != nil {
+		a.tracked.release(a.holder)
+		a.used, a.reserved = 0, 0
+		return
+	}
 	a.holder.inUse.Add(-a.reserved)
 	a.used, a.reserved = 0, 0
 }
@@ -186,6 +222,7 @@
 		}
 		n, err := r.Read(out[len(out):cap(out)])
 		out = out[:len(out)+n]
+		a.progress(n)
 		switch {
 		case errors.Is(err, io.EOF):
 			return out, nil
