gatekeeper, acceptor, hoster: callers share one budget; refusals are readable

Cause: with idle connections or headers without end an entry host used 500 of 500 descriptors, and a caller that sends a whole large body got a reset instead of its refusal, because the connection was closed with unread data.

A body draws on the memory as it grows and can be shed until it is whole; it must keep to a minimum rate after the idle time-out.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -58,7 +59,9 @@
 	idleTimeout timer.Millis
 }
 
-// New returns an Acceptor that serves h on l within limits. The Acceptor owns l.
+// New returns an Acceptor that serves h on l within limits. The Acceptor owns l. If l is a
+// Listener of a holder.Group, idle connections and those whose request does not go on can be
+// shed; h states when the body of a request has been read (holder.Connection.Serve).
 func New(l net.Listener, h http.Handler, limits Limits, c timer.Clock, logger *zap.Logger) *Acceptor {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Acceptor{
@@ -136,8 +139,19 @@
 // process is out of file descriptors.
 const acceptRetryDelay timer.Millis = 20
 
+// serve passes a request to the handler. A request without a body has been read.
+func (a *Acceptor) serve(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		holder.ConnectionOf(r.Context()).Serve()
+	}
+	a.handler.ServeHTTP(w, r)
+}
+
 // trackState records a change of a connection's state.
 func (a *Acceptor) trackState(g *generation, c net.Conn, s http.ConnState) {
+	if x, ok := c.(*holder.Connection); ok && (s == http.StateActive || s == http.StateIdle) {
+		x.Wait()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch s {
--- a/acceptor/generation.go
+++ b/acceptor/generation.go
@@ -1,11 +1,13 @@
 package acceptor
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"go.uber.org/zap"
 )
 
@@ -25,9 +27,10 @@
 func (a *Acceptor) newGeneration(l Limits) *generation {
 	g := &generation{address: a.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
 	g.server = &http.Server{
-		Handler: a.handler, MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.HeaderTimeout.Duration(),
-		ErrorLog:  zap.NewStdLog(a.logger),
-		ConnState: func(c net.Conn, s http.ConnState) { a.trackState(g, c, s) },
+		Handler: http.HandlerFunc(a.serve), MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.HeaderTimeout.Duration(),
+		ErrorLog:    zap.NewStdLog(a.logger),
+		ConnState:   func(c net.Conn, s http.ConnState) { a.trackState(g, c, s) },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return holder.WithConnection(ctx, c) },
 	}
 	a.running.Go(func() {
 		if err := g.server.Serve(g); !errors.Is(err, http.ErrServerClosed) {
--- a/checker/member.go
+++ b/checker/member.go
@@ -15,6 +15,8 @@
 	Store  MemberStore  `section:"store"`
 	Bounds MemberBounds `section:"bounds"`
 	Disk   MemberDisk   `section:"disk"`
+
+	Callers MemberCallers `section:"callers"`
 }
 
 // MemberHost identifies the host.
@@ -23,6 +25,8 @@
 	DataCentre string `key:"data-centre" check:"name" doc:"Data centre of the host."`
 	Region     string `key:"region" default:"default" check:"name" doc:"Region of the data centre."`
 	MemoryMB   int    `key:"memory-mb" default:"0" check:"any" doc:"Memory that the process may use, in MB; 0 for no limit."`
+	// Descriptors bounds open files and sockets.
+	Descriptors int `key:"descriptors" default:"0" check:"any" doc:"How many files and sockets the process may open; 0 if that is not known. The limit that the process starts with applies too."`
 }
 
 // MemberListen sets the addresses that the host listens on. The host does not
@@ -35,6 +39,12 @@
 	Metrics   string `key:"metrics" default:"" check:"optional-address" doc:"IP address and port at which metrics are read."`
 }
 
+// MemberCallers limits the resources that callers may use.
+type MemberCallers struct {
+	Connections int `key:"connections" default:"0" check:"any" doc:"Most connections of callers at once; 0 for what memory and descriptors allow. Idle and stalled ones are closed first."`
+	BodyRate    int `key:"body-rate" default:"1024" check:"any" doc:"Bytes of a request body that must arrive in a second, on average, from the configuration's idle time-out on; 0 for no minimum."`
+}
+
 // MemberStore sets how the host reaches the platform's store.
 type MemberStore struct {
 	Address  string       `key:"address" check:"address" doc:"IP address and port of the store's HTTP API."`
--- a/checker/settings.go
+++ b/checker/settings.go
@@ -36,7 +36,11 @@
 	CallerAddress string   `key:"caller-address" default:"" check:"optional-address" doc:"Address told to callers; empty for caller-listen."`
 	PeerAddress   string   `key:"peer-address" default:"" check:"optional-address" doc:"Address told to other hosts; empty for peer-listen."`
 	Seeds         []string `key:"seeds" default:"" check:"addresses" doc:"Peer addresses of some hosts, separated by commas. A host that starts while the store is out takes the record from them."`
-	DataFolder    string   `key:"data-folder" default:"" check:"any" doc:"Folder for bulk data. Empty on hosts that keep nothing."`
+	// MemoryMB and Descriptors are zero if unknown.
+	MemoryMB    int `key:"memory-mb" default:"0" check:"any" doc:"Memory that the process may use, in MB; 0 if that is not known: 48 MB then hold unfinished and waiting request bodies."`
+	Descriptors int `key:"descriptors" default:"0" check:"any" doc:"How many files and sockets the process may open; 0 if that is not known. The limit that the process starts with applies too."`
+
+	DataFolder string `key:"data-folder" default:"" check:"any" doc:"Folder for bulk data. Empty on hosts that keep nothing."`
 }
 
 // StoreSettings sets how the host reaches the platform's key-value service.
@@ -65,7 +69,7 @@
 	BodyBytes   int          `key:"body-bytes" default:"4194304" check:"positive" doc:"Longest request body in bytes."`
 	FileBytes   int          `key:"file-bytes" default:"536870912" check:"positive" doc:"Longest uploaded file in bytes."`
 	HeaderBytes int          `key:"header-bytes" default:"16384" check:"positive" doc:"Longest request head in bytes."`
-	Connections int          `key:"connections" default:"20000" check:"positive" doc:"Most connections of callers at once."`
+	Connections int          `key:"connections" default:"20000" check:"positive" doc:"Most connections of callers at once; fewer if memory or descriptors allow fewer. Idle and stalled ones are closed first."`
 	ReadTimeout timer.Millis `key:"read-timeout" default:"15s" check:"positive" doc:"How long a caller may take to send a request."`
 	IdleTimeout timer.Millis `key:"idle-timeout" default:"90s" check:"positive" doc:"How long a connection of a caller may be unused."`
 	Timeout     timer.Millis `key:"timeout" default:"10m" check:"positive" doc:"Longest time that a request may take."`
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -37,8 +37,10 @@
 	snapshot   cataloger.Snapshot
 	started    timer.Millis
 	id         string
-	// memory is what the request's body takes.
+	// memory is what the request's body takes, nil until it is read. bodyRead is set when the
+	// body has been read whole.
 	memory    *holder.Account
+	bodyRead  bool
 	workspace *cataloger.Workspace
 	// route is nil for calls about existing jobs; job is nil for all other calls.
 	route *cataloger.Route
@@ -167,8 +169,16 @@
 		x.writer.Header().Set("Retry-After", strconv.FormatFloat(float64(refusal.retryAfter)/float64(timer.Second), 'f', 3, 64))
 	}
 	x.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(refusal.reason)+1))
+	unread := !x.bodyRead && x.request.ContentLength != 0
+	if unread {
+		x.endBody()
+	}
 	x.writer.WriteHeader(refusal.status)
 	_, _ = io.WriteString(x.writer, refusal.reason+"\n")
+	if unread {
+		x.drainBody()
+	}
 }
 
 // log writes a line about this request, with the configuration that the decision
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -65,6 +65,10 @@
 	// Memory is the memory for bodies of requests; default 32 MB. One body takes half of it
 	// at most.
 	Memory *holder.Holder
+	// BodyRate is the rate, in bytes per second, below which a body is refused; zero for none.
+	BodyRate int
+	// Reporter records bodies that are refused because of their rate; it may be nil.
+	Reporter *holder.Reporter
 }
 
 // Gatekeeper is the http.Handler for requests of callers. It is safe for
@@ -156,8 +160,8 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{gatekeeper: g, writer: w, request: r, snapshot: g.options.Snapshot(), started: g.options.Clock.Now(), memory: g.options.Memory.Open()}
-	defer x.memory.Release()
+	x := &exchange{gatekeeper: g, writer: w, request: r, snapshot: g.options.Snapshot(), started: g.options.Clock.Now()}
+	defer func() { x.memory.Release() }()
 	x.id = r.Header.Get(g.options.Names.RequestID)
 	x.serve()
 }
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -17,6 +17,7 @@
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/rationer"
 	"github.com/jackdawgate/jackdawgate/relayer"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -75,7 +76,9 @@
 		Jobs:         jobs,
 		OthersReady:  e.othersReady,
 		MaxConfigAge: MaxConfigAge(s.Bounds.Revoke),
-		Memory:       memoryFor(s, bodyShare),
+		Memory:       b.budget.Bodies,
+		BodyRate:     s.Callers.BodyRate,
+		Reporter:     b.budget.Reporter,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
@@ -94,13 +97,20 @@
 	ready.HandleFunc("GET "+e.platform.ReadyPath, e.serveReady)
 	directory := http.NewServeMux()
 	directory.HandleFunc("GET "+e.platform.DirectoryPath, e.serveDirectory)
-	for address, h := range map[string]http.Handler{
-		e.settings.Listen.Callers: e.gatekeeper, e.settings.Listen.Ready: ready, e.settings.Listen.Directory: directory,
+	connections := e.budget.Connections
+	for _, x := range []struct {
+		address string
+		handler http.Handler
+		group   *holder.Group
+	}{
+		{e.settings.Listen.Callers, e.gatekeeper, connections.Callers()},
+		{e.settings.Listen.Ready, ready, connections.Others()},
+		{e.settings.Listen.Directory, directory, connections.Others()},
 	} {
-		if address == "" {
+		if x.address == "" {
 			continue
 		}
-		if err := e.serve(address, h); err != nil {
+		if err := e.serve(x.address, x.handler, x.group); err != nil {
 			return err
 		}
 	}
@@ -127,13 +137,13 @@
 	return l
 }
 
-// serve listens at address and answers requests with h.
-func (e *EntryHost) serve(address string, h http.Handler) error {
+// serve listens at address and answers requests with h. The connections count in g.
+func (e *EntryHost) serve(address string, h http.Handler, g *holder.Group) error {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return eris.Wrap(err, "listen at "+address)
 	}
-	a := acceptor.New(l, h, limits(e.follower.Snapshot().Config), e.clock, e.logger)
+	a := acceptor.New(g.Listener(l, holder.RefusalAnswer), h, limits(e.follower.Snapshot().Config), e.clock, e.logger)
 	e.acceptors = append(e.acceptors, a)
 	e.follower.Notify(func(s cataloger.Snapshot) { a.SetLimits(limits(s.Config)) })
 	return nil
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -70,21 +70,10 @@
 // Go runtime, near which the garbage collector runs more often.
 const memoryShare = 0.6
 
-// Parts of a host's memory: for the answers of backend servers, for messages of other hosts
-// while they are received, and for the bodies of callers' requests.
-const (
-	answerShare  = 0.125
-	messageShare = 0.1875
-	bodyShare    = 0.1875
-)
-
-// memoryFor returns a part of the host's memory, or nil for the default if the settings do
-// not state its memory.
-func memoryFor(s checker.MemberSettings, share float64) *holder.Holder {
-	if s.Host.MemoryMB == 0 {
-		return nil
-	}
-	return holder.New(int64(float64(s.Host.MemoryMB) * share * (1 << 20)))
+// newBudget returns the budget for what the process holds for others.
+func newBudget(s checker.MemberSettings, c timer.Clock, m *measurer.Measurer, l *zap.Logger) *holder.Budget {
+	r := holder.NewReporter(l, func(c holder.Cause) { m.BudgetRefusal(string(c)) })
+	return holder.NewBudget(holder.Resources{MemoryMB: s.Host.MemoryMB, Descriptors: s.Host.Descriptors, Connections: s.Callers.Connections}, c, r)
 }
 
 // storeUnavailableAfter is the age of a host's last confirmation from the store above which
@@ -99,6 +88,7 @@
 	member   cataloger.Member
 	// clock includes the time during which the machine is suspended.
 	clock       timer.Clock
+	budget      *holder.Budget
 	follower    *follower.Follower
 	enroller    *enroller.Enroller
 	metrics     *http.Server
@@ -127,7 +117,7 @@
 	}
 	clock := timer.Boot()
 	m.Name, m.DataCentre, m.PeerAddress, m.Incarnation = s.Host.Name, s.Host.DataCentre, s.Listen.Peers, newIncarnation()
-	b := &base{settings: s, platform: p, logger: l, member: m, clock: clock}
+	b := &base{settings: s, platform: p, logger: l, member: m, clock: clock, budget: newBudget(s, clock, p.Measurer, l)}
 	datagrams, err := net.ListenPacket("udp4", s.Listen.Peers)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for datagrams")
@@ -139,9 +129,9 @@
 	}
 	b.messenger = messenger.New(messenger.Options{
 		Self: messenger.Peer{Name: m.Name, Incarnation: m.Incarnation}, Logger: l,
-		DialTimeout: 500, IdleTimeout: 1200, PingInterval: 300, Memory: memoryFor(s, messageShare),
+		DialTimeout: 500, IdleTimeout: 1200, PingInterval: 300, Memory: b.budget.Messages,
 	})
-	b.streams = streams
+	b.streams = b.budget.Connections.Others().Listener(streams, "")
 	gossiperSet := make(chan struct{})
 	b.follower = follower.New(follower.Options{
 		Ledger: p.Ledger, Decoder: p.Decoder, Clock: clock, Logger: l,
@@ -154,7 +144,7 @@
 	b.quarantiner = quarantiner.New(quarantiner.Options{Ledger: p.Ledger, Key: p.QuarantineKey, Clock: clock, Logger: l})
 	b.tracker = suspector.NewTracker(clock, l, b.quarantiner)
 	b.ejector = ejector.New(clock, l)
-	b.transporter = transporter.New(transporter.Options{IDHeader: p.Names.RequestID, Clock: clock, Memory: memoryFor(s, answerShare)})
+	b.transporter = transporter.New(transporter.Options{IDHeader: p.Names.RequestID, Clock: clock, Memory: b.budget.Answers})
 	b.departer = departer.New(clock, l)
 	b.comparer = comparer.New(clock, l)
 	b.throttler = throttler.New(clock, l)
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -27,6 +28,8 @@
 		HeldBackCalls:    b.throttler.Refused,
 		Dials:            b.transporter.Dials,
 		DroppedLines:     b.platform.DroppedLines,
+		BudgetBytes:      b.budget.Bodies.InUse,
+		OpenConnections:  b.budget.Connections.Callers().Open,
 	})
 	if err != nil {
 		return err
@@ -35,9 +38,10 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
+	l = b.budget.Connections.Others().Listener(l, holder.RefusalAnswer)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, b.platform.Measurer)
-	b.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout.Duration()}
+	b.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout.Duration(), IdleTimeout: defaultIdleTimeout.Duration()}
 	go func() {
 		if err := b.metrics.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			b.logger.Error("metrics server stopped", zap.Error(err))
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -38,6 +38,9 @@
 	heldBackItems    = "jackdawgate.items.limited"
 	dials            = "jackdawgate.dials"
 	droppedLines     = "jackdawgate.log.dropped"
+	budgetRefusals   = "jackdawgate.budget.refusals"
+	budgetBytes      = "jackdawgate.budget.bytes"
+	openConnections  = "jackdawgate.connections"
 )
 
 // Instruments lists all metrics.
@@ -56,6 +59,9 @@
 		{heldBackItems, "gauge", "", "Batch items that could run now but for the limits of the servers."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
+		{budgetRefusals, "counter", "cause", "Bodies and connections that the budget refused or shed: memory-shed, memory-refused, connection-shed, connection-refused, slow-body."},
+		{budgetBytes, "gauge, bytes", "", "Memory that bodies of callers' requests hold."},
+		{openConnections, "gauge", "", "Open connections of callers."},
 	}
 }
 
@@ -84,6 +90,8 @@
 	HeldBackCalls    func() uint64
 	Dials            func() uint64
 	DroppedLines     func() uint64
+	BudgetBytes      func() int64
+	OpenConnections  func() int
 }
 
 // Measurer records the metrics of a host. The recording methods of a nil Measurer do
@@ -93,7 +101,7 @@
 	provider *sdkmetric.MeterProvider
 	handler  http.Handler
 
-	requests, storeCalls, items metric.Int64Counter
+	requests, storeCalls, items, budgetRefusals metric.Int64Counter
 	requestDuration             metric.Int64Histogram
 	heldBackItems               metric.Int64Gauge
 }
@@ -114,7 +122,7 @@
 		meter: p.Meter("github.com/jackdawgate/jackdawgate"), provider: p,
 		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
-	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items} {
+	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items, budgetRefusals: &m.budgetRefusals} {
 		if *to, err = m.meter.Int64Counter(name); err != nil {
 			return nil, eris.Wrap(err, "make counter")
 		}
@@ -134,6 +142,8 @@
 		reachableHosts:   func() int64 { return int64(o.ReachableHosts()) },
 		quarantinedCalls: func() int64 { return int64(o.QuarantinedCalls()) },
 		serverLimits:     func() int64 { return int64(o.LimitedServers()) },
+		budgetBytes:      o.BudgetBytes,
+		openConnections:  func() int64 { return int64(o.OpenConnections()) },
 	}
 	for name, read := range gauges {
 		_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe(read)))
@@ -177,6 +187,14 @@
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call)))
 }
 
+// BudgetRefusal counts a body or a connection that the budget refused or shed.
+func (m *Measurer) BudgetRefusal(cause string) {
+	if m == nil {
+		return
+	}
+	m.budgetRefusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
+}
+
 // Item counts the end of a run of a batch item, with its outcome.
 func (m *Measurer) Item(outcome string) {
 	if m == nil {
--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -25,11 +25,13 @@
 	require.NoError(t, m.Observe(measurer.Callbacks{
 		ConfirmationAge: func() timer.Millis { return 1 }, KnownServers: func() int { return 1 },
 		ReachableHosts: func() int { return 1 }, QuarantinedCalls: func() int { return 1 }, LimitedServers: func() int { return 1 }, HeldBackCalls: one, Dials: one, DroppedLines: one,
+		BudgetBytes: func() int64 { return 1 }, OpenConnections: func() int { return 1 },
 	}))
 	m.Request("delivered", 55)
 	m.StoreCall("watch")
 	m.Item("completed")
 	m.ItemsHeldBack(3)
+	m.BudgetRefusal("memory-shed")
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	for _, i := range measurer.Instruments() {
@@ -44,5 +46,6 @@
 		m.Request("x", 1)
 		m.StoreCall("x")
 		m.Item("x")
+		m.BudgetRefusal("x")
 	})
 }
