server, receiver, runner: callers of serve and dev share the same budget

Cause: a body was read into memory that nothing bounded, and the connections were bounded at 20,000 whatever memory or descriptors allowed. Crowds of 64 bodies took jackdawgate dev to 721 to 1,032 MB; 800 idle connections or unfinished headers took all of 500 descriptors, and no ordinary request was answered.

A body now takes memory of the budget until its call ends, and is shed by the same rule as on an entry host, with 503 over-budget (not run). Connections of callers and of peers count in the budget's groups; messages and answers have its other parts. The hosts of one dev process share one budget.

--- a/answerer/error.go
+++ b/answerer/error.go
@@ -70,6 +70,7 @@
 	CodeAnswerTooLarge  = "answer-too-large"
 	CodeCallerGone      = "caller-gone"
 	CodeAdminToken      = "admin-token-invalid"
+	CodeOverBudget      = "over-budget"
 )
 
 // Error is an error in the form that callers see. It is a value type: to vary an
--- a/developer/fleet.go
+++ b/developer/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/jackdawgate/jackdawgate/checker"
 	"github.com/jackdawgate/jackdawgate/emulator"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/registrar"
 	"github.com/jackdawgate/jackdawgate/runner"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -61,7 +62,9 @@
 	// engineAddresses has the listen address of each element of engines.
 	engineAddresses []string
 	settings        []checker.Settings
-	hosts           []*runner.Host
+	// budget is shared by all hosts.
+	budget *holder.Budget
+	hosts  []*runner.Host
 	// serving counts the goroutines that run emulated servers.
 	serving sync.WaitGroup
 }
@@ -74,6 +77,7 @@
 	if f.options.Logger == nil {
 		f.options.Logger = zap.NewNop()
 	}
+	f.budget = holder.NewBudget(holder.Resources{}, timer.System(), holder.NewReporter(f.options.Logger, func(holder.Cause) {}))
 	for _, step := range []func(context.Context) error{f.prepare, f.startPlatform, f.startEngines, f.startHosts, f.configure} {
 		if err := step(ctx); err != nil {
 			return nil, errors.Join(err, f.Close(ctx))
@@ -169,7 +173,7 @@
 			return err
 		}
 		f.settings[i] = s
-		h, err := runner.Start(s, runner.Options{Logger: f.options.Logger, CallerListener: l, PeerListener: peers[i]})
+		h, err := runner.Start(s, runner.Options{Logger: f.options.Logger, CallerListener: l, PeerListener: peers[i], Budget: f.budget})
 		if err != nil {
 			return err
 		}
--- a/guardian/call.go
+++ b/guardian/call.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/authenticator"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
@@ -21,12 +22,18 @@
 	// operator reports whether the call is authenticated by the operators' token. Such
 	// a call does not require the host's permission.
 	operator bool
+	// memory is what the request's body takes, which is released when the call ends.
+	memory *holder.Account
 }
 
 // Cancel cancels the call's context with this cause. If the context is already
 // cancelled, its cause does not change.
 func (o *Call) Cancel(cause error) { o.cancel(cause) }
 
+// Hold states that the memory of a is used until the call ends. It must be called before the
+// response is written.
+func (o *Call) Hold(a *holder.Account) { o.memory = a }
+
 // calls is the set of open calls.
 type calls struct {
 	mu       sync.Mutex
@@ -56,6 +63,9 @@
 	o.Cancel(nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, open := c.open[o]; open {
+		o.memory.Release()
+	}
 	delete(c.open, o)
 	if len(c.open) == 0 && c.idleChan != nil {
 		close(c.idleChan)
--- a/guardian/conn.go
+++ b/guardian/conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 )
@@ -125,6 +126,18 @@
 	_ = c.SetWriteDeadline(time.Now().Add(finalWriteTimeout.Duration()))
 }
 
+// Connection returns the Connection of the budget that conn is, or nil if it is none.
+func Connection(conn net.Conn) *holder.Connection {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	if w, ok := conn.(*callerConn); ok {
+		conn = w.Conn
+	}
+	x, _ := conn.(*holder.Connection)
+	return x
+}
+
 // closedByPeer reports whether the other end has closed or reset c, without consuming
 // data from it. It returns false if this can't be determined.
 func closedByPeer(c net.Conn) bool {
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -102,8 +102,8 @@
 	handler  http.Handler
 
 	requests, storeCalls, items, budgetRefusals metric.Int64Counter
-	requestDuration             metric.Int64Histogram
-	heldBackItems               metric.Int64Gauge
+	requestDuration                             metric.Int64Histogram
+	heldBackItems                               metric.Int64Gauge
 }
 
 // durationBounds holds the bucket bounds of the histogram of request durations, in
--- a/operator/dev.go
+++ b/operator/dev.go
@@ -7,8 +7,10 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/authenticator"
@@ -25,6 +27,9 @@
 	// devStartTimeout limits the start of the hosts, devStopTimeout their shutdown.
 	devStartTimeout = 30 * time.Second
 	devStopTimeout  = 60 * time.Second
+	// devMemoryLimit is the memory limit of the Go runtime, in bytes, unless GOMEMLIMIT sets
+	// one. Without it garbage of large bodies took the process to 569 MB.
+	devMemoryLimit = 150 << 20
 )
 
 // Dev runs a fleet for local development in one process, until it is interrupted. The
@@ -71,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(devMemoryLimit)
+	}
 	logger, err := newLogger(d.logLevel)
 	if err != nil {
 		return err
--- a/receiver/body.go
+++ b/receiver/body.go
@@ -6,8 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"sync"
+	"time"
 
 	"github.com/jackdawgate/jackdawgate/answerer"
+	"github.com/jackdawgate/jackdawgate/guardian"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/valyala/fasthttp"
 )
 
@@ -25,18 +30,92 @@
 		FailAndClose(ctx, errBodyTooLarge(int64(limit)))
 		return nil, false
 	}
-	body, err := io.ReadAll(io.LimitReader(bodyReader(ctx), int64(limit)+1))
+	body, memory, err := r.readBody(ctx, min(int64(limit), r.options.Memory.MaxBytes()))
 	switch {
 	case err != nil:
+		memory.Release()
 		FailAndClose(ctx, r.ReadError(err))
-	case len(body) > limit:
-		FailAndClose(ctx, errBodyTooLarge(int64(limit)))
+		return nil, false
 	case r.options.Keys.Finder(key).Contains(body):
+		memory.Release()
 		answerer.Fail(ctx, errKeyInRequest("body"))
-	default:
-		return body, true
+		return nil, false
+	}
+	if call, ok := CallOf(ctx); ok {
+		call.Hold(memory)
+	} else {
+		// Operators' requests, which are short, hold no memory once they have been read.
+		memory.Release()
+	}
+	return body, true
+}
+
+// readBody reads a body of at most limit bytes, and returns the account that it takes memory
+// of, also after an error.
+func (r *Receiver) readBody(ctx *fasthttp.RequestCtx, limit int64) ([]byte, *holder.Account, error) {
+	connection := guardian.Connection(ctx.Conn())
+	conn, remote := ctx.Conn(), ctx.RemoteAddr()
+	b := &shedableBody{body: bodyReader(ctx), left: limit, conn: conn}
+	memory := r.options.Memory.OpenFor(remote.String, b.interrupt)
+	connection.ReadBody(b.interrupt)
+	length := int64(ctx.Request.Header.ContentLength())
+	body, err := holder.ReadAll(memory, b, max(length, -1))
+	interrupted := b.finish()
+	if settled := memory.Settle(); interrupted || !settled {
+		return nil, memory, &interruptedError{}
+	}
+	if err != nil {
+		return nil, memory, err
+	}
+	connection.Serve()
+	return body, memory, nil
+}
+
+// interruptedError reports that a body was shed, or its connection.
+type interruptedError struct{}
+
+func (*interruptedError) Error() string { return "the body was shed" }
+
+// shedableBody reads at most left bytes of a body, and can be interrupted.
+type shedableBody struct {
+	body io.Reader
+	left int64
+	conn net.Conn
+
+	mu                    sync.Mutex
+	interrupted, finished bool
+}
+
+// Read implements io.Reader.
+func (b *shedableBody) Read(p []byte) (int, error) {
+	// One byte more shows that the body is too long.
+	if int64(len(p)) > b.left+1 {
+		p = p[:b.left+1]
+	}
+	n, err := b.body.Read(p)
+	if int64(n) > b.left {
+		return 0, fasthttp.ErrBodyTooLarge
 	}
-	return nil, false
+	b.left -= int64(n)
+	return n, err
+}
+
+// interrupt ends the read that waits, and those to come, unless the body has been read.
+func (b *shedableBody) interrupt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.finished {
+		b.interrupted = true
+		_ = b.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// finish ends reading and reports whether the body was interrupted.
+func (b *shedableBody) finish() (interrupted bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.finished = true
+	return b.interrupted
 }
 
 // FailAndClose responds with e to a request whose body has not been read
--- a/receiver/broken.go
+++ b/receiver/broken.go
@@ -5,6 +5,8 @@
 	"os"
 
 	"github.com/jackdawgate/jackdawgate/answerer"
+	"github.com/jackdawgate/jackdawgate/holder"
+	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/valyala/fasthttp"
 )
 
@@ -14,7 +16,11 @@
 func (r *Receiver) ReadError(err error) answerer.Error {
 	var tooSmall *fasthttp.ErrSmallBuffer
 	var timeout interface{ Timeout() bool }
+	var interrupted *interruptedError
+	var noMemory *holder.TooLongError
 	switch {
+	case errors.As(err, &interrupted), errors.As(err, &noMemory):
+		return answerer.Unavailable(answerer.CodeOverBudget, retryOverBudget, "this host has no memory or connection for the request now")
 	case errors.As(err, &tooSmall):
 		e := answerer.Invalid(answerer.CodeHeadersTooLarge, "", "the request line and headers are longer than %d bytes", r.options.MaxHeader)
 		e.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
@@ -27,6 +33,9 @@
 	return answerer.Invalid(answerer.CodeMalformed, "", "the request is not well-formed HTTP, or ended before its end")
 }
 
+// retryOverBudget is the retry-after of a request for which the budget had no room.
+const retryOverBudget timer.Millis = 250
+
 func errRequestTimeout() answerer.Error {
 	e := answerer.Invalid(answerer.CodeRequestTimeout, "", "the request did not arrive whole in time")
 	e.Status = fasthttp.StatusRequestTimeout
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -27,6 +27,7 @@
 	"github.com/jackdawgate/jackdawgate/authenticator"
 	"github.com/jackdawgate/jackdawgate/coordinator"
 	"github.com/jackdawgate/jackdawgate/guardian"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/valyala/fasthttp"
 )
@@ -42,6 +43,8 @@
 	// enforces them.
 	MaxBody   int
 	MaxHeader int
+	// Memory is the memory for bodies that are held whole.
+	Memory *holder.Holder
 }
 
 // Receiver authenticates and reads the requests of one host. It may be used
--- a/runner/callers.go
+++ b/runner/callers.go
@@ -30,7 +30,7 @@
 		Changer: changer{h.controller}, Servers: h.dispatcher.Servers, Metrics: h.meters.serve,
 		Recorder: h.usage(), Usage: h.usage(),
 		Clock: h.clock, Logger: h.logger, Meter: h.meters.meter, AdminTokenHash: token,
-		TLS:     callerTLS,
+		TLS: callerTLS, Budget: h.budget,
 		MaxBody: c.BodyBytes, MaxUpload: int64(c.FileBytes), MaxHeader: c.HeaderBytes, MaxConnections: c.Connections,
 		ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout, CallTimeout: c.Timeout,
 		DrainTimeout: c.DrainFor, HostsMaxAge: c.HostsFor,
--- a/runner/parts.go
+++ b/runner/parts.go
@@ -45,6 +45,7 @@
 	o := messenger.Options{
 		Self:   messenger.Peer{Name: h.self.Name, Incarnation: h.self.Incarnation},
 		Logger: h.logger,
+		Memory: h.budget.Messages,
 	}
 	if f := peerCertificateFiles(h.settings.TLS); f.Certificate != "" {
 		c, err := certifier.New(f)
@@ -86,6 +87,7 @@
 	c := h.settings.Calls
 	h.exchanger = exchanger.New(exchanger.Options{
 		ConnectTimeout: c.ConnectTimeout, FirstByteTimeout: c.FirstByteTimeout, GapTimeout: c.GapTimeout, Clock: h.clock,
+		Memory: h.budget.Answers,
 	})
 	policy, ok := keeper.PolicyByName(h.settings.Policy.Share)
 	if !ok {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/jackdawgate/jackdawgate/copier"
 	"github.com/jackdawgate/jackdawgate/dispatcher"
 	"github.com/jackdawgate/jackdawgate/exchanger"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/limiter"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/recorder"
@@ -52,6 +53,8 @@
 	// on the addresses in the settings. The host closes them.
 	CallerListener net.Listener
 	PeerListener   net.Listener
+	// Budget is shared by the hosts of one process. The default is a budget by the settings.
+	Budget *holder.Budget
 }
 
 // Host is one running host.
@@ -61,6 +64,7 @@
 	logger   *zap.Logger
 	clock    timer.Clock
 	meters   *meters
+	budget   *holder.Budget
 	// usageKey signs the usage records of this incarnation.
 	usageKey ed25519.PrivateKey
 
@@ -95,14 +99,14 @@
 // and peers; AwaitReady waits until the host serves calls. On an error it closes the
 // listeners, including those from Options.
 func Start(s checker.Settings, o Options) (*Host, error) {
-	h := &Host{settings: s, logger: o.Logger, clock: timer.System(), store: o.Store, callerListener: o.CallerListener, peerListener: o.PeerListener}
+	h := &Host{settings: s, logger: o.Logger, clock: timer.System(), store: o.Store, callerListener: o.CallerListener, peerListener: o.PeerListener, budget: o.Budget}
 	if h.logger == nil {
 		h.logger = zap.NewNop()
 	}
 	h.logger = h.logger.With(zap.String("host", s.Host.Name))
 	h.workContext, h.cancel = context.WithCancel(context.Background())
 	for _, step := range []func() error{
-		h.listen, h.makeMeters, h.makeSelf, h.makeStore, h.makeMessenger, h.makeController, h.makeLimiter,
+		h.listen, h.makeMeters, h.makeBudget, h.makeSelf, h.makeStore, h.makeMessenger, h.makeController, h.makeLimiter,
 		h.makeDispatcher, h.makeArchive, h.makeRecorder, h.makeBatcher, h.makeServer,
 	} {
 		if err := step(); err != nil {
@@ -173,7 +177,7 @@
 // startComponents starts the components that run in the background.
 func (h *Host) startComponents() {
 	h.workers.Go(func() {
-		if err := h.messenger.Serve(h.peerListener); err != nil {
+		if err := h.messenger.Serve(h.budget.Connections.Others().Listener(h.peerListener, "")); err != nil {
 			h.logger.Error("serving peers failed", zap.Error(err))
 		}
 	})
--- a/server/options.go
+++ b/server/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/forwarder"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/manager"
 	"github.com/jackdawgate/jackdawgate/submitter"
 
@@ -59,6 +60,9 @@
 	// connections.
 	MaxConnections           int
 	MaxConnectionsPerAddress int
+	// Budget is the budget for bodies and connections, which hosts of one process share. The
+	// default is that of a process whose memory is not known.
+	Budget *holder.Budget
 	// ReadTimeout limits the time to read a request, UploadTimeout the time to
 	// read an upload, IdleTimeout the wait for the next request on a
 	// connection, and WriteTimeout each write to a caller.
@@ -97,6 +101,9 @@
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
+	if o.Budget == nil {
+		o.Budget = holder.NewBudget(holder.Resources{Connections: o.MaxConnections}, o.Clock, nil)
+	}
 	defaulter.Set(&o.MaxBody, defaultMaxBody)
 	defaulter.Set(&o.MaxUpload, defaultMaxUpload)
 	defaulter.Set(&o.MaxHeader, defaultMaxHeader)
--- a/server/server.go
+++ b/server/server.go
@@ -81,6 +81,7 @@
 	}
 	s.receiver = receiver.New(receiver.Options{
 		Viewer: o.Viewer, Keys: keys, Guardian: s.guardian, Clock: o.Clock, MaxBody: o.MaxBody, MaxHeader: o.MaxHeader,
+		Memory: o.Budget.Bodies,
 	})
 	s.presenter = presenter.New(presenter.Options{
 		Batches: o.Batches, Viewer: o.Viewer, Receiver: s.receiver, Guardian: s.guardian, Logger: o.Logger,
@@ -100,6 +101,7 @@
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleReadError,
 		HeaderReceived:               s.headerReceived,
+		ConnState:                    trackState,
 		Name:                         "jackdawgate",
 		Concurrency:                  o.MaxConnections,
 		MaxConnsPerIP:                o.MaxConnectionsPerAddress,
@@ -117,6 +119,13 @@
 	}
 }
 
+// trackState tells the budget that a connection waits for a request or for the rest of one.
+func trackState(c net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateActive || state == fasthttp.StateIdle {
+		guardian.Connection(c).Wait()
+	}
+}
+
 // writeBufferSize is the size of each connection's write buffer, in bytes.
 const writeBufferSize = 2 << 10
 
@@ -217,6 +226,9 @@
 	if s.isDraining() {
 		ctx.SetConnectionClose()
 	}
+	if ctx.Request.Header.ContentLength() == 0 {
+		guardian.Connection(ctx.Conn()).Serve()
+	}
 	s.route(ctx)
 	if ctx.Response.ConnectionClose() && ctx.RequestBodyStream() != nil {
 		s.guardian.LingerOnClose(ctx.Conn())
