--- a/crowder/crowder_test.go
+++ b/crowder/crowder_test.go
@@ -56,3 +56,36 @@
 		t.Errorf("no ordinary request was answered: %d", answered)
 	}
 }
+
+// Connections to the other addresses of a host took the descriptors that it needs for callers.
+func TestNoCrowdAtAnotherAddressEndsAnEntryHost(t *testing.T) {
+	program := build(t, "jackdawgated")
+	for _, name := range []string{"peers", "metrics", "directory"} {
+		t.Run(name, func(t *testing.T) {
+			s := startEntry(t, program)
+			s.target.Address = map[string]string{"peers": s.peers, "metrics": s.metrics, "directory": s.directory}[name]
+			s.target.Head = "GET / HTTP/1.1\r\nHost: h\r\n"
+			for _, k := range crowder.Kinds() {
+				if k.Name == "idle connections" || k.Name == "headers without end" {
+					checkCrowd(t, k, s)
+				}
+			}
+		})
+	}
+}
+
+// The platform's limit on descriptors is lower than that of the process.
+func TestDescriptorsOfTheSettingsAreKept(t *testing.T) {
+	s := startEntryWith(t, build(t, "jackdawgated"), "descriptors = 200\n")
+	for _, k := range crowder.Kinds() {
+		if k.Name != "idle connections" {
+			continue
+		}
+		c := crowder.Open(k, s.target)
+		defer c.Close()
+		open, err := s.process.Descriptors()
+		require.NoError(t, err)
+		require.LessOrEqual(t, open, 200-reserved)
+		require.Equal(t, http.StatusOK, s.ordinary())
+	}
+}
--- a/crowder/fixture_test.go
+++ b/crowder/fixture_test.go
@@ -45,6 +45,8 @@
 	process  *crowder.Process
 	target   crowder.Target
 	memoryMB int
+	// peers, metrics and directory are the other addresses of an entry host.
+	peers, metrics, directory string
 	// ordinary makes one ordinary request and returns its status.
 	ordinary func() int
 }
@@ -87,6 +89,11 @@
 
 // startEntry starts an entry host on a platform's store with one server.
 func startEntry(t *testing.T, program string) subject {
+	return startEntryWith(t, program, "")
+}
+
+// startEntryWith is startEntry with more lines in the section of the host.
+func startEntryWith(t *testing.T, program, lines string) subject {
 	ledger := storer.NewMemoryLedger(timer.System())
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -102,18 +109,17 @@
 	at := addresses(t, 5)
 	settings := filepath.Join(t.TempDir(), "entry.ini")
 	require.NoError(t, os.WriteFile(settings, fmt.Appendf(nil,
-		"[host]\nname = entry-0\ndata-centre = z\nmemory-mb = %d\n\n[listen]\npeers = %s\ncallers = %s\nready = %s\ndirectory = %s\nmetrics = %s\n\n[store]\naddress = %s\n",
-		entryMemoryMB, at[0], at[1], at[2], at[3], at[4], listener.Addr()), 0o600))
+		"[host]\nname = entry-0\ndata-centre = z\nmemory-mb = %d\n%s\n[listen]\npeers = %s\ncallers = %s\nready = %s\ndirectory = %s\nmetrics = %s\n\n[store]\naddress = %s\n",
+		entryMemoryMB, lines, at[0], at[1], at[2], at[3], at[4], listener.Addr()), 0o600))
 	log := filepath.Join(t.TempDir(), "entry.log")
 	p, err := crowder.Start(descriptors, log, program, "entry", "-settings", settings)
 	require.NoError(t, err)
 	t.Cleanup(func() { stop(t, p, log) })
 	caller := &standin.Caller{Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	require.Eventually(t, func() bool { return caller.Ready(context.Background(), at[2]) }, 30*time.Second, 50*time.Millisecond)
-	path := standin.NonIdempotent.Prefix + "r"
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nJackdawgate-Request-Id: r\r\n", path, standin.Host, key)
-	return subject{process: p, target: crowder.Target{Address: at[1], Head: head}, memoryMB: entryMemoryMB, ordinary: func() int {
-		a := standin.Attempt{ID: "r", Key: key, Address: at[1], Path: path, Route: standin.NonIdempotent}
+	a := standin.Attempt{ID: "r", Key: key, Address: at[1], Path: standin.NonIdempotent.Prefix + "r", Route: standin.NonIdempotent}
+	target := crowder.Target{Address: at[1], Head: standin.OpenHead(a, time.Minute)}
+	return subject{process: p, target: target, peers: at[0], metrics: at[4], directory: at[3], memoryMB: entryMemoryMB, ordinary: func() int {
 		return caller.Do(context.Background(), a, []byte("ordinary"), 5*time.Second).Status
 	}}
 }
--- a/guardian/conn.go
+++ b/guardian/conn.go
@@ -127,17 +127,33 @@
 }
 
 // Connection returns the Connection of the budget that conn is, or nil if it is none.
-func Connection(conn net.Conn) *holder.Connection {
+func (g *Guardian) Connection(conn net.Conn) *holder.Connection {
 	if t, ok := conn.(*tls.Conn); ok {
 		conn = t.NetConn()
 	}
-	if w, ok := conn.(*callerConn); ok {
-		conn = w.Conn
+	w, ok := conn.(*callerConn)
+	if !ok {
+		// The HTTP library has wrapped it.
+		if w = g.conns.find(conn.RemoteAddr()); w == nil {
+			return nil
+		}
 	}
-	x, _ := conn.(*holder.Connection)
+	x, _ := w.Conn.(*holder.Connection)
 	return x
 }
 
+// find returns the open connection from remote, or nil.
+func (c *conns) find(remote net.Addr) *callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for x := range c.open {
+		if x.RemoteAddr().String() == remote.String() {
+			return x
+		}
+	}
+	return nil
+}
+
 // closedByPeer reports whether the other end has closed or reset c, without consuming
 // data from it. It returns false if this can't be determined.
 func closedByPeer(c net.Conn) bool {
--- a/guardian/linger.go
+++ b/guardian/linger.go
@@ -28,17 +28,9 @@
 		c.linger.Store(true)
 		return
 	}
-	g.conns.lingerOnClose(conn.RemoteAddr())
-}
-
-// lingerOnClose is LingerOnClose for a connection that the HTTP library has wrapped.
-func (c *conns) lingerOnClose(remote net.Addr) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for x := range c.open {
-		if x.RemoteAddr().String() == remote.String() {
-			x.linger.Store(true)
-		}
+	// The HTTP library has wrapped it.
+	if c := g.conns.find(conn.RemoteAddr()); c != nil {
+		c.linger.Store(true)
 	}
 }
 
--- a/holder/connections.go
+++ b/holder/connections.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,9 +28,17 @@
 	answerDrainBytes = 64 << 10
 )
 
-// RefusalAnswer is the answer to a caller whose connection is refused. Its request has not
-// been read, so it has not run.
-const RefusalAnswer = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: 24\r\n\r\ntoo many connections now"
+// RefusalResponse returns the HTTP response to a caller whose connection is refused, with more
+// headers. Its request has not been read, so it has not run.
+func RefusalResponse(contentType, body string, headers ...string) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\n")
+	for _, h := range headers {
+		b.WriteString(h + "\r\n")
+	}
+	fmt.Fprintf(&b, "Content-Type: %s\r\nContent-Length: %d\r\n\r\n%s", contentType, len(body), body)
+	return b.String()
+}
 
 // Connections bounds the connections that others open to a process. Each Group has a share
 // that no other group takes. It is safe for concurrent use.
--- a/holder/shed.go
+++ b/holder/shed.go
@@ -46,9 +46,7 @@
 // is true from then on, interrupt is called, which must end the read that waits, and the
 // reader must Release the account.
 func (h *Holder) OpenFor(address func() string, interrupt func()) *Account {
-	t := &tracked{address: address, interrupt: interrupt}
-	t.lastProgress.Store(int64(h.now()))
-	return &Account{holder: h, tracked: t}
+	return &Account{holder: h, tracked: &tracked{address: address, interrupt: interrupt}}
 }
 
 // Shed reports whether the account was shed.
@@ -100,6 +98,7 @@
 	held := t.held.Add(more)
 	if !t.registered && held > minShedBytes {
 		t.registered = true
+		t.lastProgress.Store(int64(h.now()))
 		h.mu.Lock()
 		if h.shedable == nil {
 			h.shedable = make(map[*tracked]struct{})
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen at "+address)
 	}
-	a := acceptor.New(g.Listener(l, holder.RefusalAnswer), h, limits(e.follower.Snapshot().Config), e.clock, e.logger)
+	a := acceptor.New(g.Listener(l, refusalResponse), h, limits(e.follower.Snapshot().Config), e.clock, e.logger)
 	e.acceptors = append(e.acceptors, a)
 	e.follower.Notify(func(s cataloger.Snapshot) { a.SetLimits(limits(s.Config)) })
 	return nil
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -70,6 +70,9 @@
 // Go runtime, near which the garbage collector runs more often.
 const memoryShare = 0.6
 
+// refusalResponse is the response to a caller whose connection is refused.
+var refusalResponse = holder.RefusalResponse("text/plain; charset=utf-8", "too many connections now\n")
+
 // newBudget returns the budget for what the process holds for others.
 func newBudget(s checker.MemberSettings, c timer.Clock, m *measurer.Measurer, l *zap.Logger) *holder.Budget {
 	r := holder.NewReporter(l, func(c holder.Cause) { m.BudgetRefusal(string(c)) })
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 
-	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -38,7 +37,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
-	l = b.budget.Connections.Others().Listener(l, holder.RefusalAnswer)
+	l = b.budget.Connections.Others().Listener(l, refusalResponse)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, b.platform.Measurer)
 	b.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout.Duration(), IdleTimeout: defaultIdleTimeout.Duration()}
--- a/receiver/body.go
+++ b/receiver/body.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/answerer"
-	"github.com/jackdawgate/jackdawgate/guardian"
 	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/valyala/fasthttp"
 )
@@ -53,7 +52,7 @@
 // readBody reads a body of at most limit bytes, and returns the account that it takes memory
 // of, also after an error.
 func (r *Receiver) readBody(ctx *fasthttp.RequestCtx, limit int64) ([]byte, *holder.Account, error) {
-	connection := guardian.Connection(ctx.Conn())
+	connection := r.options.Guardian.Connection(ctx.Conn())
 	conn, remote := ctx.Conn(), ctx.RemoteAddr()
 	b := &shedableBody{body: bodyReader(ctx), left: limit, conn: conn}
 	memory := r.options.Memory.OpenFor(remote.String, b.interrupt)
--- a/server/server.go
+++ b/server/server.go
@@ -101,7 +101,7 @@
 		Handler:                      s.handle,
 		ErrorHandler:                 s.handleReadError,
 		HeaderReceived:               s.headerReceived,
-		ConnState:                    trackState,
+		ConnState:                    s.trackState,
 		Name:                         "jackdawgate",
 		Concurrency:                  o.MaxConnections,
 		MaxConnsPerIP:                o.MaxConnectionsPerAddress,
@@ -120,9 +120,9 @@
 }
 
 // trackState tells the budget that a connection waits for a request or for the rest of one.
-func trackState(c net.Conn, state fasthttp.ConnState) {
+func (s *Server) trackState(c net.Conn, state fasthttp.ConnState) {
 	if state == fasthttp.StateActive || state == fasthttp.StateIdle {
-		guardian.Connection(c).Wait()
+		s.guardian.Connection(c).Wait()
 	}
 }
 
@@ -227,7 +227,7 @@
 		ctx.SetConnectionClose()
 	}
 	if ctx.Request.Header.ContentLength() == 0 {
-		guardian.Connection(ctx.Conn()).Serve()
+		s.guardian.Connection(ctx.Conn()).Serve()
 	}
 	s.route(ctx)
 	if ctx.Response.ConnectionClose() && ctx.RequestBodyStream() != nil {
