holder: only as much is shed as is missing; tests of shedding

A body that needed 1.5 MB when 1 MB was free shed two others of 1 MB, because what was free was not counted. TestStalledBodyGivesWay showed it.

--- a/holder/shed.go
+++ b/holder/shed.go
@@ -135,7 +135,7 @@
 	if _, ok := h.add(n); ok {
 		return nil, true
 	}
-	for h.returning < n {
+	for h.InUse()+n-h.returning > h.limit() {
 		v := h.worst(a, n)
 		if v == nil {
 			return nil, false
