gatekeeper, receiver, server: tests of shed, slow and refused bodies

Each names its failure: a byte now and then kept a connection and memory for as long as the caller liked; a caller that sends its whole body before it reads got a reset instead of the refusal; a refusal of a short chunked body waited for its end; a stalled body is shed for another and its caller reads 503 (not run).

--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -69,14 +69,23 @@
 
 func newFixture() *fixture { return newLoggedFixture(zap.NewNop()) }
 
-func newLoggedFixture(l *zap.Logger) *fixture {
+func newLoggedFixture(l *zap.Logger) *fixture { return newFixtureWith(l, 0) }
+
+// setRate replaces the gatekeeper by one with a minimum rate of bodies, in bytes per second.
+func (f *fixture) setRate(rate int) {
+	x := newFixtureWith(zap.NewNop(), rate)
+	x.snapshot = f.snapshot.WithConfirmed(x.clock.Time)
+	*f = *x
+}
+
+func newFixtureWith(l *zap.Logger, rate int) *fixture {
 	f := &fixture{clock: &harness.Clock{Time: 100000}, relay: &relay{outcome: relayer.Delivered{Status: 200}}, jobs: &jobs{}, memory: holder.New(memoryForBodies)}
 	r := rationer.New(f.clock)
 	f.clock.Time += 10 * timer.Second
 	f.gate = gatekeeper.New(gatekeeper.Options{
 		Names:    namer.Names{RequestID: "Id", Deadline: "Deadline", Key: "Key", Prompt: "Prompt", SharedParts: platform.Names().SharedParts, ParseJobCall: jobCall},
 		Snapshot: func() cataloger.Snapshot { return f.snapshot }, Relay: f.relay, Rationer: r, Jobs: f.jobs, OthersReady: func() bool { return f.othersReady },
-		Clock: f.clock, Logger: l, MaxConfigAge: 3600, Memory: f.memory,
+		Clock: f.clock, Logger: l, MaxConfigAge: 3600, Memory: f.memory, BodyRate: rate,
 	})
 	return f
 }
