--- a/checker/member.go
+++ b/checker/member.go
@@ -16,6 +16,8 @@
 	Store  MemberStore  `section:"store"`
 	Bounds MemberBounds `section:"bounds"`
 	Disk   MemberDisk   `section:"disk"`
+
+	Callers MemberCallers `section:"callers"`
 }
 
 // MemberHost identifies the host.
@@ -26,6 +28,8 @@
 	// Zones maps data centres to their regions.
 	Zones    map[string]string `key:"zones" default:"" check:"zones" doc:"Region of each data centre, as DATA-CENTRE=REGION, separated by commas. Requests that are restricted to regions reach only servers and hosts in data centres listed here, and in this host's own."`
 	MemoryMB int               `key:"memory-mb" default:"0" check:"any" doc:"Memory that the process may use, in MB; 0 for no limit."`
+	// Descriptors bounds open files and sockets.
+	Descriptors int `key:"descriptors" default:"0" check:"any" doc:"How many files and sockets the process may open; 0 if that is not known. The limit that the process starts with applies too."`
 }
 
 // MemberListen sets the addresses that the host listens on. The host does not
@@ -38,6 +42,12 @@
 	Metrics   string `key:"metrics" default:"" check:"optional-address" doc:"IP address and port at which metrics are read."`
 }
 
+// MemberCallers limits the resources that callers may use.
+type MemberCallers struct {
+	Connections int `key:"connections" default:"0" check:"any" doc:"Most connections of callers at once; 0 for what memory and descriptors allow. Idle and stalled ones are closed first."`
+	BodyRate    int `key:"body-rate" default:"1024" check:"any" doc:"Bytes of a request body that must arrive in a second, on average, from the configuration's idle time-out on; 0 for no minimum."`
+}
+
 // MemberStore sets how the host reaches the platform's store.
 type MemberStore struct {
 	Address  string       `key:"address" check:"address" doc:"IP address and port of the store's HTTP API."`
--- a/guardian/conn.go
+++ b/guardian/conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 )
@@ -125,6 +126,34 @@
 	_ = c.SetWriteDeadline(time.Now().Add(finalWriteTimeout.Duration()))
 }
 
+// Connection returns the Connection of the budget that conn is, or nil if it is none.
+func (g *Guardian) Connection(conn net.Conn) *holder.Connection {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	w, ok := conn.(*callerConn)
+	if !ok {
+		// The HTTP library has wrapped it.
+		if w = g.conns.find(conn.RemoteAddr()); w == nil {
+			return nil
+		}
+	}
+	x, _ := w.Conn.(*holder.Connection)
+	return x
+}
+
+// find returns the open connection from remote, or nil.
+func (c *conns) find(remote net.Addr) *callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for x := range c.open {
+		if x.RemoteAddr().String() == remote.String() {
+			return x
+		}
+	}
+	return nil
+}
+
 // closedByPeer reports whether the other end has closed or reset c, without consuming
 // data from it. It returns false if this can't be determined.
 func closedByPeer(c net.Conn) bool {
--- a/hoster/metrics.go
+++ b/hoster/metrics.go
@@ -33,6 +33,8 @@
 		OverShareCalls:   b.apportioner.Refused,
 		Dials:            b.transporter.Dials,
 		DroppedLines:     b.platform.DroppedLines,
+		BudgetBytes:      b.budget.Bodies.InUse,
+		OpenConnections:  b.budget.Connections.Callers().Open,
 	})
 	if err != nil {
 		return err
@@ -41,9 +43,10 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for metrics")
 	}
+	l = b.budget.Connections.Others().Listener(l, refusalResponse)
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, b.platform.Measurer)
-	b.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout.Duration()}
+	b.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout.Duration(), IdleTimeout: defaultIdleTimeout.Duration()}
 	go func() {
 		if err := b.metrics.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			b.logger.Error("metrics server stopped", zap.Error(err))
