--- a/holder/shed_test.go
+++ b/holder/shed_test.go
@@ -87,7 +87,7 @@
 	require.Equal(t, map[holder.Cause]int{holder.MemoryShed: 1}, causes())
 	third.Release()
 	close(second.interrupted)
-	<-second.ended
+	require.ErrorIs(t, <-second.ended, errInterrupted)
 	require.Zero(t, b.Bodies.InUse())
 }
 
@@ -101,7 +101,7 @@
 	require.ErrorIs(t, <-large.ended, errInterrupted)
 	require.False(t, small.Shed())
 	close(small.interrupted)
-	<-small.ended
+	require.ErrorIs(t, <-small.ended, errInterrupted)
 }
 
 // The body that asks for more is itself the largest, or all others have arrived: it is
@@ -118,7 +118,7 @@
 	require.False(t, small.Shed())
 	require.Equal(t, map[holder.Cause]int{holder.MemoryRefused: 1}, causes())
 	close(small.interrupted)
-	<-small.ended
+	require.ErrorIs(t, <-small.ended, errInterrupted)
 	large.Release()
 	settled.Release()
 	require.Zero(t, b.Bodies.InUse())
