apportioner: state the unit and the reason of each constant

A comment told how demandCount was tuned, and one comment covered several constants. Rank is defined where it is used, and units of shares, weights and demands are stated.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -22,10 +22,11 @@
 // Claim is what one workspace asks for in one class of priority.
 type Claim struct {
 	Workspace string
-	// First is the number of classes that are more urgent. Last is the same number, or that of
-	// the least urgent class that the claim may be of if its class is not known.
+	// First and Last are the ranks of the most and the least urgent class that the claim may be
+	// of; they are equal if its class is known. The rank of a class is the number of more urgent
+	// classes.
 	First, Last int
-	// Weight is positive. Demand is in requests a second.
+	// Weight and Demand are in requests a second. Weight is positive.
 	Weight, Demand float64
 }
 
@@ -48,7 +49,8 @@
 	return out
 }
 
-// left returns what the more urgent classes leave of a capacity to a class.
+// left returns what the more urgent classes leave of a capacity to a class, in requests a
+// second.
 func (c Claims) left(capacity float64, rank int) float64 {
 	for _, x := range c {
 		if x.Last < rank {
@@ -82,8 +84,9 @@
 	return max(0, left) * weight / max(weights, weight)
 }
 
-// Own returns the part of a capacity that is the workspace's own in a class, whatever the
-// others of the class ask for. Only the most urgent class that asks has such parts.
+// Own returns the part of a capacity that is the workspace's own in a class, in requests a
+// second, whatever the others of the class ask for. Only the most urgent class with a demand
+// has such parts.
 func (c Claims) Own(capacity float64, workspace string, rank int, weight float64) float64 {
 	if c.left(capacity, rank) < capacity {
 		return 0
@@ -91,8 +94,8 @@
 	return capacity * weight / (c.weights(workspace, rank) + weight)
 }
 
-// minDemand is the demand, in requests a second, up to which a workspace counts as one that
-// asks for nothing. Averages never reach zero.
+// minDemand is the demand, in requests a second, up to which a workspace counts as idle:
+// averages never reach zero.
 const minDemand = 0.01
 
 // alone reports whether no other workspace asks for anything, so that no one would gain by a
--- a/apportioner/decider.go
+++ b/apportioner/decider.go
@@ -7,34 +7,44 @@
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
+// Averages of demand.
 const (
-	// A demand is averaged over about demandCount requests, within the bounds of minPeriod and
-	// maxPeriod. With 12 requests and 30 s, the queue at the start of a burst took 1.06 s instead
-	// of 0.58 s. With one short period for all, the average of a small workspace is below its
-	// share most of the time, whatever it asks for.
+	// demandCount is the number of requests over which the demand of a workspace is averaged. The
+	// time constant follows from its rate, since one short enough for a large workspace would show
+	// a small one below its share most of the time, whatever it asks for. A larger count delays
+	// the refusals at the start of a burst.
 	demandCount = 4
-	minPeriod   = timer.Second / 2
-	maxPeriod   = 8 * timer.Second
+	// minPeriod and maxPeriod bound that time constant.
+	minPeriod = timer.Second / 2
+	maxPeriod = 8 * timer.Second
 	// refusalPeriod is the time constant of the average of refused requests.
 	refusalPeriod = timer.Second
-	// rankPeriod is that of the classes that a workspace's calls are of, and refusedRank the
-	// weight of a refused call there: it shows the class but is not demand that is served.
-	rankPeriod  = 30 * timer.Second
+	// rankPeriod is the time constant of the weights of a workspace's classes of calls.
+	rankPeriod = 30 * timer.Second
+	// refusedRank is the weight of a refused call among these classes, where an admitted one has
+	// 1: it shows the class, but is not demand that is served.
 	refusedRank = 0.05
-	minRank     = 0.001
-	// equalPart is the part of a share that all hosts have alike. The rest follows the requests
-	// that each has admitted, where hosts with few would otherwise keep having few.
+	// minRank is the weight, in admitted calls, below which a class is dropped.
+	minRank = 0.001
+)
+
+// Division of a share among hosts, and its token buckets.
+const (
+	// equalPart is the fraction of a share that is divided equally among the hosts. The rest
+	// follows the requests that each has admitted; without the equal fraction, a host with few
+	// admitted requests would keep having few.
 	equalPart = 0.2
-	// minDepth is how many requests a bucket holds at least. With one, two requests that
+	// minDepth is the smallest depth of a bucket, in requests. With one, two requests that
 	// arrive together would count as more than a share.
 	minDepth = 2
-	// depthRuns is the part of one run's share that a bucket holds. All buckets may be full
-	// when a shortage begins, so this adds to the first queue.
+	// depthRuns is the depth of a bucket, as a fraction of its share during one run. All buckets
+	// may be full when a shortage begins, so the depth adds to the queue at its start.
 	depthRuns = 0.25
-	// ownPart is the part of its own that a workspace always has, whatever waits. The rest is
-	// lent by what waits, so that a queue gets shorter also if all ask for more than they have.
+	// ownPart is the fraction of its own part of the capacity that a workspace always has,
+	// however long calls wait. It is below one so that a queue gets shorter even if all
+	// workspaces ask for more than they have.
 	ownPart = 0.75
-	// minRate is the least rate, in requests a second, by which retry times are computed. It
+	// minRate is the least rate, in requests a second, from which retry times are computed. It
 	// bounds those of classes to which more urgent ones leave nothing.
 	minRate = 0.1
 	// idleTimeout is the time after which unused buckets are dropped.
@@ -43,24 +53,24 @@
 
 // Use is what is known of the requests of one workspace.
 type Use struct {
-	// Weight is the configured rate, or zero if there is none.
+	// Weight is the configured rate in requests a second, or zero if there is none.
 	Weight float64
-	// First and Last are the numbers of classes that are more urgent than the most and the
-	// least urgent calls that it may make.
+	// First and Last are the ranks of the most and the least urgent calls that it may make. The
+	// rank of a class is the number of more urgent classes.
 	First, Last int
 	// Own and Fleet count the requests that this host and all hosts have admitted since this
 	// host started, as far as known.
 	Own, Fleet float64
 }
 
-// Hearing is which hosts this host hears.
+// Hearing counts the hosts whose digests this host receives.
 type Hearing struct {
-	// Heard is the number of hosts that are heard, this one included, and Hosts that of all
-	// hosts.
+	// Heard is the number of hosts that are not silent, Hosts that of all hosts; both include
+	// this one.
 	Heard, Hosts int
 }
 
-// share returns the part of the hosts that is heard.
+// share returns the fraction of the hosts that is heard.
 func (h Hearing) share() float64 { return float64(h.Heard) / float64(h.Hosts) }
 
 // Call describes a call that would have to wait for a slot.
@@ -88,25 +98,27 @@
 	Admitted bool
 	// RetryAfter is the time until this host has room for a refused call.
 	RetryAfter timer.Millis
-	// Capacity is that of the hosts that are heard, Share that of the workspace in its class,
-	// and Demand what it asks for; all in requests a second.
+	// Capacity is the part of the servers' capacity that falls to the hosts that are heard, Share
+	// what the workspace may have of it in its class, and Demand what the workspace asks for; all
+	// in requests a second.
 	Capacity, Share, Demand float64
 	// Rate is the rate at which this host admits calls of a workspace that asks for more than
 	// its share, in requests a second.
 	Rate float64
-	// Weight is the workspace's weight, Part this host's part of its demand, and Level the
-	// level of its bucket here in requests.
+	// Weight is the workspace's weight in requests a second, Part the fraction of its share that
+	// this host gives out, and Level the level of its bucket at this host in requests.
 	Weight, Part, Level float64
 	Hearing
 }
 
-// demand is the averages of one workspace.
+// demand holds the averages of the requests of one workspace.
 type demand struct {
 	last Use
-	// own and fleet are in requests a second.
+	// own and fleet are the requests that this host and all hosts admit, in requests a second.
 	own, fleet float64
 	weight     float64
-	// ranks holds the weights of the classes of calls that found no free slot lately.
+	// ranks holds the weights, in admitted calls, of the classes whose calls lately found no
+	// free slot, by rank.
 	ranks map[int]float64
 }
 
@@ -137,7 +149,7 @@
 	updatedAt timer.Millis
 	hearing   Hearing
 	demands   map[string]*demand
-	// claims holds the claims of the services that were asked for since the last update.
+	// claims caches the claims by service; each Update empties it.
 	claims map[string]Claims
 	// usual is the weight of workspaces without a configured rate.
 	usual   float64
@@ -165,7 +177,7 @@
 	now := a.clock.Now()
 	elapsed := now - a.updatedAt
 	first := a.updatedAt == 0
-	// Averages reach back to when hosts were heard that are silent now.
+	// The averages include requests of hosts that have become silent since.
 	lost := 1.0
 	if !first && h.Heard < a.hearing.Heard {
 		lost = float64(h.Heard) / float64(a.hearing.Heard)
@@ -243,10 +255,10 @@
 	d.last = u
 }
 
-// claimsOf returns the claims of all workspaces to a service. The requests that hosts count
-// are those that were admitted and not refused later; what this host refused stands for what
-// all did. Without that, each workspace would take the difference between the capacity and
-// what is served at the moment for its own.
+// claimsOf returns the claims of all workspaces to a service. Hosts count the requests that
+// were admitted and not refused later, so the refusals of all hosts are estimated from those
+// of this one. Without them, each workspace would take the difference between the capacity
+// and what is served at the moment for its own.
 func (a *Apportioner) claimsOf(service string) Claims {
 	if c, ok := a.claims[service]; ok {
 		return c
@@ -257,7 +269,8 @@
 			list = append(list, Claim{Workspace: w, First: d.last.First, Last: d.last.Last, Weight: d.weight, Demand: d.fleet})
 		}
 		for rank := range d.ranks {
-			list = append(list, Claim{Workspace: w, First: rank, Last: rank, Weight: d.weight, Demand: a.demandOf(key{service: service, workspace: w, rank: rank}, d)})
+			k := key{service: service, workspace: w, rank: rank}
+			list = append(list, Claim{Workspace: w, First: rank, Last: rank, Weight: d.weight, Demand: a.demandOf(k, d)})
 		}
 	}
 	c := NewClaims(list)
@@ -265,7 +278,8 @@
 	return c
 }
 
-// demandOf returns what a workspace asks for in a class, with the requests that are refused.
+// demandOf returns what a workspace asks for in a class, refused requests included, in requests
+// a second.
 func (a *Apportioner) demandOf(k key, d *demand) float64 {
 	asked := d.in(k.rank)
 	if b, ok := a.buckets[k]; ok {
@@ -274,7 +288,7 @@
 	return asked
 }
 
-// part returns the part of a workspace's share that this host gives out.
+// part returns the fraction of a workspace's share that this host gives out.
 func (a *Apportioner) part(d *demand) float64 {
 	equal := 1 / float64(a.hearing.Heard)
 	if d.fleet <= 0 {
@@ -283,7 +297,7 @@
 	return equalPart*equal + (1-equalPart)*min(1, d.own/d.fleet)
 }
 
-// in returns the part of the demand of all hosts that is of a class.
+// in returns the demand at all hosts in a class, in requests a second.
 func (d *demand) in(rank int) float64 {
 	sum := 0.0
 	for _, n := range d.ranks {
@@ -328,10 +342,10 @@
 	return out
 }
 
-// shareOf returns a Decision with the share of a call's workspace, and this host's part of
-// it. A workspace that asks for more than its share is lent the less, the longer calls wait:
-// otherwise a queue that arose before its demand was known would stay. It always has most of
-// the part of the capacity that is its own.
+// shareOf returns a Decision with the share of a call's workspace, and the rate at which this
+// host gives it out. The longer calls wait, the less is lent to a workspace that asks for more
+// than its share: otherwise a queue that arose before its demand was known would stay. It
+// always has ownPart of its own part of the capacity.
 func (a *Apportioner) shareOf(c Call, d *demand) Decision {
 	claims := a.claimsOf(c.Service)
 	out := Decision{Hearing: a.hearing, Weight: d.weight, Demand: a.demandOf(c.key(), d), Part: a.part(d)}
