warmer: name the margin of the window for what it covers

wayMargin did not say that it is the time of a connection's setup. The bound of a share stands with the other constants, and a log call fits the line.

--- a/warmer/warmer.go
+++ b/warmer/warmer.go
@@ -23,12 +23,14 @@
 )
 
 const (
-	// wayMargin is added to the second in which a share is spent. The first request to a
+	// connectMargin is added to the second in which a share is spent. The first request to a
 	// server waits for its connection, up to 60 ms between data centres, and a later one
 	// does not, so two that leave a second apart may arrive closer together.
-	wayMargin timer.Millis = 100
+	connectMargin timer.Millis = 100
 	// maxWindow bounds the window of rates below one a second.
 	maxWindow = 60 * 60 * timer.Second
+	// maxRequests bounds the requests of a share in one window, so that any rate fits an int.
+	maxRequests = 1e6
 )
 
 // Share is the number of requests that one host may send to a cold server in any Window.
@@ -37,14 +39,15 @@
 	Window   timer.Millis
 }
 
-// ShareOf returns the share of the host self of a server that takes rate requests a second
-// from the hosts of this list, which must be sorted. A host that is not in the list has
-// none. If there are more hosts than requests, some hosts have one each; a hash of the
-// server's incarnation picks them.
+// ShareOf returns the share of the host self in a server that takes rate requests a second
+// from all hosts, which must be sorted. A host that is not in the list has none. If there are
+// more hosts than requests a second, some hosts have one request each; a hash of the server's
+// incarnation picks them.
 func ShareOf(self string, hosts []string, v cataloger.Incarnation, rate float64) Share {
-	out := Share{Window: timer.Second + wayMargin}
+	out := Share{Window: timer.Second + connectMargin}
 	if rate < 1 {
-		out.Window = min(timer.Millis(min(float64(timer.Second)/rate, float64(maxWindow)))+wayMargin, maxWindow)
+		interval := timer.Millis(min(float64(timer.Second)/rate, float64(maxWindow)))
+		out.Window = min(interval+connectMargin, maxWindow)
 	}
 	if _, ok := slices.BinarySearch(hosts, self); !ok {
 		return out
@@ -66,9 +69,6 @@
 	return out
 }
 
-// maxRequests bounds the requests of a share.
-const maxRequests = 1e6
-
 // Warmer keeps the shares of this host of cold servers. It is safe for concurrent use. A
 // nil Warmer limits nothing.
 type Warmer struct {
@@ -88,7 +88,7 @@
 // entry is the state of one cold server.
 type entry struct {
 	share Share
-	// rate and generation are what share was derived from.
+	// rate, in requests a second, and generation are what share was derived from.
 	rate       float64
 	generation int
 	// spent holds the times of the requests in the window, in ascending order.
@@ -169,8 +169,8 @@
 	return &Claim{server: v.Incarnation(), at: now}, true
 }
 
-// Refund returns a request that was not sent, or that the server need not count. It must be
-// called at most once for a Claim; nil is ignored.
+// Refund returns the place of a request that was not sent, or that the server answered with
+// 421. It must be called at most once for a Claim; nil is ignored.
 func (w *Warmer) Refund(c *Claim) {
 	if w == nil || c == nil {
 		return
@@ -205,8 +205,9 @@
 		before := e.share
 		e.rate, e.generation, e.share = rate, w.generation, ShareOf(w.self, w.hosts, i, rate)
 		if !ok || before != e.share {
-			w.logger.Info("share of a cold server", zap.String("server", v.ID), zap.Int64("started-at", v.StartedAt), zap.Int("share", e.share.Requests),
-				zap.Int64("window-ms", int64(e.share.Window)), zap.Float64("rate", rate), zap.Int("hosts", len(w.hosts)),
+			w.logger.Info("share of a cold server", zap.String("server", v.ID), zap.Int64("started-at", v.StartedAt),
+				zap.Int("share", e.share.Requests), zap.Int64("window-ms", int64(e.share.Window)),
+				zap.Float64("rate", rate), zap.Int("hosts", len(w.hosts)),
 				zap.Int64("left-ms", int64(v.Cold.Until-now)), zap.Int64("host-started-ms-ago", int64(now-w.startedAt)))
 		}
 	}
