selector: give each weight its own unit and reason

The bound of the tie-break stands with the other weights, and the choice among drawn candidates is a function.

--- a/selector/draw.go
+++ b/selector/draw.go
@@ -3,17 +3,18 @@
 import "math/bits"
 
 const (
-	// drawSize is the number of random candidates of which the best is chosen. In the
-	// simulation of picker calls took longer with 2 or 4, as they went to slow servers more
-	// often, and with 8 and more hosts that choose at once met at full servers more often.
+	// drawSize is the number of random candidates of which the best is chosen. With fewer, calls
+	// go to slow servers more often; with more, hosts that choose at once meet at full servers
+	// more often.
 	drawSize = 6
-	// maxDrawn has room for the home and a server to probe besides.
+	// maxDrawn is the maximum number of candidates that are compared: the random ones, the home
+	// of the call's prompt and a server to probe.
 	maxDrawn = drawSize + 2
 )
 
-// draw fills out with the indices of random candidates that may be chosen, and of those that
-// must be considered for what they are: the home of the call's prompt and a server that should
-// get a request to show whether its limit has ended. It returns their number.
+// draw fills out with the indices of random candidates that may be chosen, and of two that are
+// always compared: the home of the call's prompt, and a server that should get a request to
+// show whether its limit has ended. It returns the number of indices.
 func draw(out *[maxDrawn]int, r Request, list []Candidate, home int, usable bool) int {
 	drawn, seen, probe, mayHome := 0, 0, -1, false
 	for i := range list {
@@ -49,8 +50,8 @@
 	return drawn
 }
 
-// mix returns a random number for the candidate with an index, by the step and the finalizer
-// of SplitMix64.
+// mix returns a pseudo-random number for the candidate with an index, by the step and the
+// finalizer of SplitMix64.
 func mix(seed uint64, index int) uint64 {
 	x := seed + uint64(index)*0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -27,28 +27,31 @@
 	"github.com/jackdawgate/jackdawgate/throttler"
 )
 
-// Weights of the compared properties, in calls.
+// Weights of the compared properties, in calls unless stated otherwise.
 const (
-	// batchWeight is below one, since an item is evicted if the call needs its slot, and not
-	// much below: until then the call shares the server with it.
+	// batchWeight is the weight of a batch call. It is below one, since an item is evicted if the
+	// call needs its slot, and not much below: until then the call shares the server with it.
 	batchWeight = 0.85
-	// farWeight is for the way between data centres, coldPromptWeight for the prompt parts
-	// that the server has to read: each is a small part of a call.
-	farWeight        = 0.25
+	// farWeight is the weight of the latency between data centres, a small part of a call.
+	farWeight = 0.25
+	// coldPromptWeight is the weight of the prompt parts that the server has to read, a small part
+	// of a call.
 	coldPromptWeight = 0.2
 	// ownWeight is the weight of the call's own run. Each call at the server counts as a quarter
-	// of a run: far more than it slows the others by, since counts are old, and the slot may be
-	// taken by the time the call arrives. With 3 calls took 2% longer in the simulation of
-	// picker, with 5 more of them met a full server.
+	// of a run, far more than it slows the others by: counts are stale, and the slot may be taken
+	// by the time the call arrives. With a smaller weight calls take longer, with a larger one
+	// more of them meet a full server.
 	ownWeight = 4.0
-	// lateWeight is the weight of a run at pace 1 for a call that is late: differences of a
-	// hundredth of a run decide before the others do.
+	// lateWeight is the weight of a run at pace 1 for a call that is late. It is large, so that
+	// differences of a hundredth of a run outweigh all other properties.
 	lateWeight = 100.0
-	// limitShare is the share of its slots that is added for a server with a limit: it is
+	// limitShare is the fraction of its slots that is added for a server with a limit: it is
 	// chosen when the others have hardly a free slot, before a call has to wait for one.
-	// probeWeight is subtracted for one that should get a request.
-	limitShare  = 0.85
+	limitShare = 0.85
+	// probeWeight is subtracted for a server that should get a request.
 	probeWeight = 1.0
+	// maxTieBreak is the bound of the tie-break, which is below all other weights.
+	maxTieBreak = 0.1
 )
 
 // Candidate is a server that could take a call.
@@ -85,8 +88,8 @@
 	// hosts that choose at the same time by the same counts do not all choose the same
 	// server. Zero means the best of all; it is the same on all hosts of a data centre.
 	Seed uint64
-	// Late is set if the call would be too late at the server chosen before. The server where
-	// it ends first is chosen then, whatever that leaves to other calls.
+	// Late is set if the call would miss its deadline at the server chosen before. The server
+	// where it is predicted to end first is chosen then, whatever that leaves to other calls.
 	Late bool
 	// Subject is what the regions depend on in which the call may be placed. Candidates are
 	// in these regions only.
@@ -122,16 +125,8 @@
 func choose(r Request, list []Candidate, usable bool) int {
 	home := promptHome(r, list)
 	if r.Seed != 0 && !r.Late {
-		var drawn [maxDrawn]int
-		n := draw(&drawn, r, list, home, usable)
-		best, bestScore := -1, 0.0
-		for _, i := range drawn[:n] {
-			if s := r.score(i, &list[i], home); best < 0 || s < bestScore {
-				best, bestScore = i, s
-			}
-		}
-		if best >= 0 && list[best].isFree() {
-			return best
+		if i := chooseDrawn(r, list, home, usable); i >= 0 && list[i].isFree() {
+			return i
 		}
 	}
 	best, bestScore := -1, 0.0
@@ -147,16 +142,29 @@
 	return best
 }
 
+// chooseDrawn returns the index of the best of a few random candidates, or -1 if there is none.
+func chooseDrawn(r Request, list []Candidate, home int, usable bool) int {
+	var drawn [maxDrawn]int
+	n := draw(&drawn, r, list, home, usable)
+	best, bestScore := -1, 0.0
+	for _, i := range drawn[:n] {
+		if s := r.score(i, &list[i], home); best < 0 || s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	return best
+}
+
 // permits reports whether the candidate may be chosen, among those that are usable or not.
 func (r *Request) permits(c *Candidate, usable bool) bool {
 	return !c.Server.Draining && c.Usable == usable && !c.HeldBack() && !slices.Contains(r.Excluded, c.Server.ID)
 }
 
-// isFree reports whether a call finds a slot at once and takes nothing that others should
-// rather have.
+// isFree reports whether a call finds a slot at once at a server that is not kept for peaks by
+// its limit.
 func (c *Candidate) isFree() bool { return c.load()+1 <= float64(c.Slots) && c.Room.Restraint == 0 }
 
-// score returns what a call at the candidate costs, in calls.
+// score returns the cost of sending the call to the candidate, in calls; the lowest is best.
 func (r *Request) score(i int, c *Candidate, home int) float64 {
 	s := c.completion() + c.limitScore()
 	if r.Late {
@@ -225,11 +233,10 @@
 	return best
 }
 
-// tieBreak spreads calls over equal candidates; it is below any weight.
+// tieBreak spreads calls over equal candidates. It is in calls.
 func (r *Request) tieBreak(i int, id string) float64 {
-	const most = 0.1
 	if r.Seed != 0 {
-		return most * float64(mix(r.Seed, i)%1024) / 1024
+		return maxTieBreak * float64(mix(r.Seed, i)%1024) / 1024
 	}
-	return most * float64(assigner.Score(r.PromptPrefix+r.DataCentre, id)%1024) / 1024
+	return maxTieBreak * float64(assigner.Score(r.PromptPrefix+r.DataCentre, id)%1024) / 1024
 }
