--- a/comparer/comparer.go
+++ b/comparer/comparer.go
@@ -13,11 +13,11 @@
 // that a few calls go to the server again and show whether it has recovered. A slow
 // server gets less work, but not none.
 //
-// Beside such findings, which are about a moment, the Comparer estimates each server's own
-// pace. The pace of a new server is taken to be the mean of its service, within a width that
-// shrinks with each observation, and counts once it differs from the mean by more than the
-// width. Hosts report a pace when it is news, when the server is no longer found slow, and rarely
-// after that, for hosts that have started since.
+// Besides such findings of momentary slowness, the Comparer estimates each server's own pace:
+// its usual time per event as a multiple of the service's mean. The estimate starts at the mean,
+// with a width (uncertainty) that shrinks with each observation, and is used once it differs
+// from the mean by more than the width. Hosts report a pace when it has changed, when a finding
+// ends, and every paceInterval, for hosts that have started since.
 package comparer
 
 import (
@@ -29,47 +29,48 @@
 )
 
 const (
-	// slowThreshold is the slowdown factor from which a server counts as slow,
-	// maxSlowdown the highest factor that is kept and reported.
+	// slowThreshold is the slowdown factor from which a server counts as slow.
 	slowThreshold = 1.8
-	maxSlowdown   = 8.0
-	// retention is how long a finding counts in full; for as long again it counts by
-	// half. reportWindow is how long a host reports a finding of its own.
-	retention    timer.Millis = 2000
+	// maxSlowdown is the highest slowdown factor that is kept and reported.
+	maxSlowdown = 8.0
+	// retention is how long a finding counts in full; for as long again it counts by half.
+	retention timer.Millis = 2000
+	// reportWindow is how long a host reports a finding of its own.
 	reportWindow timer.Millis = 600
-	// sampleWeight is the weight of the newest call in the mean of a service, minCalls
-	// the number of calls that a mean needs.
+	// sampleWeight is the weight of the newest call in the mean of a service.
 	sampleWeight = 0.05
-	minCalls     = 20
+	// minCalls is the number of calls that the mean of a service needs.
+	minCalls = 20
 	// minEvents is the number of events below which a call is ignored.
 	minEvents = 4
 	// reportScale is the number of report units per unit of slowdown: reports are in tenths.
 	reportScale = 10
 )
 
+// The estimate of a server's own pace. Paces and widths are multiples of the service's mean time
+// per event, weights are in observations.
 const (
-	// minPace and maxPace bound the estimate of a server's own pace. In a report, a value below
-	// slowThreshold is a pace and any other one a finding, so maxPace is the largest pace that
-	// a report can state.
+	// minPace and maxPace bound the estimate. In a report, a value below slowThreshold is a pace
+	// and any other one a finding, so maxPace is the largest pace that a report can state.
 	minPace = 0.5
 	maxPace = 1.7
-	// priorWeight is the weight of the guess that a server's pace is the mean, and reportWeight
-	// that of another host's report, in observations. maxWeight is the weight from which on
-	// the estimate forgets: a server's pace may change.
-	priorWeight  = 1.0
+	// priorWeight is the weight of the prior, by which a server's pace is the mean.
+	priorWeight = 1.0
+	// reportWeight is the weight of another host's report.
 	reportWeight = 4.0
-	maxWeight    = 20.0
-	// observationWidth is the width of an estimate from one observation: the time per event
-	// varies by about 15% with the load of a server, and two deviations are taken. minWidth is
-	// the smallest width; differences below it do not matter to the choice of a server.
+	// maxWeight bounds the weight of past observations, so that the estimate follows a change.
+	maxWeight = 20.0
+	// observationWidth is the width of an estimate from one observation: two standard deviations
+	// of the time per event, which varies by about 15% with the load of a server.
 	observationWidth = 0.3
-	minWidth         = 0.12
-	// paceInterval is how often a pace is reported that is no news, and newsInterval how often
-	// one that is, by all hosts together. It is in the digests of paceWindow, of which there is
-	// at least one.
+	// minWidth is the smallest width. Smaller differences do not matter to the choice of a server.
+	minWidth = 0.12
+	// paceInterval is the interval of reports of an unchanged pace, by all hosts together.
 	paceInterval timer.Millis = 10_000
+	// newsInterval is the least interval of reports of a changed pace, by all hosts together.
 	newsInterval timer.Millis = 1000
-	paceWindow   timer.Millis = 200
+	// paceWindow is how long digests contain a reported pace. At least one is sent in that time.
+	paceWindow timer.Millis = 200
 )
 
 // Report is the message about servers that are slow or have a pace of their own: the factor of
@@ -114,10 +115,13 @@
 // New returns a Comparer without observations. It logs when a server is
 // found slow and when a later observation clears it.
 func New(c timer.Clock, l *zap.Logger) *Comparer {
-	return &Comparer{clock: c, logger: l, services: make(map[string]*mean), findings: make(map[string]finding), paces: make(map[string]*pace)}
+	return &Comparer{
+		clock: c, logger: l,
+		services: make(map[string]*mean), findings: make(map[string]finding), paces: make(map[string]*pace),
+	}
 }
 
-// Observe records a call. Calls of less than minEvents events are ignored.
+// Observe records a call. Calls of fewer than minEvents events are ignored.
 func (c *Comparer) Observe(r Sample) {
 	if r.Events < minEvents {
 		return
@@ -220,7 +224,8 @@
 	return max(own, f.slowdown)
 }
 
-// Report returns the recent findings of this host, to be sent to the others.
+// Report returns the recent findings of this host and the paces that it reports, to be sent to
+// the other hosts. It is nil if there are none.
 func (c *Comparer) Report() Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -282,7 +287,7 @@
 	}
 }
 
-// Retain drops the findings of servers and the means of services for which the given
+// Retain drops the findings and paces of servers and the means of services for which the given
 // functions return false.
 func (c *Comparer) Retain(server, service func(name string) bool) {
 	c.mu.Lock()
--- a/comparer/pace.go
+++ b/comparer/pace.go
@@ -10,14 +10,15 @@
 type pace struct {
 	// mean is the estimate, weight the number of observations that it rests on.
 	mean, weight float64
-	// shared is the value that this host or another one reported last, at sharedAt; 1 before.
+	// shared is the value that this host or another one reported last, at sharedAt. Before the
+	// first report it is 1, and sharedAt is zero.
 	shared   float64
 	sharedAt timer.Millis
-	// reportUntil is until when this host's digests hold the pace.
+	// reportUntil is when this host's digests no longer contain the pace.
 	reportUntil timer.Millis
 }
 
-// add adds a value that counts as so many observations.
+// add adds a value with a weight in observations.
 func (p *pace) add(value, weight float64) {
 	p.weight = min(p.weight+weight, maxWeight)
 	p.mean += (min(max(value, minPace), maxPace) - p.mean) * weight / (p.weight + priorWeight)
@@ -40,8 +41,8 @@
 // share records that a value was reported.
 func (p *pace) share(value float64, now timer.Millis) { p.shared, p.sharedAt = value, now }
 
-// isNews reports whether the pace should be reported: it differs from what was reported last,
-// or from the mean and was not reported for paceInterval.
+// isNews reports whether the pace should be reported: it differs from what was reported last by
+// more than its width, or from the mean and was not reported for paceInterval.
 func (p *pace) isNews(now timer.Millis) bool {
 	switch age := now - p.sharedAt; {
 	case p.sharedAt != 0 && age < newsInterval:
