--- a/picker/picker.go
+++ b/picker/picker.go
@@ -1,6 +1,7 @@
 // Package picker chooses backend servers for calls and counts the calls that this
 // host has in flight at each of them, and those that count towards a server's limit or
-// this host's share of a cold server. Servers of evacuated data centres are not chosen.
+// this host's share of a cold server. Servers of evacuated data centres, and those outside
+// of a call's allowed regions, are not chosen.
 // Choosing and counting are one atomic step, so concurrent calls do not all choose the
 // same server.
 package picker
@@ -23,9 +24,9 @@
 // defaultSlots is the default for slots that neither a server nor its service states.
 const defaultSlots = 8
 
-// Options configures a Picker. All but Warmer and Seed are required. The functions must be safe for
-// concurrent use. All but OnChange may be called with the Picker's lock held, so they
-// must not call the Picker.
+// Options configures a Picker. All but Warmer and Seed are required. The functions must be
+// safe for concurrent use. All but OnChange may be called with the Picker's lock held, so
+// they must not call the Picker.
 type Options struct {
 	// Snapshot returns the known state of the fleet.
 	Snapshot func() cataloger.Snapshot
@@ -35,8 +36,8 @@
 	// Leaving reports whether a server has announced that it is leaving, or
 	// has stopped.
 	Leaving func(v cataloger.Incarnation) bool
-	// Slowdown returns a server's slowdown factor: how many times as long it takes
-	// as the other servers of its service.
+	// Slowdown returns a server's slowdown factor: its latency as a multiple of the mean of
+	// its service.
 	Slowdown func(server string) float64
 	// Throttler holds the limits that servers named.
 	Throttler *throttler.Throttler
@@ -97,7 +98,7 @@
 // not by the time of Release does not count towards the server's limit.
 func (r *Reservation) SetSent(sent bool) { r.sent = sent }
 
-// Answered applies what the head of the answer says of the server's limit: the values of
+// Answered applies what the head of the answer says about the server's limit: the values of
 // the header that names it. whole is set for answers that name a limit if there is one.
 func (r *Reservation) Answered(limit []string, whole bool) {
 	r.picker.options.Throttler.Heard(r.Server.Incarnation(), r.mark, limit, whole)
@@ -112,6 +113,7 @@
 // run it. Such a call does not count towards the share of a cold server.
 func (r *Reservation) Misdirected() { r.refundClaim() }
 
+// refundClaim returns the call's place in the share of a cold server.
 func (r *Reservation) refundClaim() {
 	r.picker.options.Warmer.Refund(r.claim)
 	r.claim = nil
@@ -174,7 +176,8 @@
 }
 
 func (e *HeldBackError) Error() string {
-	return fmt.Sprintf("limits of %d servers of service %s, of which %d are cold, %g requests/s together, leave no room", e.Servers, e.Service, e.Cold, e.Rate)
+	return fmt.Sprintf("limits of %d servers of service %s, of which %d are cold, %g requests/s together, leave no room",
+		e.Servers, e.Service, e.Cold, e.Rate)
 }
 
 // heldBackError returns the error for a call that these candidates have no room for.
@@ -205,7 +208,8 @@
 		r.Seed = p.options.Seed()
 	}
 	allowed := r.Subject.Allowed(s.Config)
-	servers, known := s.ServersOf(service), len(s.ServersOf(service))
+	servers := s.ServersOf(service)
+	known := len(servers)
 	if allowed.Restricted() {
 		servers = p.permitted(servers, allowed)
 	}
@@ -216,7 +220,8 @@
 	}
 	p.mu.Unlock()
 	if err != nil {
-		return nil, withRegions(err, NotPermittedError{Service: service, Allowed: allowed, Servers: known, Permitted: len(servers)})
+		outside := NotPermittedError{Service: service, Allowed: allowed, Servers: known, Permitted: len(servers)}
+		return nil, withRegions(err, outside)
 	}
 	p.options.OnChange()
 	return out, nil
@@ -350,8 +355,9 @@
 	return n
 }
 
-// Candidates returns the servers of a service outside evacuated data centres with the calls that all hosts are known
-// to have in flight there, and the room that their limits leave for a batch item.
+// Candidates returns the servers of a service outside evacuated data centres with the calls
+// that all hosts are known to have in flight there, and the room that their limits, and this
+// host's shares of cold ones, leave for a batch item.
 func (p *Picker) Candidates(service string, class throttler.Batch) []selector.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
