--- a/prefetcher/prefetcher.go
+++ b/prefetcher/prefetcher.go
@@ -1,9 +1,9 @@
-// Package prefetcher reads a stream on while its reader is busy.
+// Package prefetcher reads a stream ahead while its reader is busy.
 //
-// Servers abort an answer that stays unread for some seconds, also if only the caller is slow.
-// While the reader of a stream waits for something else, such as a caller who does not read,
-// a goroutine reads the stream into a bounded buffer. As long as that has not happened, and
-// again once the buffer was read to its end, reads go straight to the stream.
+// Servers abort an answer that stays unread for some seconds, even if only the caller is slow.
+// While the reader of a stream is blocked by something else, such as a caller who does not
+// read, a goroutine reads the stream into a bounded buffer. Before that, and again once the
+// buffer has been read to its end, reads go straight to the stream.
 package prefetcher
 
 import (
@@ -18,12 +18,12 @@
 )
 
 const (
-	// MaxBuffered is how many bytes are read ahead at most.
+	// MaxBuffered is the maximum number of bytes that are read ahead.
 	MaxBuffered = 256 << 10
-	// readSize is the size of the buffer for one read, growth by how much memory grows, in
-	// bytes.
+	// readSize is the size of the buffer for one read, in bytes.
 	readSize = 4 << 10
-	growth   = 32 << 10
+	// growth is the number of bytes by which the buffer grows.
+	growth = 32 << 10
 )
 
 // The states of a Prefetcher. The reader may use the source while it is ready, a goroutine
@@ -37,17 +37,17 @@
 // Options configures a Prefetcher. All fields are required.
 type Options struct {
 	Source io.Reader
-	// Interrupt makes a read of Source that waits fail. It may be called by any goroutine.
+	// Interrupt makes a blocked read of Source fail. It may be called by any goroutine.
 	Interrupt func()
-	// Memory is what the buffer takes. It must not be used by others.
+	// Memory is the account from which the buffer is reserved. It must not be used by others.
 	Memory *holder.Account
-	// OnRead is called after each read of Source that returned bytes.
+	// OnRead is called after each read of Source that returned bytes, by the goroutine that read.
 	OnRead func()
 	Clock  timer.Clock
 }
 
 // Prefetcher is an io.Reader of a stream. Its methods are for the goroutine that reads, with
-// the exception of ReadOn.
+// the exception of ReadAhead.
 type Prefetcher struct {
 	options Options
 	ctx     context.Context
@@ -56,9 +56,10 @@
 	mu      sync.Mutex
 	changed *sync.Cond
 	// running is set while a goroutine reads the source, waiting while the reader waits for
-	// it, and closed once there is no reader any more.
+	// it, and closed once Close has been called.
 	running, waiting, closed bool
-	// buffer holds what was read ahead. err is the error that ended the source, at endedAt.
+	// buffer holds what was read ahead, reserved is the number of bytes reserved for it. err is
+	// the error that ended the source, at endedAt.
 	buffer   []byte
 	reserved int
 	err      error
@@ -72,7 +73,8 @@
 	return p
 }
 
-// SetBusy tells that the reader is about to do something that may take long, or has done it.
+// SetBusy records whether the reader is busy with something that may block, such as a write to
+// its caller.
 func (p *Prefetcher) SetBusy(is bool) {
 	if is {
 		p.state.CompareAndSwap(ready, busy)
@@ -81,9 +83,9 @@
 	p.state.CompareAndSwap(busy, ready)
 }
 
-// ReadOn reads the stream ahead until the reader has caught up with it. It has no effect
-// unless the reader is busy. It may be called by any goroutine.
-func (p *Prefetcher) ReadOn() {
+// ReadAhead starts to read the stream ahead, until the reader has caught up with it. It has no
+// effect unless the reader is busy. It may be called by any goroutine.
+func (p *Prefetcher) ReadAhead() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running || p.closed || p.err != nil {
@@ -91,11 +93,12 @@
 	}
 	if p.state.CompareAndSwap(busy, ahead) || p.state.Load() == ahead {
 		p.running = true
-		go p.readAhead()
+		go p.fillBuffer()
 	}
 }
 
-// EndedAt returns when the end of the stream was read, or zero if it was not read ahead.
+// EndedAt returns when the end of the stream was read, on Options.Clock, or zero if it was not
+// read ahead.
 func (p *Prefetcher) EndedAt() timer.Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -120,8 +123,8 @@
 	return n, err
 }
 
-// readBuffer reads what was read ahead. direct is set if nothing is and the source has to be
-// read.
+// readBuffer reads from the buffer. direct is set if the buffer is empty and the source has to
+// be read.
 func (p *Prefetcher) readBuffer(b []byte) (n int, direct bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,7 +151,7 @@
 	return n, false, nil
 }
 
-// readSource reads the source.
+// readSource reads from the source and reports it to OnRead.
 func (p *Prefetcher) readSource(b []byte) (int, error) {
 	n, err := p.options.Source.Read(b)
 	if n > 0 {
@@ -157,9 +160,9 @@
 	return n, err
 }
 
-// readAhead reads the source into the buffer until the reader waits for it, the source ends, or
-// there is no memory at all. While the buffer is full it waits.
-func (p *Prefetcher) readAhead() {
+// fillBuffer reads the source into the buffer until the reader waits for it, the source ends,
+// or there is no memory at all. While the buffer is full it waits.
+func (p *Prefetcher) fillBuffer() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var b [readSize]byte
@@ -206,8 +209,8 @@
 	p.buffer, p.reserved = nil, 0
 }
 
-// Close ends the reading ahead. The source is not used any more once it has returned; a read
-// of it that waits is interrupted.
+// Close stops reading ahead and interrupts a blocked read of the source. The source is no longer
+// used once Close has returned.
 func (p *Prefetcher) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/prefetcher/prefetcher_test.go
+++ b/prefetcher/prefetcher_test.go
@@ -74,7 +74,7 @@
 	data := random(2 * prefetcher.MaxBuffered)
 	go s.send(data, io.EOF)
 	s.SetBusy(true)
-	s.ReadOn()
+	s.ReadAhead()
 	require.Eventually(t, func() bool { return s.sent.Load() > prefetcher.MaxBuffered-8192 }, 5*time.Second, time.Millisecond)
 	time.Sleep(20 * time.Millisecond)
 	require.LessOrEqual(t, s.sent.Load(), int64(prefetcher.MaxBuffered))
@@ -104,7 +104,7 @@
 				case <-stop:
 					return
 				default:
-					s.ReadOn()
+					s.ReadAhead()
 				}
 			}
 		}()
@@ -135,7 +135,7 @@
 	s := newStream(t, 1)
 	go s.send([]byte("all of it"), io.EOF)
 	s.SetBusy(true)
-	s.ReadOn()
+	s.ReadAhead()
 	s.SetBusy(false)
 	got, err := io.ReadAll(s)
 	require.NoError(t, err)
@@ -152,7 +152,7 @@
 		Source: source, Interrupt: func() { _ = source.Close() }, Memory: holder.New(0).Open().Fork(), OnRead: func() {}, Clock: timer.System(),
 	})
 	p.SetBusy(true)
-	p.ReadOn()
+	p.ReadAhead()
 	_, err := server.Write([]byte("part"))
 	require.NoError(t, err)
 	cancel()
--- a/relayer/write.go
+++ b/relayer/write.go
@@ -91,7 +91,7 @@
 		return
 	}
 	if took >= readOnAfter && w.ahead != nil {
-		w.ahead.ReadOn()
+		w.ahead.ReadAhead()
 	}
 	w.timer.Reset(watchInterval.Duration())
 }
