relayer: split an attempt into admitting, sending and the answer's head

attempt held the checks before a call is sent, the exchange and what its answer tells in one function of 60 lines. The order of the steps, the log lines and the deferred releases are as before. Long log calls are wrapped, and the check of writes to a caller says what it does.

--- a/relayer/admit.go
+++ b/relayer/admit.go
@@ -69,7 +69,8 @@
 // server. Its caller is told when a call with as much time left would be taken.
 func (u *run) refuseOverloaded(r *picker.Reservation, p forecaster.Prediction, late, left timer.Millis) Outcome {
 	retryAfter := u.postpone(late, left)
-	u.relayer.options.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Int("ahead", r.Load.Online), zap.Int("slots", r.Slots), zap.Float64("pace", r.Slowdown),
+	u.relayer.options.Logger.Info("refused as overloaded", zap.String("request", u.call.ID), zap.String("server", r.Server.ID),
+		zap.Int("ahead", r.Load.Online), zap.Int("slots", r.Slots), zap.Float64("pace", r.Slowdown),
 		zap.Int64("wait-ms", int64(p.Wait)), zap.Int64("left-ms", int64(left)), zap.Int("tried", len(u.excluded)))
 	return u.giveUp(reasonTooLate, retryAfter)
 }
@@ -80,19 +81,24 @@
 	o := u.relayer.options
 	return o.Apportioner.Ask(apportioner.Call{
 		Service: u.call.Service, Workspace: u.call.Workspace, Rank: u.call.Rank,
-		Slots: o.Picker.TotalSlots(u.call.Service), Run: o.Forecaster.Predict(forecaster.Call{Service: u.call.Service}).End, Wait: p.Wait,
+		Slots: o.Picker.TotalSlots(u.call.Service), Wait: p.Wait,
+		Run: o.Forecaster.Predict(forecaster.Call{Service: u.call.Service}).End,
 	})
 }
 
 // refuseOverShare ends a call over the share of its workspace. Its caller is told when this
-// host's part of the share has room for it, after those that it refused before.
+// host's part of the share has room for it, after the calls that it refused before.
 func (u *run) refuseOverShare(d apportioner.Decision, p forecaster.Prediction, left timer.Millis) Outcome {
 	o := u.relayer.options
 	key := u.call.Service + " " + strconv.Itoa(u.call.Rank) + " " + u.call.Workspace
-	retryAfter := max(minRetry, u.relayer.shares.Postpone(key, postponer.Opening{First: d.RetryAfter, Rate: d.Rate, Hosts: 1, Left: left}))
-	o.Logger.Info("refused as over its share", zap.String("request", u.call.ID), zap.String("service", u.call.Service), zap.String("workspace", u.call.Workspace), zap.Int("rank", u.call.Rank),
-		zap.Float64("share", d.Share), zap.Float64("demand", d.Demand), zap.Float64("capacity", d.Capacity), zap.Float64("weight", d.Weight), zap.Float64("part", d.Part), zap.Float64("rate", d.Rate), zap.Float64("level", d.Level),
-		zap.Int64("wait-ms", int64(p.Wait)), zap.Int("heard", d.Heard), zap.Int("hosts", d.Hosts), zap.Int64("retry-after-ms", int64(retryAfter)))
+	room := postponer.Opening{First: d.RetryAfter, Rate: d.Rate, Hosts: 1, Left: left}
+	retryAfter := max(minRetry, u.relayer.shares.Postpone(key, room))
+	o.Logger.Info("refused as over its share", zap.String("request", u.call.ID), zap.String("service", u.call.Service),
+		zap.String("workspace", u.call.Workspace), zap.Int("rank", u.call.Rank),
+		zap.Float64("share", d.Share), zap.Float64("demand", d.Demand), zap.Float64("capacity", d.Capacity),
+		zap.Float64("weight", d.Weight), zap.Float64("part", d.Part), zap.Float64("rate", d.Rate), zap.Float64("level", d.Level),
+		zap.Int64("wait-ms", int64(p.Wait)), zap.Int("heard", d.Heard), zap.Int("hosts", d.Hosts),
+		zap.Int64("retry-after-ms", int64(retryAfter)))
 	return u.giveUp("the workspace is over its share of the servers, which have no free slot", retryAfter)
 }
 
@@ -137,8 +143,9 @@
 func (u *run) refuseNotPermitted(e *picker.NotPermittedError) Outcome {
 	o := u.relayer.options
 	o.Measurer.NotPlaced("call")
-	o.Logger.Info("no permitted place", zap.String("request", u.call.ID), zap.String("service", e.Service), zap.Strings("allowed", e.Allowed.Regions()),
-		zap.Int("servers", e.Servers), zap.Int("permitted", e.Permitted), zap.Int("tried", len(u.excluded)), zap.Bool("may-have-run", !u.isFresh()), zap.Error(e))
+	o.Logger.Info("no permitted place", zap.String("request", u.call.ID), zap.String("service", e.Service),
+		zap.Strings("allowed", e.Allowed.Regions()), zap.Int("servers", e.Servers), zap.Int("permitted", e.Permitted),
+		zap.Int("tried", len(u.excluded)), zap.Bool("may-have-run", !u.isFresh()), zap.Error(e))
 	return u.giveUp(e.Error(), retryNoServer)
 }
 
@@ -157,8 +164,9 @@
 	if !errors.As(err, &held) {
 		var none *picker.NoServerError
 		if errors.As(err, &none) && none.Evacuated > 0 {
-			o.Logger.Info("no server outside evacuated data centres", zap.String("request", u.call.ID), zap.String("service", none.Service),
-				zap.Int("evacuated", none.Evacuated), zap.Int("tried", len(u.excluded)), zap.Int64("retry-after-ms", int64(retryNoServer)))
+			o.Logger.Info("no server outside evacuated data centres", zap.String("request", u.call.ID),
+				zap.String("service", none.Service), zap.Int("evacuated", none.Evacuated),
+				zap.Int("tried", len(u.excluded)), zap.Int64("retry-after-ms", int64(retryNoServer)))
 			return u.giveUp("all servers to send to are in evacuated data centres", retryNoServer), false
 		}
 		return u.giveUp("no server to send to", retryNoServer), false
@@ -173,8 +181,10 @@
 	retryAfter := u.relayer.limits.Postpone(u.call.Service, postponer.Opening{
 		First: held.RetryAfter, Rate: max(held.Rate, throttler.MinRate), Hosts: o.Throttler.SendingHosts(), Left: left,
 	})
-	o.Logger.Info("held back by servers' limits", zap.String("request", u.call.ID), zap.String("service", held.Service), zap.Int("limited", held.Servers), zap.Int("cold", held.Cold),
-		zap.Float64("limits", held.Rate), zap.Int64("age-ms", int64(held.Age)), zap.Int64("room-in-ms", int64(held.RetryAfter)), zap.Int64("retry-after-ms", int64(retryAfter)))
+	o.Logger.Info("held back by servers' limits", zap.String("request", u.call.ID), zap.String("service", held.Service),
+		zap.Int("limited", held.Servers), zap.Int("cold", held.Cold), zap.Float64("limits", held.Rate),
+		zap.Int64("age-ms", int64(held.Age)), zap.Int64("room-in-ms", int64(held.RetryAfter)),
+		zap.Int64("retry-after-ms", int64(retryAfter)))
 	if held.Cold == held.Servers {
 		return u.giveUp("the servers are cold and leave no room", retryAfter), false
 	}
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -171,7 +171,7 @@
 }
 
 // relayStream passes events on as they arrive, each one complete. While the caller does not
-// read, the server's stream is read on.
+// read, the server's stream is read ahead.
 func (u *run) relayStream(ctx context.Context, r *picker.Reservation, a *transporter.Answer) error {
 	u.resuming = u.headSent
 	if !u.headSent {
@@ -187,7 +187,8 @@
 	}
 	o := u.relayer.options
 	p := prefetcher.New(ctx, prefetcher.Options{
-		Source: a, Interrupt: a.Interrupt, Memory: a.Memory().Fork(), OnRead: func() { o.Ejector.BytesReceived(r.Server.ID) }, Clock: o.Clock,
+		Source: a, Interrupt: a.Interrupt, Memory: a.Memory().Fork(), Clock: o.Clock,
+		OnRead: func() { o.Ejector.BytesReceived(r.Server.ID) },
 	})
 	defer p.Close()
 	w := u.watchWrites(p)
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -63,11 +63,11 @@
 	// long earlier attempts streamed what the current one does not repeat.
 	firstEvent timer.Millis
 	streamed   timer.Millis
-	// readAt is when the current attempt's answer was read to its end, if that was ahead of
-	// its caller, or 0.
+	// readAt is when the current attempt's answer was read to its end, if it was read ahead,
+	// or 0.
 	readAt timer.Millis
-	// within is set once the call was found to be within the share of its workspace.
-	within bool
+	// withinShare is set once the call was found to be within the share of its workspace.
+	withinShare bool
 	// lastProgress is when the caller last received an event, or when the call began.
 	lastProgress timer.Millis
 }
@@ -92,12 +92,11 @@
 // attempt sends the call to one server. It returns true if another server should
 // be tried; otherwise the outcome is final.
 func (u *run) attempt(ctx context.Context) (Outcome, bool) {
-	o := u.relayer.options
 	left := u.relayer.timeLeft(u.call.Deadline)
 	if left < minTimeLeft {
 		return u.outOfTime("no time left"), false
 	}
-	if retryAfter, refused := o.Tracker.Refused(u.call.Suspect); refused {
+	if retryAfter, refused := u.relayer.options.Tracker.Refused(u.call.Suspect); refused {
 		return u.refuseSuspect(retryAfter), false
 	}
 	reservation, prediction, err := u.pick()
@@ -105,52 +104,78 @@
 		return u.handleNoServer(ctx, err, left)
 	}
 	defer reservation.Release()
-	if late := u.lateness(prediction); late > 0 {
-		return u.refuseOverloaded(reservation, prediction, late, left), false
-	}
-	if u.isFresh() && !u.endsBeforeStop(prediction) {
-		return NotRun{Reason: ReasonStopping, RetryAfter: RetryElsewhere}, false
+	if refusal := u.admit(ctx, reservation, prediction, left); refusal != nil {
+		return refusal, false
 	}
-	if u.isFresh() && !u.within && prediction.Wait > 0 {
-		if d := u.askShare(prediction); !d.Admitted {
-			return u.refuseOverShare(d, prediction, left), false
+	return u.send(ctx, reservation, prediction, left)
+}
+
+// admit decides whether the call is sent to r's server, where p is predicted. It returns nil
+// if it is, and otherwise the final outcome. left is the remaining time.
+func (u *run) admit(ctx context.Context, r *picker.Reservation, p forecaster.Prediction, left timer.Millis) Outcome {
+	if late := u.lateness(p); late > 0 {
+		return u.refuseOverloaded(r, p, late, left)
+	}
+	if u.isFresh() && !u.endsBeforeStop(p) {
+		return NotRun{Reason: ReasonStopping, RetryAfter: RetryElsewhere}
+	}
+	if u.isFresh() && !u.withinShare && p.Wait > 0 {
+		if d := u.askShare(p); !d.Admitted {
+			return u.refuseOverShare(d, p, left)
 		}
-		u.within = true
+		u.withinShare = true
 	}
-	if retryAfter, ok := o.Tracker.Admit(ctx, u.call.Suspect); !ok {
-		return u.refuseSuspect(retryAfter), false
+	if retryAfter, ok := u.relayer.options.Tracker.Admit(ctx, u.call.Suspect); !ok {
+		return u.refuseSuspect(retryAfter)
 	}
-	o.Ejector.Begin(reservation.Server.ID)
-	defer o.Ejector.End(reservation.Server.ID)
+	return nil
+}
+
+// send sends the call to r's server and handles the answer. Its results are those of
+// attempt.
+func (u *run) send(
+	ctx context.Context, r *picker.Reservation, p forecaster.Prediction, left timer.Millis,
+) (Outcome, bool) {
+	o := u.relayer.options
+	o.Ejector.Begin(r.Server.ID)
+	defer o.Ejector.End(r.Server.ID)
 	u.eventCount, u.firstEvent, u.readAt, u.sentAt = 0, 0, 0, o.Clock.Now()
-	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", reservation.Server.ID),
-		zap.Int("online", reservation.Load.Online), zap.Int("batch", reservation.Load.Batch), zap.Float64("pace", reservation.Slowdown), zap.Int("tried", len(u.excluded)),
-		zap.Int64("left-ms", int64(left)), zap.Int64("after-event", u.lastEvent))
+	o.Logger.Info("sent", zap.String("request", u.call.ID), zap.String("server", r.Server.ID),
+		zap.Int("online", r.Load.Online), zap.Int("batch", r.Load.Batch), zap.Float64("pace", r.Slowdown),
+		zap.Int("tried", len(u.excluded)), zap.Int64("left-ms", int64(left)), zap.Int64("after-event", u.lastEvent))
 	attemptCtx, flight := o.Tracker.Start(ctx, u.call.Suspect)
 	u.flight = flight
 	defer flight.End()
-	reservation.SetSent(true)
-	answer, err := o.Transporter.Send(attemptCtx, u.request(reservation, left), u.firstByteTimeout(reservation, prediction, left))
+	r.SetSent(true)
+	answer, err := o.Transporter.Send(attemptCtx, u.request(r, left), u.firstByteTimeout(r, p, left))
 	if err != nil {
-		reservation.SetSent(transporter.WasSent(err))
-		return u.handleFailure(ctx, reservation, err)
+		r.SetSent(transporter.WasSent(err))
+		return u.handleFailure(ctx, r, err)
 	}
 	defer answer.Close()
-	o.Ejector.BytesReceived(reservation.Server.ID)
-	o.Tracker.Answered(reservation.Server.Incarnation())
-	if answer.Header.Get(o.Names.Leaving) != "" {
-		o.Departer.Record(reservation.Server.Incarnation(), departer.Leaving)
+	u.recordHead(r, answer)
+	return u.handleAnswer(ctx, r, answer)
+}
+
+// recordHead records what the head of an answer tells about r's server: that it answers,
+// whether it leaves, and its limit.
+func (u *run) recordHead(r *picker.Reservation, a *transporter.Answer) {
+	o := u.relayer.options
+	o.Ejector.BytesReceived(r.Server.ID)
+	o.Tracker.Answered(r.Server.Incarnation())
+	if a.Header.Get(o.Names.Leaving) != "" {
+		o.Departer.Record(r.Server.Incarnation(), departer.Leaving)
 	}
-	if answer.Status == http.StatusMisdirectedRequest {
-		reservation.Misdirected()
-	} else {
-		reservation.Answered(answer.Header.Values(o.Names.Limit), u.validate(answer) == nil && answer.Status/100 == 2)
+	if a.Status == http.StatusMisdirectedRequest {
+		r.Misdirected()
+		return
 	}
-	return u.handleAnswer(ctx, reservation, answer)
+	r.Answered(a.Header.Values(o.Names.Limit), u.validate(a) == nil && a.Status/100 == 2)
 }
 
-// pick reserves a server and predicts the call there. If the server is slower than others and
-// the call is predicted to be late there, it takes the one where the call ends first.
+// pick reserves a server and predicts the call there. If the server is slower than the mean of
+// its service and the call is predicted to be late there, it reserves the one where the call
+// ends first instead.
 func (u *run) pick() (*picker.Reservation, forecaster.Prediction, error) {
 	o := u.relayer.options
 	q := selector.Request{PromptPrefix: u.call.Prompt, Excluded: u.excluded, Rank: u.call.Rank, Subject: u.call.Subject}
--- a/relayer/write.go
+++ b/relayer/write.go
@@ -11,25 +11,27 @@
 )
 
 const (
-	// watchInterval is how often the writes to a caller are looked at.
-	watchInterval = 250 * timer.Millis(1)
-	// readOnAfter is how long a write may take before the server's stream is read on. It is
-	// well below the seconds after which servers abort an answer that stays unread.
-	readOnAfter = 100 * timer.Millis(1)
-	// defaultWriteTimeout is how long a write may take until the call ends.
+	// watchInterval is the interval at which the duration of a write is checked.
+	watchInterval timer.Millis = 250
+	// readAheadAfter is how long a write may take before the server's stream is read ahead. It
+	// is well below the seconds after which servers abort an answer that stays unread.
+	readAheadAfter timer.Millis = 100
+	// defaultWriteTimeout is the default of Options.WriteTimeout.
 	defaultWriteTimeout = 10 * timer.Second
-	// maxPart is how much is written at once, in bytes, so that progress is noticed.
+	// maxPart is the maximum number of bytes that are written at once, so that a caller that
+	// reads slowly is not taken for one that does not read.
 	maxPart = 32 << 10
-	// notWriting is no time of the clock, which may start at zero.
+	// notWriting stands for no write in progress. It is negative, since the clock may start at
+	// zero.
 	notWriting = -1
 )
 
-// writeWatch writes to a caller and watches how long that takes.
+// writeWatch writes to a caller and checks how long each write takes.
 type writeWatch struct {
 	run *run
 	// ahead reads the server's stream; nil if the answer was read to its end.
 	ahead *prefetcher.Prefetcher
-	// began is when the write that goes on began, or notWriting.
+	// began is when the write in progress began, in milliseconds of the clock, or notWriting.
 	began atomic.Int64
 
 	mu     sync.Mutex
@@ -43,11 +45,11 @@
 	w.began.Store(notWriting)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(watchInterval.Duration(), w.look)
+	w.timer = time.AfterFunc(watchInterval.Duration(), w.check)
 	return w
 }
 
-// write writes to the caller, from now on.
+// write writes to the caller. now is the current time.
 func (w *writeWatch) write(p []byte, now timer.Millis) error {
 	if w.ahead != nil {
 		w.ahead.SetBusy(true)
@@ -61,6 +63,7 @@
 	return err
 }
 
+// writeParts writes p in parts of at most maxPart bytes, each of which counts as a write.
 func (w *writeWatch) writeParts(p []byte) error {
 	for len(p) > maxPart {
 		if err := w.run.sink.Write(p[:maxPart]); err != nil {
@@ -72,9 +75,9 @@
 	return w.run.sink.Write(p)
 }
 
-// look reads the server's stream on if a write takes long, and ends the call if it takes too
-// long.
-func (w *writeWatch) look() {
+// check reads the server's stream ahead if the write in progress has taken readAheadAfter, and
+// ends the call if it has taken Options.WriteTimeout.
+func (w *writeWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
@@ -90,13 +93,13 @@
 		w.run.sink.Abort()
 		return
 	}
-	if took >= readOnAfter && w.ahead != nil {
+	if took >= readAheadAfter && w.ahead != nil {
 		w.ahead.ReadAhead()
 	}
 	w.timer.Reset(watchInterval.Duration())
 }
 
-// close ends the watch.
+// close stops the checks.
 func (w *writeWatch) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
