localizer, broker, executor: name regions by what they are for

localizer.Item and localizer.Reads return regions, not items or reads. Calls about a job were built from fields without names, and log calls ran past the line.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -157,7 +157,10 @@
 	if reason != "" {
 		return b.refuseNotPermitted(s.ID, allowed, reason)
 	}
-	r, sent := b.callServingHost(ctx, request{s.ID, methodSubmit, body, callTimeout + timer.Millis(len(body)/storedPerMilli), allowed})
+	r, sent := b.callServingHost(ctx, request{
+		job: s.ID, method: methodSubmit, body: body,
+		timeout: callTimeout + timer.Millis(len(body)/storedPerMilli), allowed: allowed,
+	})
 	switch r.Verdict {
 	case verdictDone:
 		return gatekeeper.JobAnswer{Status: http.StatusAccepted}
@@ -232,7 +235,7 @@
 		b.options.Logger.Error("cannot encode call about a job", zap.String("job", q.Job), zap.Error(err))
 		return reply{}
 	}
-	r, _ := b.callServingHost(ctx, request{q.Job, m, body, callTimeout + q.Wait, allowed})
+	r, _ := b.callServingHost(ctx, request{job: q.Job, method: m, body: body, timeout: callTimeout + q.Wait, allowed: allowed})
 	if r.Verdict == verdictNotPermitted {
 		b.recordNotPermitted("read", q.Job, allowed, string(r.Body))
 	}
--- a/broker/handler.go
+++ b/broker/handler.go
@@ -90,8 +90,10 @@
 	case v != verdictNotFound:
 		return reply{Verdict: v}
 	}
-	if allowed, reason := jobRegions(d.fleet.Snapshot(), d.fleet.Zones, &m.Job, func() []string { return s.Recipients(ctx) }); reason != "" {
-		d.logger.Info("no permitted place", zap.String("job", m.Job.ID), zap.Strings("allowed", allowed.Regions()), zap.String("reason", reason))
+	recipients := func() []string { return s.Recipients(ctx) }
+	if allowed, reason := jobRegions(d.fleet.Snapshot(), d.fleet.Zones, &m.Job, recipients); reason != "" {
+		d.logger.Info("no permitted place", zap.String("job", m.Job.ID),
+			zap.Strings("allowed", allowed.Regions()), zap.String("reason", reason))
 		return notPermitted(reason)
 	}
 	key := queuer.QueueKey{Workspace: m.Job.Workspace, Route: m.Job.Route}
--- a/broker/regions.go
+++ b/broker/regions.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 )
 
-// Reasons for which the allowed regions have no place for a job.
+// The reasons why a job cannot be placed within its allowed regions.
 const (
 	reasonEmpty  = "the allowed regions of the job's routes and of its workspace have none in common"
 	reasonHolder = "the job's group has a holder outside of the job's allowed regions"
@@ -25,8 +25,8 @@
 	return allowed
 }
 
-// storedIn also returns the regions without regard to the paths of items, and the routes of
-// the items.
+// storedIn returns the same as StoredIn, the regions without regard to the paths of items, and
+// the routes of the items.
 func storedIn(c *cataloger.Config, j *queuer.Job) (allowed, submitted localizer.Set, routes map[*cataloger.Route]bool) {
 	if c == nil || len(c.Regions()) == 0 {
 		return allowed, submitted, nil
@@ -45,7 +45,9 @@
 // jobRegions returns the regions in which a job may be stored, and why it cannot be placed
 // there; the reason is empty if it can. recipients returns further disks that would receive the
 // job; it is called only for a job that is restricted to regions.
-func jobRegions(s cataloger.Snapshot, z localizer.Zones, j *queuer.Job, recipients func() []string) (allowed localizer.Set, reason string) {
+func jobRegions(
+	s cataloger.Snapshot, z localizer.Zones, j *queuer.Job, recipients func() []string,
+) (allowed localizer.Set, reason string) {
 	allowed, submitted, routes := storedIn(s.Config, j)
 	if !allowed.Restricted() {
 		return allowed, ""
@@ -60,7 +62,7 @@
 		}
 	}
 	for r := range routes {
-		if !hasServers(s, z, r, localizer.Item(submitted, r)) {
+		if !hasServers(s, z, r, localizer.AllowedForItem(submitted, r)) {
 			return allowed, reasonServer
 		}
 	}
@@ -87,7 +89,7 @@
 
 // readingRegions returns the regions through which jobs of a workspace may be read.
 func (b *Broker) readingRegions(workspace string) localizer.Set {
-	return localizer.Reads(b.options.Snapshot().Config, workspace)
+	return localizer.AllowedForReads(b.options.Snapshot().Config, workspace)
 }
 
 // refuseNotPermitted refuses a job that cannot be placed within its allowed regions.
@@ -100,16 +102,18 @@
 // for. kind is that of the metric.
 func (b *Broker) recordNotPermitted(kind, job string, allowed localizer.Set, reason string) {
 	s, group := b.options.Snapshot(), GroupOf(job)
-	var holders []string
+	var holders []string // as NAME=REGION
 	for _, disk := range s.Groups[group].Holders {
 		m, _ := s.MemberWithDisk(disk)
 		holders = append(holders, m.Name+"="+b.options.Zones.RegionOfMember(m))
 	}
 	b.options.Measurer.NotPlaced(kind)
-	b.options.Logger.Info("no permitted place", zap.String("job", job), zap.Strings("allowed", allowed.Regions()), zap.String("reason", reason),
+	b.options.Logger.Info("no permitted place", zap.String("job", job),
+		zap.Strings("allowed", allowed.Regions()), zap.String("reason", reason),
 		zap.Int("group", group), zap.Strings("holders", holders))
 }
 
+// notPermitted returns the reply about a job that cannot be placed within its allowed regions.
 func notPermitted(reason string) reply {
 	return reply{Verdict: verdictNotPermitted, Body: []byte(reason)}
 }
--- a/broker/relay.go
+++ b/broker/relay.go
@@ -54,7 +54,8 @@
 		}
 		var reason string
 		if call.allowed, reason = jobRegions(b.options.Snapshot(), b.options.Zones, &m.Job, noRecipients); reason != "" {
-			b.options.Logger.Info("no permitted place", zap.String("job", q.Job), zap.Strings("allowed", call.allowed.Regions()), zap.String("reason", reason))
+			b.options.Logger.Info("no permitted place", zap.String("job", q.Job),
+				zap.Strings("allowed", call.allowed.Regions()), zap.String("reason", reason))
 			return notPermitted(reason)
 		}
 	}
@@ -90,7 +91,8 @@
 func (b *Broker) relayAddresses(q request) []string {
 	var list []cataloger.Member
 	for _, m := range b.options.Snapshot().Members {
-		if m.Role == cataloger.Entry && !m.Leaving && b.isReachable(m.Name) && q.allowed.Permits(b.options.Zones.RegionOfMember(m)) {
+		permitted := q.allowed.Permits(b.options.Zones.RegionOfMember(m))
+		if m.Role == cataloger.Entry && !m.Leaving && permitted && b.isReachable(m.Name) {
 			list = append(list, m)
 		}
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -153,9 +153,9 @@
 	backlog int
 	// limited is the number of items that could start but for the limits of servers.
 	limited int
-	// restricted is the number of items that could start in some regions only, by region;
+	// restricted is the number of ready items that may run in some regions only, by region;
 	// the empty name stands for all of them. It is replaced, never modified. unplaced is the
-	// number of items whose service has no server in their regions.
+	// number of these whose service has no server in their regions.
 	restricted map[string]int
 	unplaced   int
 	// peaks holds the recent peak number of online calls, by service. Only the
@@ -369,7 +369,8 @@
 		return "", false
 	}
 	t.noRouteSince = 0
-	t.allowed = localizer.Item(localizer.Job{Host: t.job.Host, Route: t.job.Route, Workspace: t.job.Workspace}.Allowed(s.Config), r)
+	job := localizer.Job{Host: t.job.Host, Route: t.job.Route, Workspace: t.job.Workspace}
+	t.allowed = localizer.AllowedForItem(job.Allowed(s.Config), r)
 	// The item's number modulo 100 takes the place of a random draw. The service is
 	// picked again before each start, from the route in force then.
 	return r.Pick(float64(t.key.ref.Item%100) / 100), true
--- a/executor/regions.go
+++ b/executor/regions.go
@@ -48,7 +48,8 @@
 	x.restricted = restricted
 	if unplaced != x.unplaced {
 		x.unplaced = unplaced
-		x.options.Logger.Info("items without a permitted place", zap.Int("items", unplaced), zap.Int("restricted", restricted[""]), zap.Int64("version", s.Config.Version))
+		x.options.Logger.Info("items without a permitted place", zap.Int("items", unplaced),
+			zap.Int("restricted", restricted[""]), zap.Int64("version", s.Config.Version))
 	}
 }
 
--- a/localizer/caller.go
+++ b/localizer/caller.go
@@ -10,22 +10,22 @@
 // region and data centre. Each field may be empty.
 type Caller struct{ Host, Region, DataCentre string }
 
-// Prefers returns whether the caller should connect to hosts in a region, given configuration
-// c: those in its own region, and in the regions that the routes of its host name allow. A
+// Prefers returns a function that reports whether the caller should connect to hosts in a region
+// under configuration c: its own region, and those that the routes of its host name allow. A
 // caller that states no region is in that of its data centre.
 func (r Caller) Prefers(c *cataloger.Config, z Zones) func(region string) bool {
 	own := r.Region
 	if own == "" {
 		own = z.RegionOf(r.DataCentre)
 	}
-	allowed := entering(c, r.Host)
+	allowed := entryRegions(c, r.Host)
 	return func(region string) bool { return allowed.Permits(region) || (own != "" && region == own) }
 }
 
-// entering returns the regions in which callers' requests to a host name should arrive under
-// configuration c: those that all its restricted routes allow, or if these have none in
+// entryRegions returns the regions in which callers' requests to a host name should arrive
+// under configuration c: those that all its restricted routes allow, or if these have none in
 // common, those that any of them allows.
-func entering(c *cataloger.Config, host string) Set {
+func entryRegions(c *cataloger.Config, host string) Set {
 	var all, some Set
 	if c == nil || len(c.Regions()) == 0 {
 		return all
--- a/localizer/subject.go
+++ b/localizer/subject.go
@@ -48,13 +48,14 @@
 	return s
 }
 
-// Item returns the regions in which an item of the job that matches route r may run, given
-// the regions in which the job may be stored.
-func Item(job Set, r *cataloger.Route) Set { return job.Intersect(Allowed(r, nil)) }
+// AllowedForItem returns the regions in which an item of a job that matches route r may run,
+// given the regions in which the job may be stored.
+func AllowedForItem(job Set, r *cataloger.Route) Set { return job.Intersect(Allowed(r, nil)) }
 
-// Reads returns the regions through which jobs of a workspace may be read under configuration
-// c. The route of a job is known only to its owner, so those of all batch routes apply.
-func Reads(c *cataloger.Config, workspace string) Set {
+// AllowedForReads returns the regions through which jobs of a workspace may be read under
+// configuration c. The route of a job is known only to its owner, so those of all batch routes
+// apply.
+func AllowedForReads(c *cataloger.Config, workspace string) Set {
 	if c == nil || len(c.Regions()) == 0 {
 		return Set{}
 	}
