follower: a host that is cut off from all readers reads from a host that is not one

A host that lost the way to the store and to all bulk hosts still receives their digests, since other hosts pass them on in bundles. It took them for readers, asked one after the other, each time until the timeout, and never one of the entry hosts that it reached.

A host that did not answer is avoided for 1 s, then for twice as long with each failure, up to 8 s; while any is, changes are read from an entry host, each host from another one.

TestHostCutOffFromReadersThatItHearsReceivesChangesFromOthers failed before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -103,11 +103,9 @@
 	probeAt timer.Millis
 	// probing reports whether the last attempt to read from another host failed.
 	probing bool
-	// avoid is the address of a host that did not answer; no request is sent to it
-	// until avoidUntil.
-	avoid      string
-	avoidUntil timer.Millis
-	changeLog  changeLog
+	// avoided holds the hosts that did not answer, by address.
+	avoided   map[string]avoidance
+	changeLog changeLog
 	// confirmedSince is the instant since which confirmations have arrived without
 	// an outage.
 	confirmedSince atomic.Int64
@@ -118,7 +116,7 @@
 
 // New returns a Follower that runs until Close.
 func New(o Options) *Follower {
-	f := &Follower{options: o.withDefaults(), done: make(chan struct{}), missing: make(map[entryID]timer.Millis)}
+	f := &Follower{options: o.withDefaults(), done: make(chan struct{}), missing: make(map[entryID]timer.Millis), avoided: make(map[string]avoidance)}
 	f.current.Store(&cataloger.Snapshot{})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
--- a/follower/learn.go
+++ b/follower/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -17,19 +18,34 @@
 	// isolatedPause bounds that pause for a host that has candidates with a fresh
 	// confirmation but cannot reach them.
 	isolatedPause timer.Millis = 800
-	// avoidFor is how long no further request is sent to a host that did not answer.
-	avoidFor timer.Millis = 1000
+	// minAvoid is how long no further request is sent to a host that did not answer. The time
+	// doubles with each further failure, up to maxAvoid.
+	minAvoid timer.Millis = 1000
+	maxAvoid timer.Millis = 8000
 )
 
+// avoidance is for how long no request is sent to a host that did not answer, and until when.
+type avoidance struct{ pause, until timer.Millis }
+
+// avoid records that the host at an address did not answer.
+func (f *Follower) avoid(address string, now timer.Millis) {
+	pause := min(max(minAvoid, 2*f.avoided[address].pause), maxAvoid)
+	f.avoided[address] = avoidance{pause: pause, until: now + pause}
+}
+
+// avoids reports whether no request is sent to the host at an address now.
+func (f *Follower) avoids(address string, now timer.Millis) bool {
+	return now < f.avoided[address].until
+}
+
 // source returns where this host reads changes from.
 func (f *Follower) source() source {
 	if !f.loaded {
 		return source{direct: true}
 	}
-	if f.options.Clock.Now() >= f.avoidUntil {
-		f.avoid = ""
-	}
-	return f.options.Relay.source(f.avoid)
+	now := f.options.Clock.Now()
+	maps.DeleteFunc(f.avoided, func(_ string, a avoidance) bool { return now > a.until+maxAvoid })
+	return f.options.Relay.source(func(address string) bool { return f.avoids(address, now) })
 }
 
 // readFromPeer requests changes from another host, if there is one with a fresh
@@ -45,9 +61,10 @@
 	changes, age, err := f.options.Relay.requestChanges(limited, s.address, f.cursor)
 	if err != nil {
 		f.options.Logger.Info("request changes of the store from another host", zap.String("address", s.address), zap.Error(err))
-		f.avoid, f.avoidUntil = s.address, f.options.Clock.Now()+avoidFor
+		f.avoid(s.address, f.options.Clock.Now())
 		return false
 	}
+	delete(f.avoided, s.address)
 	f.applyChanges(f.Snapshot(), changes, began-age)
 	return true
 }
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -43,6 +43,8 @@
 	ledgers   []*countedLedger
 	followers []*follower.Follower
 	requests  atomic.Int64
+	// bulk is the number of hosts, from the first on, that have disks.
+	bulk atomic.Int32
 	// unreceived is the number of hosts, from the first on, whose digests the last
 	// one does not receive.
 	unreceived atomic.Int64
@@ -78,7 +80,7 @@
 			continue
 		}
 		name := hostName(i)
-		out = append(out, follower.Reader{Name: name, Address: name, Age: r.clock.Now() - f.Snapshot().ConfirmedAt, ConfirmedFor: f.ConfirmedFor()})
+		out = append(out, follower.Reader{Name: name, Address: name, Bulk: i < int(r.bulk.Load()), Age: r.clock.Now() - f.Snapshot().ConfirmedAt, ConfirmedFor: f.ConfirmedFor()})
 	}
 	return out
 }
@@ -192,6 +194,26 @@
 	})
 }
 
+// A host is cut off from the store and from all hosts with a disk, whose digests it receives
+// since other hosts pass them on. It asked one of them after the other and was never confirmed,
+// so that it refused its callers for as long as the cut lasted.
+func TestHostCutOffFromReadersThatItHearsReceivesChangesFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelayed(24)
+		defer r.close()
+		r.bulk.Store(14)
+		pass(5000)
+		for i := range 14 {
+			r.net.Cut(hostName(23), hostName(i), true)
+		}
+		r.ledgers[23].silent.Store(true)
+		for range 200 {
+			pass(100)
+			require.LessOrEqual(t, r.clock.Now()-r.followers[23].Snapshot().ConfirmedAt, timer.Millis(2800))
+		}
+	})
+}
+
 // The store refused three hosts and served all others. A server's entry was
 // deleted 40 ms after the three could reach the store again; they kept the server for
 // 2.9 s, as if there had been an outage for all hosts.
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/assigner"
 	"github.com/jackdawgate/jackdawgate/messenger"
 	"github.com/jackdawgate/jackdawgate/storer"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -74,12 +75,15 @@
 	hosts int
 }
 
-// source picks among the candidates, except for the one whose address is avoid.
-func (r *Relay) source(avoid string) source {
+// source picks among the candidates, except for those that are avoided since they did not
+// answer. If a reader is, this host may be cut off from all of them although it receives their
+// digests, which other hosts pass on. It then reads from a host that does not read the store.
+func (r *Relay) source(avoided func(address string) bool) source {
 	if r == nil {
 		return source{direct: true}
 	}
-	list := slices.DeleteFunc(r.Candidates(), func(c Reader) bool { return c.Address == avoid })
+	all := r.Candidates()
+	list := slices.DeleteFunc(slices.Clone(all), func(c Reader) bool { return c.Name != r.Self && avoided(c.Address) })
 	s := source{hosts: len(list)}
 	for _, c := range ChooseReaders(list) {
 		if c.Name == r.Self {
@@ -89,9 +93,30 @@
 			s.address = c.Address
 		}
 	}
+	if len(list) < len(all) {
+		if c, ok := r.relayingHost(list); ok {
+			s.address = c.Address
+		}
+	}
 	return s
 }
 
+// relayingHost picks a host with a fresh confirmation that is not among the first to read the
+// store, in this data centre if there is one. Hosts pick different ones.
+func (r *Relay) relayingHost(list []Reader) (best Reader, ok bool) {
+	near := func(c Reader) bool { return c.DataCentre == r.DataCentre }
+	for _, c := range list {
+		if c.Bulk || c.Name == r.Self || c.Age > maxReaderAge {
+			continue
+		}
+		better := assigner.Score(r.Self, c.Name) > assigner.Score(r.Self, best.Name)
+		if !ok || (near(c) && !near(best)) || (near(c) == near(best) && better) {
+			best, ok = c, true
+		}
+	}
+	return best, ok
+}
+
 // anyConfirmedFor reports whether another host has been continuously confirmed for
 // at least the given time.
 func (r *Relay) anyConfirmedFor(long timer.Millis) bool {
