--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -105,24 +105,26 @@
 }
 
 const (
-	// statusStart has the length of the start of an answer up to and including the status.
-	statusStart = "HTTP/1.1 000"
-	// maxInterim bounds the interim (1xx) answers to one request.
+	// statusLineStart is an example of the start of an answer, up to and including the status;
+	// only its length is used.
+	statusLineStart = "HTTP/1.1 000"
+	// maxInterim is the maximum number of interim (1xx) answers to one request.
 	maxInterim = 16
 )
 
 // checkStatusLine skips interim answers and returns a non-nil Result if no answer comes, or if
-// its status is not one that HTTP defines, from 100 to 599. It is read here since fasthttp
-// reports a status of 000 as 200.
+// its status is outside the range from 100 to 599 that HTTP defines. It is checked here since
+// fasthttp reports a status of 000 as 200.
 func (e *exchange) checkStatusLine() Result {
 	for range maxInterim {
-		start, err := e.connection.reader.Peek(len(statusStart))
+		start, err := e.connection.reader.Peek(len(statusLineStart))
 		if err != nil {
 			return e.failure(err)
 		}
-		switch class := start[len(statusStart)-3]; {
+		status := start[len(statusLineStart)-3:]
+		switch class := status[0]; {
 		case class < '1' || class > '5':
-			return Broken{Code: CodeMalformed, Err: eris.Errorf("status %q is not defined by HTTP", start[len(statusStart)-3:])}
+			return Broken{Code: CodeMalformed, Err: eris.Errorf("status %q is not defined by HTTP", status)}
 		case class != '1':
 			return nil
 		}
@@ -197,7 +199,8 @@
 	if e.writeFailed && isUnframed(r) {
 		// The reset of the connection was reported to the write, so the body seems to end
 		// where it was cut.
-		return Broken{Code: CodeTruncated, Err: eris.New("the connection was reset while the request was written, and the answer has no length"), ConnectionLost: true}, false
+		err := eris.New("the connection was reset while the request was written, and the answer has no length")
+		return Broken{Code: CodeTruncated, Err: err, ConnectionLost: true}, false
 	}
 	if echo := header(r, HeaderRequestID); echo != "" && echo != e.call.ID {
 		return Broken{Code: CodeMismatched, Err: eris.New("the answer has the identifier of another request")}, false
--- a/transporter/answer.go
+++ b/transporter/answer.go
@@ -51,13 +51,13 @@
 	return n, a.connection.classify(err)
 }
 
-// framed reports whether the length of the body, or chunks, tell where it ends.
+// framed reports whether a length or chunked encoding determines where the body ends.
 func (a *Answer) framed() bool {
 	return a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0
 }
 
-// Interrupt makes a Read that waits fail, and all later ones. Unlike the other methods it may
-// be called by any goroutine.
+// Interrupt makes a blocked Read fail, and all later ones. Unlike the other methods it may be
+// called by any goroutine.
 func (a *Answer) Interrupt() { a.connection.close() }
 
 // Close ends the exchange. The connection is kept for reuse if the answer was read
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// waitWritten waits until the request has been written, no longer than the server may send
-// nothing, and reports whether it was written completely.
+// waitWritten waits until the request has been written, at most for the silence timeout, and
+// reports whether it was written completely.
 //
 // The kernel reports the reset of a connection once. If a write is in progress it gets the
 // error, and the reads that follow see a plain end of the connection.
