--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -185,15 +185,19 @@
 	limitChanged = "server's limit changed"
 	serverCold   = "server cold"
 	coldShare    = "share of a cold server"
-	// notPlaced is the message of lines about requests for which their allowed regions have no
-	// place, unknownRegions that of lines about regions that a configuration names and no data
-	// centre has. These are written once for each configuration, long before.
+)
+
+// notPlaced is the message of lines about requests that cannot be placed within their allowed
+// regions. unknownRegions is that of lines about regions that a configuration names and no
+// data centre has. Those are written once for each configuration, so the newest one is the
+// context of a request however old it is.
+const (
 	notPlaced      = "no permitted place"
 	unknownRegions = "allowed regions without a data centre"
 )
 
 // noServerLeft is the message of lines about calls whose servers are all in evacuated data
-// centres. The others are those of lines about evacuations.
+// centres, the other constants are the messages of lines about evacuations.
 const (
 	noServerLeft        = "no server outside evacuated data centres"
 	evacuated           = "data centre evacuated"
@@ -201,6 +205,7 @@
 	evacuationCancelled = "evacuation cancelled"
 )
 
+// limitMessages are the messages of lines about limits of servers and shares of cold ones.
 var limitMessages = map[string]bool{limitChanged: true, serverCold: true, coldShare: true}
 
 // contextMessages are the messages of lines that report a change in the state of a
@@ -235,16 +240,19 @@
 	}
 	delete(servers, "")
 	from, to := t.alignedMillis(t.Lines[0])-contextMillis, t.alignedMillis(t.Lines[len(t.Lines)-1])+contextMillis
+	// newest holds the newest line about unknown regions before from, by host.
 	newest := make(map[string]Line)
 	for _, l := range lines {
 		if noPlace && l.Message == unknownRegions && hosts[l.Host] && t.alignedMillis(l) < from {
 			newest[l.Host] = l
 			continue
 		}
-		if !contextMessages[l.Message] || t.alignedMillis(l) < from || t.alignedMillis(l) > to || !hosts[l.Host] || l.mentions(t.ID) {
+		at := t.alignedMillis(l)
+		if !contextMessages[l.Message] || at < from || at > to || !hosts[l.Host] || l.mentions(t.ID) {
 			continue
 		}
-		if (l.Message == evacuated || l.Message == evacuatedUnknown) && inForce[l.Host][l.Text("data-centre")].Millis == l.Millis {
+		evacuation := l.Message == evacuated || l.Message == evacuatedUnknown
+		if evacuation && inForce[l.Host][l.Text("data-centre")].Millis == l.Millis {
 			continue
 		}
 		if v := l.Text("server"); v == "" || servers[v] || (allLimits && limitMessages[l.Message]) {
