--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -40,11 +40,12 @@
 	Sequence int64
 	// From is when the first entry that stated it was received, Until when it ends.
 	From, Until timer.Millis
-	// Again is set if the same incarnation was in use before and not cold.
+	// Again is set if the same incarnation was in use, and not cold, before From.
 	Again bool
 }
 
-// Contains reports whether the period lasts at an instant; a nil one never does.
+// Contains reports whether the period has not ended at an instant on the host's clock. It is
+// false for a nil period.
 func (c *ColdPeriod) Contains(now timer.Millis) bool { return c != nil && now < c.Until }
 
 // Incarnation identifies one start of a server. A server may restart under the same
--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -82,8 +82,8 @@
 	MaxConnections int
 	// Slots is how many requests a server runs at once; zero if it is not configured.
 	Slots int
-	// Warmup is for how long a server is usually cold after a start. It is only logged: how
-	// long a server is cold is what its entry states.
+	// Warmup is how long a server is usually cold after a start. It is only logged: the server's
+	// entry states how long it is cold.
 	Warmup timer.Millis
 	// WarmupRate is how many requests a second a cold server takes from all hosts together;
 	// zero means no limit.
@@ -197,8 +197,8 @@
 	return rank
 }
 
-// Ranks returns the ranks of the most and the least urgent calls of a workspace, which is nil
-// for requests without a key.
+// Ranks returns the ranks of the most and the least urgent calls of a workspace. The workspace
+// is nil for requests without a key.
 func (c *Config) Ranks(w *Workspace) (first, last int) {
 	first = c.Rank(w, &Route{Priority: math.MinInt})
 	return first, first + max(0, len(c.routePriorities)-1)
@@ -218,10 +218,10 @@
 // request is restricted to regions. The caller must not change the slice.
 func (c *Config) Regions() []string { return c.regions }
 
-// RoutesOf returns the routes of a host. The caller must not change the slice.
+// RoutesOf returns the routes of a host name. The caller must not change the slice.
 func (c *Config) RoutesOf(host string) []*Route { return c.routes[host] }
 
-// BatchRoutes returns the routes for batch jobs of all hosts.
+// BatchRoutes returns the routes for batch jobs of all host names, in no particular order.
 func (c *Config) BatchRoutes() []*Route {
 	var out []*Route
 	for _, list := range c.routes {
--- a/follower/cold.go
+++ b/follower/cold.go
@@ -11,8 +11,8 @@
 
 // serverOf returns the server that an entry describes, with its cold period. The stated
 // time runs from now on: the entry was written before, so the period does not end too
-// early. An entry with the sequence number of the one that stated the period that is known
-// changes nothing of it, so reading all keys again does not begin it anew.
+// early. An entry with the sequence number of the known period leaves it as it is, so reading
+// all keys again does not begin it anew.
 func (f *Follower) serverOf(s cataloger.Snapshot, t ServerFact) cataloger.Server {
 	v := t.Server
 	known, ok := s.Servers[v.ID]
@@ -40,7 +40,8 @@
 		d, _ := s.Config.Service(v.Service)
 		warmup = d.Warmup
 	}
-	f.options.Logger.Info("server cold", zap.String("server", v.ID), zap.Int64("started-at", v.StartedAt), zap.Int64("sequence", t.Sequence), zap.Int64("left-ms", int64(left)),
-		zap.Bool("again", ok), zap.Float64("rate", s.WarmupRate(v.Service)), zap.Int64("usual-ms", int64(warmup)))
+	f.options.Logger.Info("server cold", zap.String("server", v.ID), zap.Int64("started-at", v.StartedAt),
+		zap.Int64("sequence", t.Sequence), zap.Int64("left-ms", int64(left)), zap.Bool("again", ok),
+		zap.Float64("rate", s.WarmupRate(v.Service)), zap.Int64("usual-ms", int64(warmup)))
 	return v
 }
--- a/follower/facts.go
+++ b/follower/facts.go
@@ -27,7 +27,8 @@
 	Server cataloger.Server
 	// Sequence increases with each entry of a server; zero if it is not stated.
 	Sequence int64
-	// ColdFor is for how much longer the server is cold, as stated; any value is possible.
+	// ColdFor is how much longer the server is cold, as stated. It is not checked, and may be
+	// negative.
 	ColdFor timer.Millis
 }
 
