--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -61,7 +61,8 @@
 	}
 	mirrorer.Serve(b.messenger, h.replica)
 	bootstrapper := b.newBootstrapper(h.rationer)
-	h.handler = broker.NewHandler(h.localGroups(), b.gossiper.Digests, broker.Fleet{Snapshot: b.follower.Snapshot, Zones: b.zones}, b.messenger, l)
+	fleet := broker.Fleet{Snapshot: b.follower.Snapshot, Zones: b.zones}
+	h.handler = broker.NewHandler(h.localGroups(), b.gossiper.Digests, fleet, b.messenger, l)
 	h.executor = executor.New(executor.Options{
 		Host: b.member.Name, Groups: h.groups(), Names: p.Names, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests, Hosts: b.gossiper.Hosts,
 		Picker: b.picker, Transporter: b.transporter, Ejector: b.ejector, Departer: b.departer, Tracker: b.tracker, Clock: b.clock, Logger: l, Policy: batchPolicy, Measurer: p.Measurer,
@@ -162,7 +163,8 @@
 func (h *BulkHost) localGroups() []broker.LocalGroup {
 	var out []broker.LocalGroup
 	for n, g := range h.groups() {
-		out = append(out, broker.LocalGroup{Group: g, WhileServing: h.replicas[n].WhileServing, Recipients: h.replicas[n].Recipients})
+		r := h.replicas[n]
+		out = append(out, broker.LocalGroup{Group: g, WhileServing: r.WhileServing, Recipients: r.Recipients})
 	}
 	return out
 }
--- a/hoster/directory.go
+++ b/hoster/directory.go
@@ -35,7 +35,8 @@
 
 // othersReady reports whether another entry host is known to admit requests.
 func (e *EntryHost) othersReady() bool {
-	return slices.ContainsFunc(e.otherEntryHosts(e.follower.Snapshot(), func(string) bool { return true }), resolver.Host.TakesCallers)
+	anyRegion := func(string) bool { return true }
+	return slices.ContainsFunc(e.otherEntryHosts(e.follower.Snapshot(), anyRegion), resolver.Host.TakesCallers)
 }
 
 // serveDirectory answers a caller with the addresses to connect to.
@@ -43,7 +44,8 @@
 	s := e.follower.Snapshot()
 	prefers := e.platform.DirectoryQuery(r.URL.RawQuery).Prefers(s.Config, e.zones)
 	self := resolver.Host{
-		Address: e.member.CallerAddress, Received: true, Ready: e.ready(), Leaving: e.leaving.Load(), Preferred: prefers(e.member.Region),
+		Address: e.member.CallerAddress, Received: true,
+		Ready: e.ready(), Leaving: e.leaving.Load(), Preferred: prefers(e.member.Region),
 	}
 	addresses := resolver.Choose(append(e.otherEntryHosts(s, prefers), self), rand.Float64())
 	body, err := e.platform.Addresses(addresses, directoryTTL)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -137,7 +137,8 @@
 	clock := timer.Boot()
 	m.Name, m.DataCentre, m.PeerAddress, m.Incarnation = s.Host.Name, s.Host.DataCentre, s.Listen.Peers, newIncarnation()
 	m.Region = s.Host.Region
-	b := &base{settings: s, platform: p, logger: l, member: m, zones: localizer.Zones(s.Host.Zones).With(m.DataCentre, m.Region), clock: clock}
+	zones := localizer.Zones(s.Host.Zones).With(m.DataCentre, m.Region)
+	b := &base{settings: s, platform: p, logger: l, member: m, zones: zones, clock: clock}
 	datagrams, err := net.ListenPacket("udp4", s.Listen.Peers)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for datagrams")
@@ -214,8 +215,8 @@
 	}()
 }
 
-// choiceSeed returns the seed of a random choice of a server. It is zero, for the best of all,
-// in a fleet whose hosts hear of one another's calls directly.
+// choiceSeed returns the seed of a random choice of a server. It is zero, which stands for the
+// best of all servers, in a fleet whose hosts send their digests to one another directly.
 func (b *base) choiceSeed() uint64 {
 	if len(b.follower.Snapshot().Members) < gossiper.MinBundlingFleet {
 		return 0
--- a/hoster/regions.go
+++ b/hoster/regions.go
@@ -24,7 +24,8 @@
 		repeated := logged != nil && logged.Version == s.Config.Version && slices.Equal(logged.Regions(), s.Config.Regions())
 		logged = s.Config
 		if unknown := z.Unknown(s.Config.Regions()); len(unknown) > 0 && !repeated {
-			l.Warn("allowed regions without a data centre", zap.Strings("regions", unknown), zap.Int64("version", s.Config.Version), zap.Any("zones", z))
+			l.Warn("allowed regions without a data centre", zap.Strings("regions", unknown),
+				zap.Int64("version", s.Config.Version), zap.Any("zones", z))
 		}
 	}
 }
@@ -48,8 +49,8 @@
 	return out, allowed
 }
 
-// view returns a function that returns the view of the bulk hosts for group n. It is called by
-// one goroutine at a time.
+// view returns a function that returns the view of the bulk hosts for group n, with the disks
+// that the regions of its jobs bar. The function must be called by one goroutine at a time.
 func (h *BulkHost) view(n int) func(cataloger.Group) mirrorer.View {
 	var logged map[string]bool
 	return func(g cataloger.Group) mirrorer.View {
@@ -61,8 +62,8 @@
 		var allowed localizer.Set
 		if v.Barred, allowed = BarredDisks(s, h.zones, h.queues[n].Jobs()); !maps.Equal(v.Barred, logged) {
 			logged = v.Barred
-			h.logger.Info("disks outside of the regions of a group's jobs", zap.Int("group", n), zap.Strings("allowed", allowed.Regions()),
-				zap.Strings("disks", slices.Sorted(maps.Keys(v.Barred))), zap.Strings("holders", g.Holders))
+			h.logger.Info("disks outside of the regions of a group's jobs", zap.Int("group", n),
+				zap.Strings("allowed", allowed.Regions()), zap.Strings("disks", slices.Sorted(maps.Keys(v.Barred))), zap.Strings("holders", g.Holders))
 		}
 		return v
 	}
--- a/hoster/shares.go
+++ b/hoster/shares.go
@@ -7,8 +7,8 @@
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
-// shareInterval is how often the demands of workspaces are updated, from which their shares
-// of servers follow. It is well below the time that a call runs.
+// shareInterval is the interval at which the demands of workspaces are updated, from which their
+// shares of servers follow. It is well below the duration of a call.
 const shareInterval timer.Millis = 100
 
 // watchShares keeps the demands of workspaces up to date until ctx ends.
--- a/mirrorer/owner.go
+++ b/mirrorer/owner.go
@@ -287,7 +287,8 @@
 }
 
 // Recipients returns the other disks to which this host, as the owner, sends the log: those of
-// holders, and that of a host that is to become one. It returns none if ctx ends.
+// holders, and that of a host that is to become one. It returns none if this host is not the
+// owner, or if ctx ends first.
 func (r *Replica) Recipients(ctx context.Context) []string {
 	out := make(chan []string, 1)
 	r.post(func() {
--- a/mirrorer/plan.go
+++ b/mirrorer/plan.go
@@ -24,7 +24,8 @@
 	// moved if enough other disks are there. Emptied are those of hosts that were reported
 	// as empty and may be removed at any moment.
 	Retiring, Emptied map[string]bool
-	// Barred are the disks that must not receive the log. Holders remain what they are.
+	// Barred are the disks that must not become holders, and to which the log is not sent
+	// unless they are holders already.
 	Barred map[string]bool
 	// CaughtUp are the disks that had the owner's entire log a moment ago. It is empty
 	// unless this host owns the group.
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -20,8 +20,8 @@
 type Host struct {
 	// Address is where callers connect.
 	Address string
-	// Received reports that a message of the host is known, and Silence how long ago the
-	// newest one was received. A host has always received its own.
+	// Received reports whether any message of the host was received, and Silence how long ago
+	// the newest one was. The answering host itself has Received and a Silence of zero.
 	Received bool
 	Silence  timer.Millis
 	// Ready reports that the host accepts requests according to its last message, Leaving
@@ -47,8 +47,8 @@
 // not leaving; then hosts of other regions likewise; then hosts that are leaving. Hosts that
 // are not reachable are returned only if no host is, because they may not run.
 //
-// It returns at most MaxAddresses. If there are more, random, in [0, 1), selects them, so that
-// no host is left out of all answers.
+// It returns at most MaxAddresses. If there are more, random, a random number in [0, 1),
+// selects them, so that no host is left out of all answers.
 func Choose(hosts []Host, random float64) []string {
 	for _, fits := range []func(Host) bool{
 		func(h Host) bool { return h.Preferred && h.TakesCallers() },
@@ -68,14 +68,14 @@
 			}
 		}
 		if len(out) > 0 {
-			return cut(out, random)
+			return sample(out, random)
 		}
 	}
 	return nil
 }
 
-// cut returns at most MaxAddresses of list, sorted.
-func cut(list []string, random float64) []string {
+// sample returns at most MaxAddresses of list, sorted, which random selects.
+func sample(list []string, random float64) []string {
 	slices.Sort(list)
 	if len(list) <= MaxAddresses {
 		return list
