--- a/filler/filler.go
+++ b/filler/filler.go
@@ -49,8 +49,8 @@
 	// now.
 	Limited bool
 	Starts  int
-	// Slowdown is how many times as long as the service's mean the server takes. Zero counts
-	// as one.
+	// Slowdown is the server's slowdown factor, a multiple of the service's mean latency. Zero
+	// counts as one.
 	Slowdown float64
 	// Barred is the number of items of the backlogs that may not run there, by host.
 	Barred map[string]int
@@ -164,8 +164,8 @@
 	return out
 }
 
-// work returns how many calls of the mean run its free slots run in the time of one; less than
-// zero if more calls are there than it has slots.
+// work returns the throughput of the server's free slots, in calls per run at the mean pace. It
+// is negative if more calls are there than it has slots.
 func (s Server) work() float64 {
 	free := float64(s.Slots - s.Online - s.batchTotal())
 	if s.Slowdown <= 0 || free <= 0 {
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -150,8 +150,8 @@
 	// Ahead is the number of calls at the server that are not preempted for it, Slots the
 	// number of calls that the server runs at once; both are zero if there is no wait.
 	Ahead, Slots int
-	// Slowdown is the server's slowdown factor, a multiple of the service's mean time, below one
-	// for a fast server. Zero counts as one.
+	// Slowdown is the server's slowdown factor, a multiple of the service's mean latency, below
+	// one for a fast server. Zero counts as one.
 	Slowdown float64
 	// Done is how long the call ran at other servers, where it made a part of the answer
 	// that need not be made again.
--- a/rationer/use.go
+++ b/rationer/use.go
@@ -13,7 +13,7 @@
 	// used counts them by slots of usageSlot. The newest slot is slot.
 	used [usageSlots]float64
 	slot timer.Millis
-	// total counts them since this host started.
+	// total is the number of tokens taken, less those returned, since this host started.
 	total float64
 }
 
@@ -51,8 +51,8 @@
 	Own, Fleet float64
 }
 
-// Uses returns the use of each workspace, the number of hosts that are not silent, this one
-// included, and the number of all hosts.
+// Uses returns the use of each workspace by its name, the number of hosts that are not silent,
+// and the number of all hosts. Both numbers include this host.
 func (r *Rationer) Uses() (uses map[string]Use, heard, hosts int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relayer/admit.go
+++ b/relayer/admit.go
@@ -18,9 +18,9 @@
 // Whether a call is sent to a server
 //
 // A call that would have to wait for a slot is refused if it is over the share of its
-// workspace. A call is refused if it cannot be expected to begin and end in the time that its caller
-// has left, or before the host stops, and if the limits of servers leave it no room. Its
-// caller is told when there will be room.
+// workspace. A call is refused if it cannot be expected to begin and end in the time that its
+// caller has left, or before the host stops, and if the limits of servers leave it no room.
+// Its caller is told when there will be room.
 
 const (
 	// retryNoServer is the retry-after of calls for which no server is known: a host learns
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -72,8 +72,7 @@
 	Head(status int, h http.Header, length int64) error
 	// Write passes a part of the body on without delay.
 	Write(p []byte) error
-	// Abort makes a Write that waits fail, and all later ones. It may be called by any
-	// goroutine.
+	// Abort makes a blocked Write fail, and all later ones. It may be called by any goroutine.
 	Abort()
 }
 
@@ -133,7 +132,8 @@
 	Clock       timer.Clock
 	Logger      *zap.Logger
 	Measurer    *measurer.Measurer
-	// WriteTimeout is how long a caller may read nothing until its call ends; default 10 s.
+	// WriteTimeout is how long a write to a caller may block until its call ends; default
+	// 10 s.
 	WriteTimeout timer.Millis
 }
 
