--- a/hoster/regions.go
+++ b/hoster/regions.go
@@ -63,7 +63,8 @@
 		if v.Barred, allowed = BarredDisks(s, h.zones, h.queues[n].Jobs()); !maps.Equal(v.Barred, logged) {
 			logged = v.Barred
 			h.logger.Info("disks outside of the regions of a group's jobs", zap.Int("group", n),
-				zap.Strings("allowed", allowed.Regions()), zap.Strings("disks", slices.Sorted(maps.Keys(v.Barred))), zap.Strings("holders", g.Holders))
+				zap.Strings("allowed", allowed.Regions()),
+				zap.Strings("disks", slices.Sorted(maps.Keys(v.Barred))), zap.Strings("holders", g.Holders))
 		}
 		return v
 	}
