--- a/picker/balance_test.go
+++ b/picker/balance_test.go
@@ -21,7 +21,8 @@
 	"go.uber.org/zap"
 )
 
-// The simulated deployment. Its servers are spread evenly over the data centres.
+// The simulated deployment. Its servers are spread evenly over the data centres. Times are in
+// milliseconds.
 const (
 	simZones   = 3
 	simServers = 60
@@ -29,16 +30,19 @@
 	// simStep is the time of a step at pace 1 without other calls, in milliseconds; each
 	// running call adds simSlope of it. A call reads its prompt in simPromptSteps steps and has
 	// simMinEvents to simMaxEvents events: 0.7 s in all at half load.
-	simStep, simSlope            = 20.0, 0.04
-	simPromptSteps               = 4
-	simMinEvents, simMaxEvents   = 12, 44
-	simMeanLoad                  = 0.45
-	simCallTime                  = 700.0
-	simPrompts                   = 200
-	simLength                    = 48_000.0
-	simWarmup                    = 12_000.0
-	simLoadStep                  = 3000.0
-	simSample                    = 50.0
+	simStep, simSlope          = 20.0, 0.04
+	simPromptSteps             = 4
+	simMinEvents, simMaxEvents = 12, 44
+	// simMeanLoad is the mean number of running calls, as a fraction of all slots.
+	simMeanLoad = 0.45
+	simCallTime = 700.0
+	simPrompts  = 200
+	simLength   = 48_000.0
+	simWarmup   = 12_000.0
+	simLoadStep = 3000.0
+	simSample   = 50.0
+	// simNear is the age of counts within a data centre, simFarMin and simFarMax bound that of
+	// counts from other data centres.
 	simNear                      = 10.0
 	simFarMin, simFarMax         = 30.0, 60.0
 	simSlowFactor, simSlowLength = 2.5, 600.0
