--- a/checker/zones_test.go
+++ b/checker/zones_test.go
@@ -18,7 +18,7 @@
 	text := strings.Replace(string(template), "{{#zones}}{{@}}={{.}}{{,}}{{/zones}}", zones, 1)
 	text, _, _ = strings.Cut(text, "[bounds]")
 	for name, value := range map[string]string{
-		"{{nodeName}}": "a", "{{zone}}": "z1", "{{region}}": "r1", "{{limits.memoryMb}}": "100", "{{ip}}:{{portRange.0}}": "127.0.0.1:1", "{{ip}}:{{portRange.1}}": "127.0.0.1:2",
+		"{{nodeName}}": "a", "{{zone}}": "z1", "{{region}}": "r1", "{{limits.memoryMb}}": "100", "{{#limits.maxFds}}": "", "{{limits.maxFds}}": "4100", "{{/limits.maxFds}}": "", "{{ip}}:{{portRange.0}}": "127.0.0.1:1", "{{ip}}:{{portRange.1}}": "127.0.0.1:2",
 		"{{listen.front}}": "", "{{listen.readyAddr}}": "", "{{listen.directory}}": "", "{{platform.address}}": "127.0.0.1:3",
 	} {
 		text = strings.ReplaceAll(text, name, value)
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -43,6 +43,9 @@
 	notPlaced        = "jackdawgate.refusals.region"
 	dials            = "jackdawgate.dials"
 	droppedLines     = "jackdawgate.log.dropped"
+	budgetRefusals   = "jackdawgate.budget.refusals"
+	budgetBytes      = "jackdawgate.budget.bytes"
+	openConnections  = "jackdawgate.connections"
 )
 
 // Instruments lists all metrics.
@@ -66,6 +69,9 @@
 		{notPlaced, "counter", "kind", "Requests that were refused or broken off because their allowed regions had no place for them, by kind: call, job, read."},
 		{dials, "counter", "", "Connections made to backend servers."},
 		{droppedLines, "counter", "", "Log lines that were dropped."},
+		{budgetRefusals, "counter", "cause", "Bodies and connections that the budget refused or shed: memory-shed, memory-refused, connection-shed, connection-refused, slow-body."},
+		{budgetBytes, "gauge, bytes", "", "Memory that bodies of callers' requests hold."},
+		{openConnections, "gauge", "", "Open connections of callers."},
 	}
 }
 
@@ -95,10 +101,12 @@
 	HeldBackCalls    func() uint64
 	ColdServers      func() int
 	// Evacuations returns the names of the evacuated data centres.
-	Evacuations    func() []string
-	OverShareCalls func() uint64
-	Dials          func() uint64
-	DroppedLines   func() uint64
+	Evacuations     func() []string
+	OverShareCalls  func() uint64
+	Dials           func() uint64
+	DroppedLines    func() uint64
+	BudgetBytes     func() int64
+	OpenConnections func() int
 }
 
 // Measurer records the metrics of a host. The recording methods of a nil Measurer do
@@ -108,9 +116,9 @@
 	provider *sdkmetric.MeterProvider
 	handler  http.Handler
 
-	requests, storeCalls, items, notPlaced metric.Int64Counter
-	requestDuration                        metric.Int64Histogram
-	heldBackItems                          metric.Int64Gauge
+	requests, storeCalls, items, notPlaced, budgetRefusals metric.Int64Counter
+	requestDuration                                        metric.Int64Histogram
+	heldBackItems                                          metric.Int64Gauge
 }
 
 // durationBounds holds the bucket bounds of the histogram of request durations, in
@@ -129,7 +137,7 @@
 		meter: p.Meter("github.com/jackdawgate/jackdawgate"), provider: p,
 		handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
-	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items, notPlaced: &m.notPlaced} {
+	for name, to := range map[string]*metric.Int64Counter{requests: &m.requests, storeCalls: &m.storeCalls, items: &m.items, notPlaced: &m.notPlaced, budgetRefusals: &m.budgetRefusals} {
 		if *to, err = m.meter.Int64Counter(name); err != nil {
 			return nil, eris.Wrap(err, "make counter")
 		}
@@ -151,6 +159,8 @@
 		serverLimits:     func() int64 { return int64(o.LimitedServers()) },
 		coldServers:      func() int64 { return int64(o.ColdServers()) },
 		serverPaces:      func() int64 { return int64(o.PacedServers()) },
+		budgetBytes:      o.BudgetBytes,
+		openConnections:  func() int64 { return int64(o.OpenConnections()) },
 	}
 	for name, read := range gauges {
 		_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe(read)))
@@ -203,6 +213,14 @@
 	m.storeCalls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call)))
 }
 
+// BudgetRefusal counts a body or a connection that the budget refused or shed.
+func (m *Measurer) BudgetRefusal(cause string) {
+	if m == nil {
+		return
+	}
+	m.budgetRefusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
+}
+
 // Item counts the end of a run of a batch item, with its outcome.
 func (m *Measurer) Item(outcome string) {
 	if m == nil {
