--- a/follower/cold_test.go
+++ b/follower/cold_test.go
@@ -129,7 +129,7 @@
 }
 
 // The store refuses half of the hosts. Each of them learns of an evacuation from the others
-// within evacuateMs.
+// within the time that operators require.
 func TestEvacuationReachesHostsThatTheStoreRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRelayed(24)
