--- a/review/second/rig/host.go
+++ b/review/second/rig/host.go
@@ -162,13 +162,6 @@
 	return 0, false
 }
 
-// signal sends a signal to the host's process.
-func (h *host) signal(s syscall.Signal) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	_ = h.process.Signal(s)
-}
-
 // end kills the process for good and waits for its end.
 func (h *host) end() {
 	h.mu.Lock()
--- a/review/second/rig/jobs.go
+++ b/review/second/rig/jobs.go
@@ -19,11 +19,15 @@
 // Callers' batch jobs in the case "jobs".
 const (
 	tenants     = 8
-	itemsPerJob = 8
+	itemsPerJob = 10
 	itemTokens  = 1585
-	// largeBody is the longest body of an item by the site's sheet. Eight of them make a
-	// submission of 3.85 MB, of 4 MB at most. plainBody is a usual one.
-	largeBody = 360_000
+	// longestItem is how many events the longest item has by the site file, and longTokens its
+	// tokens: those of its prompt and six for each event.
+	longestItem = 379
+	longTokens  = 350 + 6*longestItem
+	// largeBody is the longest body of an item by the site file. Ten of them make a submission of
+	// 3.9 MB, of 4.19 MB at most. plainBody is a usual one.
+	largeBody = 290_000
 	plainBody = 15_000
 	senders   = 16
 	// attempts is how often a job that was not accepted comes again, at another host.
@@ -72,7 +76,7 @@
 // playJobs submits many jobs of legal size at once, inside the tenants' limits, and reads all
 // accepted ones afterwards.
 func playJobs(r *rig) int {
-	out := output{events: 237, bytes: 55, gap: 20 * time.Millisecond}
+	out := output{events: longestItem, bytes: 55, gap: 20 * time.Millisecond}
 	if err := r.startFleet(4, 3, out); err != nil {
 		return r.cannotRun(err)
 	}
@@ -124,7 +128,7 @@
 	}
 	for n := range perTenant {
 		for t := range tenants {
-			work <- newJob(fmt.Sprintf("%04x%04x%08x", t+1, n+1, (n+1)*2654435761%0xffffffff), fmt.Sprintf("key-%d", t+1), itemsPerJob, body, itemTokens)
+			work <- newJob(fmt.Sprintf("%04x%04x%08x", t+1, n+1, (n+1)*2654435761%0xffffffff), fmt.Sprintf("key-%d", t+1), itemsPerJob, body, longTokens)
 		}
 	}
 	close(work)
