executor: bytes that are no event of a run are no output of an item

Cause: addEvent answered two questions in one line. It took data without a number for output as long as no numbered event had come, and any number for the first one. What it had taken stayed with the item when the run broke off, and the next run's events came after it.

An event of a run has the number after the one that the run was asked to resume after, and data; comments count for nothing. The number of events held and the number of the last one are the same, so the item keeps only the last one. Bytes that are no event also count no longer as progress of the run for the stall timer and the suspector.

Looked at: splitter (parses, believes nothing), relayer (the same belief, its own commit), the saved output of a group (its own commit), batcher, forwarder and exchanger of the older core, whose streams have no numbers: they check each event as JSON of one answer and need the end marker.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -37,8 +37,6 @@
 	avoidDuration timer.Millis = 300
 	// commitTimeout bounds one proposal of a result.
 	commitTimeout = 3 * timer.Second
-	// maxOutput bounds the output of an item, in bytes.
-	maxOutput = 4 << 20
 )
 
 // outcome is how one run of an item ended: completed, retry, failed or abandoned.
@@ -73,7 +71,7 @@
 // reservation that the item holds at v.
 func (x *Executor) execute(ctx context.Context, t *task, v cataloger.Server, reservation *picker.Reservation) {
 	item := t.item()
-	x.options.Logger.Info("item sent", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID), zap.Int("events", t.eventCount()))
+	x.options.Logger.Info("item sent", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID), zap.Int64("events", t.lastEvent()))
 	x.options.Ejector.Begin(v.ID)
 	var result outcome = retry{reason: "unexpected error", interrupted: true}
 	recoverer.Do(x.options.Logger, "running an item", func() { result = x.exchange(ctx, t, reservation) })
@@ -99,7 +97,7 @@
 			x.options.Measurer.Item("stopped")
 		}
 		x.options.Logger.Info("item stopped", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID),
-			zap.String("reason", r.reason), zap.Int("events", t.eventCount()))
+			zap.String("reason", r.reason), zap.Int64("events", t.lastEvent()))
 		x.requeue(t, r)
 	}
 }
@@ -154,7 +152,7 @@
 		cancel()
 		if err == nil {
 			x.options.Logger.Info("item listed", zap.String("item", t.item().ID), zap.String("job", f.Job), zap.Bool("dead", f.Dead),
-				zap.String("reason", reason), zap.Int("events", t.eventCount()), zap.Int64("before-due-ms", t.job.Due()-unixMillis()))
+				zap.String("reason", reason), zap.Int64("events", t.lastEvent()), zap.Int64("before-due-ms", t.job.Due()-unixMillis()))
 			return
 		}
 		var notOwner *mirrorer.NotOwnerError
@@ -205,7 +203,7 @@
 	if t.job.Workspace != "" {
 		h.Set(names.Workspace, t.job.Workspace)
 	}
-	if _, last := t.position(); last > 0 {
+	if last := t.lastEvent(); last > 0 {
 		h.Set(names.ResumeAfter, strconv.FormatInt(last, 10))
 	}
 	return &transporter.Request{
@@ -276,19 +274,20 @@
 		return retry{reason: "unusable response: status " + strconv.Itoa(answer.Status), interrupted: true}
 	}
 	take := func(e splitter.Event) error {
-		if e.HasData {
-			stallTimer.Reset(x.options.Stall.Duration())
+		if err := t.addEvent(e); err != nil || e.Filler {
+			return err
 		}
+		stallTimer.Reset(x.options.Stall.Duration())
 		if attempt.Events++; attempt.Events == suspector.ProgressEvents {
 			flight.Progressed()
 			x.options.Tracker.Progressed(t.suspect)
 		}
-		return t.addEvent(e)
+		return nil
 	}
 	if err := splitter.Read(answer, answer.Memory().Reserve, func() { x.options.Ejector.BytesReceived(v.ID) }, take); err != nil {
 		return x.interrupted(ctx, runCtx, flight, attempt, err)
 	}
-	if t.eventCount() == 0 {
+	if t.lastEvent() == 0 {
 		return retry{reason: "empty response", interrupted: true}
 	}
 	x.options.Ejector.Succeeded(v.ID)
@@ -333,39 +332,3 @@
 	}
 	return retry{reason: err.Error(), interrupted: true}
 }
-
-var (
-	errEventGap      = errors.New("event number does not follow the last one received")
-	errOutputTooLong = errors.New("output exceeds the size limit of an item")
-	errNoEvent       = errors.New("text that is no event of the item")
-)
-
-// addEvent appends the data of one event to the output. It returns errEventGap if
-// the event's number does not follow the last one, errNoEvent if it has none although
-// earlier ones had, or if it is no event, and errOutputTooLong if the output would
-// exceed maxOutput.
-func (t *task) addEvent(e splitter.Event) error {
-	t.outputMu.Lock()
-	defer t.outputMu.Unlock()
-	if !e.HasID && !e.Filler && (t.lastID > 0 || !e.HasData) {
-		return errNoEvent
-	}
-	if e.HasID {
-		if t.lastID > 0 && e.ID != t.lastID+1 {
-			return errEventGap
-		}
-		t.lastID = e.ID
-	}
-	if !e.HasData {
-		return nil
-	}
-	if len(t.output)+len(e.Data) > maxOutput {
-		return errOutputTooLong
-	}
-	if t.events > 0 {
-		t.output = append(t.output, '\n')
-	}
-	t.output = append(t.output, e.Data...)
-	t.events++
-	return nil
-}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -116,27 +116,6 @@
 	progress
 }
 
-// progress is the output of an item so far.
-type progress struct {
-	// outputMu guards the fields below.
-	outputMu sync.Mutex
-	// output is the data of the events received, separated by line feeds.
-	output []byte
-	// events counts the events that had data.
-	events int
-	// lastID is the number of the last event received; zero if none had one.
-	lastID int64
-	// saved is how many bytes of output are known to be in the log.
-	saved int
-}
-
-// position returns the number of events with data and the ID of the last event.
-func (p *progress) position() (events int, last int64) {
-	p.outputMu.Lock()
-	defer p.outputMu.Unlock()
-	return p.events, p.lastID
-}
-
 // Executor runs items until Close. It is safe for concurrent use.
 type Executor struct {
 	options Options
@@ -288,7 +267,7 @@
 			t, ok := x.tasks[k]
 			if !ok {
 				t = x.newTask(k, g, p.Spec)
-				t.output, t.events, t.lastID, t.saved = slices.Clone(p.Progress.Output), p.Progress.Events, p.Progress.LastEvent, len(p.Progress.Output)
+				t.output, t.last, t.saved = slices.Clone(p.Progress.Output), p.Progress.LastEvent, len(p.Progress.Output)
 				t.failures, t.loggedFailures = p.Progress.Failures, p.Progress.Failures
 				x.tasks[k] = t
 			}
@@ -314,8 +293,8 @@
 		if d := a.job.Due() - b.job.Due(); d != 0 {
 			return int(d)
 		}
-		if a, b := a.eventCount(), b.eventCount(); a != b {
-			return b - a
+		if a, b := a.lastEvent(), b.lastEvent(); a != b {
+			return int(b - a)
 		}
 		return a.key.ref.Item - b.key.ref.Item
 	})
@@ -354,12 +333,6 @@
 	})
 }
 
-// eventCount returns the number of events with data received for the item.
-func (t *task) eventCount() int {
-	events, _ := t.position()
-	return events
-}
-
 // serviceOf returns the service whose servers should run the item. It returns false
 // if no route matches.
 func (x *Executor) serviceOf(s cataloger.Snapshot, t *task) (string, bool) {
--- a/executor/fill.go
+++ b/executor/fill.go
@@ -152,7 +152,7 @@
 	t.evicted++
 	t.cancel()
 	x.options.Logger.Info("item evicted", zap.String("item", t.item().ID), zap.String("job", t.key.ref.Job),
-		zap.String("server", t.server), zap.String("cause", cause), zap.Int("events", t.eventCount()))
+		zap.String("server", t.server), zap.String("cause", cause), zap.Int64("events", t.lastEvent()))
 }
 
 // evacuate evicts all items that run in evacuated data centres. Picker.Candidates no longer
--- a/executor/save.go
+++ b/executor/save.go
@@ -38,7 +38,7 @@
 // add adds what is unsaved of an item.
 func (r *savedRecord) add(u unsaved) {
 	ref := u.task.key.ref
-	if p, ok := u.task.unsaved(); ok {
+	if p, ok := u.task.unsaved(u.task.key); ok {
 		r.Parts, r.parts = append(r.Parts, p), append(r.parts, u.task)
 		r.bytes += len(p.Output) + len(ref.Job) + partBytes
 	}
@@ -114,27 +114,3 @@
 	}
 	return true
 }
-
-// unsaved returns the output received since the item was last saved. It returns
-// false if there is none.
-func (t *task) unsaved() (queuer.Part, bool) {
-	t.outputMu.Lock()
-	defer t.outputMu.Unlock()
-	p := queuer.Part{Job: t.key.ref.Job, Item: t.key.ref.Item, From: t.saved, Events: t.events, LastEvent: t.lastID}
-	p.Output = append(p.Output, t.output[t.saved:]...)
-	return p, len(p.Output) > 0
-}
-
-// markSaved records that the log has the output up to this length in bytes.
-func (t *task) markSaved(bytes int) {
-	t.outputMu.Lock()
-	defer t.outputMu.Unlock()
-	t.saved = max(t.saved, bytes)
-}
-
-// unsavedOutput returns the output that is not saved yet and its offset in bytes.
-func (t *task) unsavedOutput() (from int, output []byte) {
-	t.outputMu.Lock()
-	defer t.outputMu.Unlock()
-	return t.saved, append([]byte(nil), t.output[t.saved:]...)
-}
