relayer: bytes that are no event of a stream are not passed on

Cause: relayEvent passed on what had no number until the stream broke off, and only then asked for numbers; the rest of the stream was sewn on behind the text. The number of the first event was not compared with the one that was asked for, and streams that can't be resumed were not checked at all.

Now every stream of a route whose protocol numbers events is checked by package sequencer from its first event on, beginning after the event that its caller names. What callers get: - a stream that can be resumed: it is, after the last event that was passed on; - one that can't: it is broken off, without an end; - no type in the head: it is read as a stream and checked (it was held as a body and passed on whole); - another type with 200: not passed on; the next server is asked, or the caller gets 502. A server of a route whose streams can't be resumed may ignore the number that its caller names. Routes of other kinds keep event streams without numbers. Comments are passed on, and no longer count as the first event of an answer, nor as progress, for the forecaster, the comparer and the suspector.

Three tests had whole bodies without a type as answers on routes of streams, only for brevity: they now have streams there, or a route whose answers are bodies, and check what they checked.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strings"
 
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/comparer"
 	"github.com/jackdawgate/jackdawgate/forecaster"
 	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/prefetcher"
+	"github.com/jackdawgate/jackdawgate/sequencer"
 	"github.com/jackdawgate/jackdawgate/splitter"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
@@ -27,9 +29,7 @@
 var (
 	errUnsigned   = errors.New("2xx answer without the server signature")
 	errEncoded    = errors.New("answer with a content encoding that was not requested")
-	errSequence   = errors.New("stream does not continue after the last event")
-	errNoStream   = errors.New("answer that is no stream in place of the rest of one")
-	errUnnumbered = errors.New("event without a number in the rest of a stream")
+	errNoStream   = errors.New("success that is no stream in place of one")
 	errCallerGone = errors.New("caller disconnected")
 )
 
@@ -43,7 +43,7 @@
 		return u.handleFailure(ctx, r, &transporter.BrokenError{Server: r.Server.ID, Err: err})
 	}
 	var err error
-	if isStream(a) {
+	if u.isStream(a) {
 		err = u.relayStream(ctx, r, a)
 	} else {
 		err = u.relayBody(a)
@@ -136,7 +136,7 @@
 		return errEncoded
 	case u.headSent && a.Status != http.StatusOK:
 		return errors.New("stream was not resumed: " + http.StatusText(a.Status))
-	case u.headSent && !isStream(a):
+	case a.Status == http.StatusOK && u.isNumbered() && !u.isStream(a):
 		return errNoStream
 	case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests || a.Status == http.StatusRequestTimeout:
 		return errors.New("refusal without a guarantee that the call was not run")
@@ -144,9 +144,14 @@
 	return nil
 }
 
-// isStream reports whether a is a stream of events.
-func isStream(a *transporter.Answer) bool {
-	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream")
+// isNumbered reports whether the call's answer is a stream of numbered events.
+func (u *run) isNumbered() bool { return u.call.Route.Kind == cataloger.Stream }
+
+// isStream reports whether a is a stream of events. Where the call's answer is one, a server
+// may leave out its type.
+func (u *run) isStream(a *transporter.Answer) bool {
+	contentType := a.Header.Get("Content-Type")
+	return a.Status == http.StatusOK && (strings.HasPrefix(contentType, "text/event-stream") || (contentType == "" && u.isNumbered()))
 }
 
 // relayBody passes an answer on once it is complete.
@@ -198,23 +203,30 @@
 	return err
 }
 
-// relayEvent passes one event on. A resumable stream must continue right after the
-// last event that was passed on. All events of its rest have numbers; anything else
-// there is the text of an error.
+// relayEvent passes one event on. A stream of numbered events must continue right after the
+// last event that its caller has.
 func (u *run) relayEvent(r *picker.Reservation, w *writeWatch, e splitter.Event) error {
-	if u.resuming && !e.HasID && !e.Filler {
-		return errUnnumbered
-	}
-	if u.resumable && e.HasID {
-		if u.lastEvent > 0 && e.ID != u.lastEvent+1 {
-			u.relayer.options.Logger.Warn("event out of order", zap.String("request", u.call.ID), zap.Int64("after", u.lastEvent), zap.Int64("event", e.ID))
-			return errSequence
+	if u.isNumbered() {
+		if err := u.checkNumber(e); err != nil {
+			u.relayer.options.Logger.Warn("event is not the next one of its stream", zap.String("request", u.call.ID), zap.String("server", r.Server.ID), zap.Error(err))
+			return err
 		}
-		u.lastEvent = e.ID
 	}
-	u.lastProgress = u.relayer.options.Clock.Now()
+	now := u.relayer.options.Clock.Now()
+	if !e.Filler {
+		u.countEvent(r, w, now)
+	}
+	if w.write(e.Raw, now) != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// countEvent counts an event of the current attempt, which is about to be passed on.
+func (u *run) countEvent(r *picker.Reservation, w *writeWatch, now timer.Millis) {
+	u.lastProgress = now
 	if u.eventCount == 0 {
-		u.firstEvent = u.lastProgress
+		u.firstEvent = now
 	}
 	u.eventCount++
 	if u.eventCount == firstRateSample && !w.ahead.Buffering() {
@@ -224,8 +236,17 @@
 		u.flight.Progressed()
 		u.relayer.options.Tracker.Progressed(u.call.Suspect)
 	}
-	if w.write(e.Raw, u.lastProgress) != nil {
-		return errCallerGone
+}
+
+// checkNumber returns an error of sequencer.Check if e is not the next event of the stream.
+func (u *run) checkNumber(e splitter.Event) error {
+	if !u.resumable && u.eventCount == 0 && e.ID == 1 {
+		// Servers of streams that cannot be resumed may ignore the event that the caller names.
+		u.lastEvent = 0
+	}
+	err := sequencer.Check(e, u.lastEvent)
+	if err == nil && !e.Filler {
+		u.lastEvent = e.ID
 	}
-	return nil
+	return err
 }
--- a/relayer/evacuate_test.go
+++ b/relayer/evacuate_test.go
@@ -23,8 +23,10 @@
 
 // A server breaks a call off. The call must not be tried again in an evacuated data centre.
 func TestRetriesAvoidAnEvacuatedDataCentre(t *testing.T) {
-	for _, r := range []*cataloger.Route{route(cataloger.Stream, true, 3), route(cataloger.Idempotent, false, 3)} {
-		f := newFixture(t, 3, nil, answer(closing))
+	for r, next := range map[*cataloger.Route]script{
+		route(cataloger.Stream, true, 3): text("200 OK", streamHeaders, wholeStream(1)), route(cataloger.Idempotent, false, 3): answer(closing),
+	} {
+		f := newFixture(t, 3, nil, next)
 		f.place("s0", true)
 		f.place("s1", true)
 		f.place("s2", false)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -343,7 +343,7 @@
 func TestAnsweredStreamIsNotQuarantinedForMidStreamCrashes(t *testing.T) {
 	f := newFixture(t, 6)
 	for range 4 {
-		f.scripts = append(f.scripts, events(1, 2, false), events(1, 2, false), text("200 OK", signed+"Connection: close\r\n", "whole"))
+		f.scripts = append(f.scripts, events(1, 2, false), events(1, 2, false), text("200 OK", streamHeaders+"Connection: close\r\n", wholeStream(1)))
 	}
 	for i := range 12 {
 		o, _ := f.run(route(cataloger.Stream, false, 1))
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/jackdawgate/jackdawgate/budgeter"
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/departer"
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/forecaster"
@@ -46,8 +47,8 @@
 	refusals    int
 	misdirected int
 	excluded    []string
-	// headSent is set when the head of an answer has been passed on, and lastEvent
-	// is the identifier of the last event since, or 0.
+	// headSent is set when the head of an answer has been passed on. lastEvent is the number
+	// of the last event that the caller has, or 0.
 	headSent  bool
 	lastEvent int64
 	// resuming is set if the current attempt continues a stream of another one.
@@ -79,7 +80,10 @@
 	ctx, cancel := context.WithTimeout(ctx, max(left, 0).Duration())
 	defer cancel()
 	defer context.AfterFunc(r.ended, cancel)()
-	u := &run{relayer: r, call: c, sink: s, resumable: c.Route.Resumable, lastProgress: r.options.Clock.Now()}
+	u := &run{relayer: r, call: c, sink: s, resumable: c.Route.Kind == cataloger.Stream && c.Route.Resumable, lastProgress: r.options.Clock.Now()}
+	if u.isNumbered() {
+		u.lastEvent = u.callersLastEvent()
+	}
 	r.options.Budgeter.Earn(u.budget())
 	for {
 		o, retry := u.attempt(ctx)
@@ -89,6 +93,16 @@
 	}
 }
 
+// callersLastEvent returns the number of the event after which the caller resumes the stream,
+// or 0.
+func (u *run) callersLastEvent() int64 {
+	n, err := strconv.ParseInt(u.call.Header.Get(u.relayer.options.Names.ResumeAfter), 10, 64)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
 // attempt sends the call to one server. It returns true if another server should
 // be tried; otherwise the outcome is final.
 func (u *run) attempt(ctx context.Context) (Outcome, bool) {
--- a/relayer/slow_test.go
+++ b/relayer/slow_test.go
@@ -88,13 +88,19 @@
 // Guards against a call that its caller keeps by not reading, and against one that counts as
 // delivered though its caller did not get it.
 func TestCallEndsIfItsCallerReadsNothing(t *testing.T) {
-	for name, s := range map[string]script{"stream": events(1, 20, true), "body": text("200 OK", signed, "ok")} {
+	for name, c := range map[string]struct {
+		answer script
+		route  *cataloger.Route
+	}{
+		"stream": {events(1, 20, true), route(cataloger.Stream, true, 1)},
+		"body":   {text("200 OK", signed, "ok"), route(cataloger.Idempotent, false, 1)},
+	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, 1, s)
+			f := newFixture(t, 1, c.answer)
 			f.options.WriteTimeout = 300
 			f.relayer = relayer.New(f.options)
 			began := f.clock.Now()
-			require.IsType(t, relayer.CallerGone{}, f.runSlow(newSlowSink(time.Minute), route(cataloger.Stream, true, 1)))
+			require.IsType(t, relayer.CallerGone{}, f.runSlow(newSlowSink(time.Minute), c.route))
 			require.Less(t, f.clock.Now()-began, 2*timer.Second)
 			require.Zero(t, f.memory.InUse())
 		})
