executor: the last event of a run that breaks off does not count

Callers would see: an event of an item with a faulty server's bytes inside. A server's event is cut behind its number, or within its data, and other bytes complete it ("id: 2", then "data: error: worker lost"): it has the right number, and the server breaks off. The next run began after it.

What stays when a run breaks off: an event counts once the next one, or the end of the answer, has come. So the saved output, the position at which the next run resumes and the result hold only events that the same server went on from. A run that ends otherwise, also by an eviction, costs one event that is generated again. Since each run now begins before the last event that was received, an answer without events is never the end of an output; it was taken for it when a run was resumed, which listed a part of an output as the whole.

Limit: a server that completes its own cut event with other bytes and then ends its answer properly can't be told from one that sent that event; neither can a relayed stream, whose events are passed on as they arrive.

Tests: 9 of 12 cases of TestEventThatOtherBytesCompletedIsNoOutput, TestEmptyRestIsNotTheEndOfAnItem and TestItemIsCompleteAfterABreakBehindItsLastEvent fail before.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -284,12 +284,15 @@
 		}
 		return nil
 	}
+	defer t.discardUnconfirmed()
 	if err := splitter.Read(answer, answer.Memory().Reserve, func() { x.options.Ejector.BytesReceived(v.ID) }, take); err != nil {
 		return x.interrupted(ctx, runCtx, flight, attempt, err)
 	}
-	if t.lastEvent() == 0 {
+	if attempt.Events == 0 {
+		// Runs begin before the last event that was received, so each has one at least.
 		return retry{reason: "empty response", interrupted: true}
 	}
+	t.confirm()
 	x.options.Ejector.Succeeded(v.ID)
 	x.options.Tracker.Completed(t.suspect)
 	return completed{}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -3,8 +3,8 @@
 // One goroutine decides, a few dozen times a second and whenever load changes,
 // which items start and which are evicted; each running item has a goroutine of
 // its own. The host keeps the events of an item for as long as it owns the item's
-// group, so an item that was evicted or interrupted resumes after its last whole
-// event, on any server. The output of running items is also saved to the group's
+// group, so an item that was evicted or interrupted resumes after the last event that
+// counts, on any server. The output of running items is also saved to the group's
 // log at intervals, so the next owner can resume them too. A result becomes visible
 // only once it is committed to the log.
 package executor
@@ -267,7 +267,7 @@
 			t, ok := x.tasks[k]
 			if !ok {
 				t = x.newTask(k, g, p.Spec)
-				t.output, t.last, t.saved = slices.Clone(p.Progress.Output), p.Progress.LastEvent, len(p.Progress.Output)
+				t.restore(p.Progress.Output, p.Progress.LastEvent)
 				t.failures, t.loggedFailures = p.Progress.Failures, p.Progress.Failures
 				x.tasks[k] = t
 			}
--- a/executor/progress.go
+++ b/executor/progress.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"bytes"
 	"errors"
 	"sync"
 
@@ -16,22 +17,37 @@
 
 // progress is the output of an item so far. It consists of whole events of the item's runs,
 // numbered from 1 without gaps.
+//
+// The last event of a run counts only once the next one, or the end of the answer, has come. An
+// event that lost a part and was completed by other bytes can have the right number, and such a
+// run breaks off.
 type progress struct {
 	// outputMu guards the fields below.
 	outputMu sync.Mutex
-	// output is the data of the events received, separated by line feeds.
+	// output is the data of the events received, separated by line feeds, the unconfirmed one
+	// included.
 	output []byte
-	// last is the number of the last event received, which is also how many there are.
-	last int64
+	// received is the number of the last event received. confirmed is that of the last one that
+	// counts, which is also how many do, and confirmedBytes their length in output.
+	received, confirmed int64
+	confirmedBytes      int
 	// saved is how many bytes of output are known to be in the log.
 	saved int
 }
 
-// lastEvent returns the number of the last event received, or 0.
+// lastEvent returns the number of the last event that counts, or 0.
 func (p *progress) lastEvent() int64 {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
-	return p.last
+	return p.confirmed
+}
+
+// restore sets the output to that of a log, which ends with event last.
+func (p *progress) restore(output []byte, last int64) {
+	p.outputMu.Lock()
+	defer p.outputMu.Unlock()
+	p.output, p.received, p.saved = bytes.Clone(output), last, len(output)
+	p.confirmLocked()
 }
 
 // addEvent appends the data of the next event to the output. It returns an error of
@@ -40,27 +56,44 @@
 func (p *progress) addEvent(e splitter.Event) error {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
-	if err := sequencer.Check(e, p.last); err != nil || e.Filler {
+	if err := sequencer.Check(e, p.received); err != nil || e.Filler {
 		return err
 	}
 	if len(p.output)+len(e.Data) > maxOutput {
 		return errOutputTooLong
 	}
-	if p.last > 0 {
+	p.confirmLocked()
+	if p.received > 0 {
 		p.output = append(p.output, '\n')
 	}
 	p.output = append(p.output, e.Data...)
-	p.last = e.ID
+	p.received = e.ID
 	return nil
 }
 
-// unsaved returns the output of an item that was received since it was last saved. It returns
+// confirm makes the last event received count, at the end of an answer.
+func (p *progress) confirm() {
+	p.outputMu.Lock()
+	defer p.outputMu.Unlock()
+	p.confirmLocked()
+}
+
+func (p *progress) confirmLocked() { p.confirmed, p.confirmedBytes = p.received, len(p.output) }
+
+// discardUnconfirmed drops the last event of a run that ended otherwise than with its answer.
+func (p *progress) discardUnconfirmed() {
+	p.outputMu.Lock()
+	defer p.outputMu.Unlock()
+	p.output, p.received = p.output[:p.confirmedBytes], p.confirmed
+}
+
+// unsaved returns the output of an item that counts and was not saved yet. It returns
 // false if there is none.
 func (p *progress) unsaved(k key) (queuer.Part, bool) {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
-	r := queuer.Part{Job: k.ref.Job, Item: k.ref.Item, From: p.saved, Events: int(p.last), LastEvent: p.last}
-	r.Output = append(r.Output, p.output[p.saved:]...)
+	r := queuer.Part{Job: k.ref.Job, Item: k.ref.Item, From: p.saved, Events: int(p.confirmed), LastEvent: p.confirmed}
+	r.Output = append(r.Output, p.output[p.saved:p.confirmedBytes]...)
 	return r, len(r.Output) > 0
 }
 
@@ -75,5 +108,5 @@
 func (p *progress) unsavedOutput() (from int, output []byte) {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
-	return p.saved, append([]byte(nil), p.output[p.saved:]...)
+	return p.saved, append([]byte(nil), p.output[p.saved:p.confirmedBytes]...)
 }
--- a/executor/spoiled_test.go
+++ b/executor/spoiled_test.go
@@ -40,3 +40,51 @@
 		})
 	}
 }
+
+// An event lost a part behind its number, and other bytes completed it before the server broke
+// off. It has the next number, but is no event of the server.
+func TestEventThatOtherBytesCompletedIsNoOutput(t *testing.T) {
+	const head, text = "id: 1\ndata: e1\n\n", "data: error: worker lost\n\n"
+	for name, body := range map[string]string{
+		"after its number":          head + "id: 2\n" + text,
+		"within its data":           head + "id: 2\ndata: e" + text,
+		"before its end":            head + "id: 2\ndata: e2\n" + text,
+		"then more":                 head + "id: 2\ndata: e" + text + text,
+		"the first event":           "id: 1\n" + text,
+		"the last event":            itemEvents(1)[:len(itemEvents(1))-len("6\n\n")] + text,
+		"by an event":               head + "id: 2\n" + "id: 2\ndata: e2\n\n",
+		"by an event of another":    head + "id: 2\n" + "id: 7\ndata: e7\n\n",
+		"by the head of an answer":  head + "id: 2\ndata: HTTP/1.1 200 OK\r\n\r\n",
+		"by a comment":              head + "id: 2\ndata: e: waiting\n\n",
+		"by a blank line, no data":  head + "id: 2\n\n",
+		"by a blank line with data": head + "id: 2\ndata: e\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := &engine{answers: []string{unfinished(body)}}
+			f := start(t, e)
+			f.submit(1)
+			require.Equal(t, wholeOutput(), string(f.results(1)[0].Output))
+		})
+	}
+}
+
+// The next server has nothing to add to events that were received before a server broke off.
+// An empty answer was taken for the end of the output.
+func TestEmptyRestIsNotTheEndOfAnItem(t *testing.T) {
+	const stream = "Content-Type: text/event-stream\r\n"
+	for _, empty := range []string{response("200 OK", stream, ""), response("200 OK", "", ""), response("200 OK", stream, ": done\n\n")} {
+		e := &engine{answers: []string{unfinished("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"), empty}}
+		f := start(t, e)
+		f.submit(1)
+		require.Equal(t, wholeOutput(), string(f.results(1)[0].Output))
+	}
+}
+
+// A server breaks off after the last event of an item and before the end of its answer.
+func TestItemIsCompleteAfterABreakBehindItsLastEvent(t *testing.T) {
+	e := &engine{answers: []string{unfinished(itemEvents(1))}}
+	f := start(t, e)
+	f.submit(1)
+	require.Equal(t, wholeOutput(), string(f.results(1)[0].Output))
+	require.Equal(t, []string{"i0 after 5 body0"}, e.received())
+}
