executor: saved output that is not that of a run is dropped by the next owner

Cause: the next owner took the log's progress as it was. In sound output every event has a number and data, so the count of events is the number of the last one. Text without a number makes the count larger, a missing first event smaller; that, and output above the bound, is dropped, with a warning in the log, and the item starts over.

Dropped output must not come back with another owner: the next save replaces it in the log by an empty part (the records have not changed, older hosts read them), and a save that was under way when output was dropped does not count as one of what follows (the output has a generation).

Not told apart: text and a gap of the same length in one item. Results that were listed before stay, as they must.

Looked at: queuer (applies parts at any offset, also from 0), its checkpoints (write the same parts), mirrorer (opaque entries), the older core's batcher (keeps an Assembler state of JSON events, no text).

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -267,7 +267,10 @@
 			t, ok := x.tasks[k]
 			if !ok {
 				t = x.newTask(k, g, p.Spec)
-				t.restore(p.Progress.Output, p.Progress.LastEvent)
+				if !t.restore(p.Progress) {
+					x.options.Logger.Warn("saved output is not that of a run; the item starts over", zap.String("item", t.item().ID), zap.String("job", t.key.ref.Job),
+						zap.Int("bytes", len(p.Progress.Output)), zap.Int("events", p.Progress.Events), zap.Int64("last-event", p.Progress.LastEvent))
+				}
 				t.failures, t.loggedFailures = p.Progress.Failures, p.Progress.Failures
 				x.tasks[k] = t
 			}
--- a/executor/progress.go
+++ b/executor/progress.go
@@ -33,6 +33,10 @@
 	confirmedBytes      int
 	// saved is how many bytes of output are known to be in the log.
 	saved int
+	// generation counts how often the output was dropped. offered is set if the log may hold
+	// output, stale if it may hold output that was dropped.
+	generation     int
+	offered, stale bool
 }
 
 // lastEvent returns the number of the last event that counts, or 0.
@@ -42,12 +46,28 @@
 	return p.confirmed
 }
 
-// restore sets the output to that of a log, which ends with event last.
-func (p *progress) restore(output []byte, last int64) {
+// restore sets the output to that of the group's log. It returns false, and the item starts over,
+// if that cannot be the first events of a run: earlier versions also saved data without a number,
+// and runs that did not begin with the first event.
+func (p *progress) restore(saved queuer.Progress) bool {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
-	p.output, p.received, p.saved = bytes.Clone(output), last, len(output)
+	p.offered = len(saved.Output) > 0 || saved.LastEvent > 0
+	if int64(saved.Events) != saved.LastEvent || len(saved.Output) > maxOutput {
+		p.dropLocked()
+		return false
+	}
+	p.output, p.received, p.saved = bytes.Clone(saved.Output), saved.LastEvent, len(saved.Output)
+	p.confirmLocked()
+	return true
+}
+
+// dropLocked discards the output, here and, with the next save, in the log.
+func (p *progress) dropLocked() {
+	p.output, p.received, p.saved = nil, 0, 0
 	p.confirmLocked()
+	p.generation++
+	p.stale = p.offered
 }
 
 // addEvent appends the data of the next event to the output. It returns an error of
@@ -87,21 +107,30 @@
 	p.output, p.received = p.output[:p.confirmedBytes], p.confirmed
 }
 
-// unsaved returns the output of an item that counts and was not saved yet. It returns
-// false if there is none.
-func (p *progress) unsaved(k key) (queuer.Part, bool) {
+// unsavedPart is a part of an item's output that is to be saved, of this generation.
+type unsavedPart struct {
+	queuer.Part
+	generation int
+}
+
+// unsaved returns the output of an item that counts and was not saved yet, or an empty one if
+// the log may hold output that was dropped. Otherwise it returns false.
+func (p *progress) unsaved(k key) (unsavedPart, bool) {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
 	r := queuer.Part{Job: k.ref.Job, Item: k.ref.Item, From: p.saved, Events: int(p.confirmed), LastEvent: p.confirmed}
 	r.Output = append(r.Output, p.output[p.saved:p.confirmedBytes]...)
-	return r, len(r.Output) > 0
+	p.offered = p.offered || len(r.Output) > 0
+	return unsavedPart{Part: r, generation: p.generation}, len(r.Output) > 0 || p.stale
 }
 
-// markSaved records that the log has the output up to this length in bytes.
-func (p *progress) markSaved(bytes int) {
+// markSaved records that the log has a part.
+func (p *progress) markSaved(saved unsavedPart) {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
-	p.saved = max(p.saved, bytes)
+	if saved.generation == p.generation {
+		p.saved, p.stale = max(p.saved, saved.From+len(saved.Output)), false
+	}
 }
 
 // unsavedOutput returns the output that is not saved yet and its offset in bytes.
