executor: output beyond an item's bound does not outlive the run

Numbered events lead there as well as text: the output stayed at the bound of 4 MB, and each further run, on any server, was broken off at its first event.

Now an answer that exceeds the bound ends one run, and its output is dropped, here and in the log: no other server has confirmed it. The bound follows from the tokens that the item states (1 KB for each, 64 KB at least), at most the 4 MB from before, so one endless answer costs its host what a sound item may have at most. If three different servers, or as many as the job's attempts, or all on which the item may run agree, the item itself is too long: it is listed as dead.

The reason of a dead result now reaches its caller ("reason" beside "state"), for all reasons. Finished has a field for it that older hosts ignore; Result carries it as the output of a dead item, as its array can't grow.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -85,7 +85,7 @@
 		x.commitResult(ctx, t, f, "completed")
 	case abandoned:
 		x.options.Measurer.Item("dead")
-		f.Dead = true
+		f.Dead, f.Reason = true, r.reason
 		x.commitResult(ctx, t, f, r.reason)
 	case failed:
 		x.options.Measurer.Item("failed")
@@ -111,8 +111,8 @@
 	x.mu.Unlock()
 	x.options.Logger.Warn("item failed", zap.String("item", t.item().ID), zap.String("job", f.Job), zap.Int("status", result.status), zap.Int("failures", n))
 	if n >= t.job.MaxAttempts {
-		f.Dead = true
-		x.commitResult(ctx, t, f, "failed too often")
+		f.Dead, f.Reason = true, "failed too often"
+		x.commitResult(ctx, t, f, f.Reason)
 		return
 	}
 	x.requeue(t, retry{backOff: true})
@@ -286,7 +286,12 @@
 	}
 	defer t.discardUnconfirmed()
 	if err := splitter.Read(answer, answer.Memory().Reserve, func() { x.options.Ejector.BytesReceived(v.ID) }, take); err != nil {
-		return x.interrupted(ctx, runCtx, flight, attempt, err)
+		result := x.interrupted(ctx, runCtx, flight, attempt, err)
+		var tooLong *outputTooLongError
+		if errors.As(err, &tooLong) {
+			return x.afterOverrun(t, v, tooLong, result)
+		}
+		return result
 	}
 	if attempt.Events == 0 {
 		// Runs begin before the last event that was received, so each has one at least.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -105,6 +105,8 @@
 	failures, loggedFailures int
 	// interruptions counts the runs that ended without a usable response.
 	interruptions int
+	// overran are the servers whose output for the item exceeded its bound.
+	overran map[string]bool
 	// evicted is positive if the current run was evicted.
 	evicted int
 	// noRouteSince is when the item was first seen to match no route; zero if it
@@ -306,7 +308,7 @@
 
 // newTask returns the task of an item.
 func (x *Executor) newTask(k key, g Group, j *queuer.Job) *task {
-	t := &task{key: k, group: g, job: j, failedAt: make(map[string]bool)}
+	t := &task{key: k, group: g, job: j, failedAt: make(map[string]bool), overran: make(map[string]bool), progress: progress{limit: outputLimit(j.Items[k.ref.Item].Tokens)}}
 	names := x.options.Names
 	t.suspect = suspector.Call{
 		Fingerprint: suspector.Fingerprint(j.Workspace, t.item().ID, nil), Batch: true, Workspace: j.Workspace,
@@ -332,7 +334,7 @@
 	t.running = true
 	t.cancel = func() {}
 	x.workers.Go(func() {
-		x.commitResult(context.Background(), t, queuer.Finished{Job: t.key.ref.Job, Item: t.key.ref.Item, Dead: true}, reason)
+		x.commitResult(context.Background(), t, queuer.Finished{Job: t.key.ref.Job, Item: t.key.ref.Item, Dead: true, Reason: reason}, reason)
 	})
 }
 
--- a/executor/progress.go
+++ b/executor/progress.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
+	"fmt"
 	"sync"
 
 	"github.com/jackdawgate/jackdawgate/queuer"
@@ -10,10 +10,30 @@
 	"github.com/jackdawgate/jackdawgate/splitter"
 )
 
-// maxOutput bounds the output of an item, in bytes.
-const maxOutput = 4 << 20
+const (
+	// maxOutput bounds the output of an item, in bytes. An item that states its tokens has
+	// maxTokenBytes for each of them, and minOutputLimit at least. Events are longer than their
+	// tokens where servers encode each as an object with metadata.
+	maxOutput      = 4 << 20
+	maxTokenBytes  = 1 << 10
+	minOutputLimit = 64 << 10
+)
+
+// outputLimit returns the bound on the output of an item that states this number of tokens, in
+// bytes.
+func outputLimit(tokens int64) int {
+	if tokens <= 0 || tokens >= maxOutput/maxTokenBytes {
+		return maxOutput
+	}
+	return max(minOutputLimit, int(tokens)*maxTokenBytes)
+}
+
+// outputTooLongError reports that the output of an item would exceed its bound. Limit is in bytes.
+type outputTooLongError struct{ Limit int }
 
-var errOutputTooLong = errors.New("output exceeds the size limit of an item")
+func (e *outputTooLongError) Error() string {
+	return fmt.Sprintf("output exceeds %d bytes, the limit for the tokens of the item", e.Limit)
+}
 
 // progress is the output of an item so far. It consists of whole events of the item's runs,
 // numbered from 1 without gaps.
@@ -22,6 +42,9 @@
 // event that lost a part and was completed by other bytes can have the right number, and such a
 // run breaks off.
 type progress struct {
+	// limit bounds the output, in bytes. It does not change.
+	limit int
+
 	// outputMu guards the fields below.
 	outputMu sync.Mutex
 	// output is the data of the events received, separated by line feeds, the unconfirmed one
@@ -53,7 +76,7 @@
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
 	p.offered = len(saved.Output) > 0 || saved.LastEvent > 0
-	if int64(saved.Events) != saved.LastEvent || len(saved.Output) > maxOutput {
+	if int64(saved.Events) != saved.LastEvent || len(saved.Output) > p.limit {
 		p.dropLocked()
 		return false
 	}
@@ -62,7 +85,14 @@
 	return true
 }
 
-// dropLocked discards the output, here and, with the next save, in the log.
+// drop discards the output, here and, with the next save, in the log.
+func (p *progress) drop() {
+	p.outputMu.Lock()
+	defer p.outputMu.Unlock()
+	p.dropLocked()
+}
+
+// dropLocked is drop. The caller holds p.outputMu.
 func (p *progress) dropLocked() {
 	p.output, p.received, p.saved = nil, 0, 0
 	p.confirmLocked()
@@ -71,16 +101,16 @@
 }
 
 // addEvent appends the data of the next event to the output. It returns an error of
-// sequencer.Check if e is not the next event, and errOutputTooLong if the output would exceed
-// maxOutput.
+// sequencer.Check if e is not the next event, and an *outputTooLongError if the output would exceed
+// its bound.
 func (p *progress) addEvent(e splitter.Event) error {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
 	if err := sequencer.Check(e, p.received); err != nil || e.Filler {
 		return err
 	}
-	if len(p.output)+len(e.Data) > maxOutput {
-		return errOutputTooLong
+	if len(p.output)+len(e.Data) > p.limit {
+		return &outputTooLongError{Limit: p.limit}
 	}
 	p.confirmLocked()
 	if p.received > 0 {
--- a/queuer/checkpoint.go
+++ b/queuer/checkpoint.go
@@ -35,7 +35,11 @@
 func (s *jobState) checkpointRecords() []Record {
 	out := []Record{Accepted{Job: *s.job}}
 	for n, r := range s.results {
-		out = append(out, Finished{Job: s.job.ID, Item: s.resultItems[n], Dead: r.Dead, Output: r.Output})
+		f := Finished{Job: s.job.ID, Item: s.resultItems[n], Dead: r.Dead, Output: r.Output}
+		if r.Dead {
+			f.Output, f.Reason = nil, string(r.Output)
+		}
+		out = append(out, f)
 	}
 	for _, item := range slices.Sorted(maps.Keys(s.progress)) {
 		p := s.progress[item]
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -14,11 +14,14 @@
 	"go.uber.org/zap"
 )
 
-// Result is the result of an item. Dead reports that the item was abandoned.
+// Result is the result of an item.
 type Result struct {
-	_      struct{} `cbor:",toarray"`
-	Item   string
-	Dead   bool
+	_    struct{} `cbor:",toarray"`
+	Item string
+	// Dead reports that the item was abandoned.
+	Dead bool
+	// Output is the item's output or, if it is dead, why, as far as that is known. One field
+	// serves both, since older hosts read results of just these fields.
 	Output []byte
 }
 
@@ -240,7 +243,7 @@
 	if !ok || !s.canAppend(f.Item, f.From) {
 		return
 	}
-	r := Result{Item: s.job.Items[f.Item].ID, Dead: f.Dead}
+	r := Result{Item: s.job.Items[f.Item].ID, Dead: f.Dead, Output: []byte(f.Reason)}
 	if !f.Dead {
 		r.Output = s.joinOutput(f.Item, f.From, f.Output)
 	}
--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -167,3 +167,15 @@
 		require.Fail(t, "the reader still waits")
 	}
 }
+
+// The caller of an abandoned item was not told why.
+func TestReasonOfADeadItemIsKept(t *testing.T) {
+	q := newQueue()
+	apply(t, q, queuer.Accepted{Job: job("j", 1)}, queuer.Finished{Job: "j", Dead: true, Reason: "too long"})
+	require.Equal(t, []string{"j-0=too longtrue"}, outputs(q, "j"))
+	restored := newQueue()
+	for _, data := range q.Checkpoint() {
+		restored.Apply(data)
+	}
+	require.Equal(t, []string{"j-0=too longtrue"}, outputs(restored, "j"))
+}
--- a/queuer/record.go
+++ b/queuer/record.go
@@ -58,8 +58,9 @@
 	Job string
 	// Item is the index of the item in the job.
 	Item int
-	// Dead reports that the item was abandoned.
-	Dead bool
+	// Dead reports that the item was abandoned, Reason why, for its caller.
+	Dead   bool
+	Reason string `cbor:",omitempty"`
 	// Output follows the first From bytes of the item's saved output.
 	From   int
 	Output []byte
