executor: an item starts over if no server continues the output held of it

Callers would see: an item that is never listed. A server sends more numbered events than the item has, within its bound, and breaks off; each sound server is then asked for events that do not exist and answers with an empty stream, with its first event or with a refusal of its own, until the retention is over. The same for output that another host saved. Found by asking of each retry{...} whether it can repeat on sound servers.

Cause: the position at which an item resumes was given up never, whatever the servers said about it.

Now three runs on three different servers (or as many as the job's attempts; where there are fewer servers, on all of them) that answer, but not with the next event, show that what is held is not what a run begins with: it is dropped and the item starts over. Runs that break off, are refused or are silent say nothing about it. The same count now decides on overlong items: one server alone no longer suffices with its first answer.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -15,6 +15,7 @@
 	"github.com/jackdawgate/jackdawgate/picker"
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/recoverer"
+	"github.com/jackdawgate/jackdawgate/sequencer"
 	"github.com/jackdawgate/jackdawgate/splitter"
 	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/throttler"
@@ -48,12 +49,14 @@
 	// retry means that the item should run again: at once, or after a back-off if
 	// backOff is set. An interrupted run also lengthens the back-off. A retry by
 	// itself does not count towards the item's MaxAttempts. pause is how long it waits
-	// at least.
+	// at least. notContinued is set if the server answered, but not with the events after
+	// those held.
 	retry struct {
-		reason      string
-		backOff     bool
-		interrupted bool
-		pause       timer.Millis
+		reason       string
+		backOff      bool
+		interrupted  bool
+		notContinued bool
+		pause        timer.Millis
 	}
 	// failed means that the server reported an error, which counts towards the
 	// item's MaxAttempts.
@@ -74,6 +77,7 @@
 	x.options.Logger.Info("item sent", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID), zap.Int64("events", t.lastEvent()))
 	x.options.Ejector.Begin(v.ID)
 	var result outcome = retry{reason: "unexpected error", interrupted: true}
+	held := t.lastEvent()
 	recoverer.Do(x.options.Logger, "running an item", func() { result = x.exchange(ctx, t, reservation) })
 	x.options.Ejector.End(v.ID)
 	reservation.Release()
@@ -98,6 +102,7 @@
 		}
 		x.options.Logger.Info("item stopped", zap.String("item", item.ID), zap.String("job", t.key.ref.Job), zap.String("server", v.ID),
 			zap.String("reason", r.reason), zap.Int64("events", t.lastEvent()))
+		x.checkContinued(t, v, held, r)
 		x.requeue(t, r)
 	}
 }
@@ -268,10 +273,10 @@
 	case answer.Status == http.StatusInternalServerError:
 		return failed{status: answer.Status}
 	case isRejection(answer, x.options.Names):
-		return retry{reason: "server rejected the item: status " + strconv.Itoa(answer.Status), interrupted: true}
+		return retry{reason: "server rejected the item: status " + strconv.Itoa(answer.Status), interrupted: true, notContinued: true}
 	case answer.Status != http.StatusOK || answer.Header.Get(x.options.Names.Signature) == "":
 		x.options.Ejector.CallBroken(v.ID)
-		return retry{reason: "unusable response: status " + strconv.Itoa(answer.Status), interrupted: true}
+		return retry{reason: "unusable response: status " + strconv.Itoa(answer.Status), interrupted: true, notContinued: true}
 	}
 	take := func(e splitter.Event) error {
 		if err := t.addEvent(e); err != nil || e.Filler {
@@ -295,7 +300,7 @@
 	}
 	if attempt.Events == 0 {
 		// Runs begin before the last event that was received, so each has one at least.
-		return retry{reason: "empty response", interrupted: true}
+		return retry{reason: "empty response", interrupted: true, notContinued: true}
 	}
 	t.confirm()
 	x.options.Ejector.Succeeded(v.ID)
@@ -338,5 +343,5 @@
 	} else if transporter.WasSent(err) {
 		x.options.Tracker.Unanswered(a)
 	}
-	return retry{reason: err.Error(), interrupted: true}
+	return retry{reason: err.Error(), interrupted: true, notContinued: sequencer.IsViolation(err)}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -105,8 +105,9 @@
 	failures, loggedFailures int
 	// interruptions counts the runs that ended without a usable response.
 	interruptions int
-	// overran are the servers whose output for the item exceeded its bound.
-	overran map[string]bool
+	// overran counts the runs whose output exceeded the item's bound, notContinued those that
+	// were answered with something else than the events after those held, since these last grew.
+	overran, notContinued witnesses
 	// evicted is positive if the current run was evicted.
 	evicted int
 	// noRouteSince is when the item was first seen to match no route; zero if it
@@ -308,7 +309,10 @@
 
 // newTask returns the task of an item.
 func (x *Executor) newTask(k key, g Group, j *queuer.Job) *task {
-	t := &task{key: k, group: g, job: j, failedAt: make(map[string]bool), overran: make(map[string]bool), progress: progress{limit: outputLimit(j.Items[k.ref.Item].Tokens)}}
+	t := &task{
+		key: k, group: g, job: j, failedAt: make(map[string]bool), overran: make(witnesses), notContinued: make(witnesses),
+		progress: progress{limit: outputLimit(j.Items[k.ref.Item].Tokens)},
+	}
 	names := x.options.Names
 	t.suspect = suspector.Call{
 		Fingerprint: suspector.Fingerprint(j.Workspace, t.item().ID, nil), Batch: true, Workspace: j.Workspace,
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -11,6 +11,7 @@
 package sequencer
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/jackdawgate/jackdawgate/splitter"
@@ -52,3 +53,11 @@
 	}
 	return nil
 }
+
+// IsViolation reports whether err wraps an error of Check.
+func IsViolation(err error) bool {
+	var unnumbered *UnnumberedError
+	var gap *GapError
+	var empty *EmptyError
+	return errors.As(err, &unnumbered) || errors.As(err, &gap) || errors.As(err, &empty)
+}
