executor, holder: the output of a host's items together has a bound

Each item's output was bounded, but nobody counted that of all items of a host together: 4 MB for each of the items that run or wait to go on.

Now it is reserved from an eighth of the host's memory (holder.Budget.Outputs), each item's first 32 KB free, as for answers. An item for whose next event there is no memory drops its output, so that others can go on with theirs, and starts over after half a second; its server isn't blamed. Whoever has output can finish, so no set of items waits for each other: one may have half of the memory at most. What a lost group's items held is given back.

The option was not there before.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -36,6 +36,8 @@
 	// avoidDuration is how long, from when it is first considered after its back-off, an
 	// item still waits for a server other than those where it failed.
 	avoidDuration timer.Millis = 300
+	// noMemoryPause is how long an item waits for which the host had no memory.
+	noMemoryPause timer.Millis = 500
 	// commitTimeout bounds one proposal of a result.
 	commitTimeout = 3 * timer.Second
 )
@@ -291,6 +293,12 @@
 	}
 	defer t.discardUnconfirmed()
 	if err := splitter.Read(answer, answer.Memory().Reserve, func() { x.options.Ejector.BytesReceived(v.ID) }, take); err != nil {
+		var noMemory *noMemoryError
+		if errors.As(err, &noMemory) {
+			// Other items, which may have less to go, can have its memory.
+			t.drop()
+			return retry{reason: err.Error(), pause: noMemoryPause}
+		}
 		result := x.interrupted(ctx, runCtx, flight, attempt, err)
 		var tooLong *outputTooLongError
 		if errors.As(err, &tooLong) {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -21,6 +21,7 @@
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/filler"
 	"github.com/jackdawgate/jackdawgate/gossiper"
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/measurer"
 	"github.com/jackdawgate/jackdawgate/namer"
@@ -62,6 +63,9 @@
 	Measurer    *measurer.Measurer
 	// Zones holds the regions of the servers' data centres.
 	Zones localizer.Zones
+	// Memory is the memory for the output of all items that run here or wait to go on; default
+	// 32 MB.
+	Memory *holder.Holder
 	// Stall is how long a run may go without a whole event that has data, even if
 	// bytes keep arriving; default 6 s.
 	Stall timer.Millis
@@ -173,6 +177,9 @@
 // New returns an Executor that has started to run items. The caller must Close it.
 func New(o Options) *Executor {
 	defaulter.Set(&o.Stall, 6*timer.Second)
+	if o.Memory == nil {
+		o.Memory = holder.New(0)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Executor{options: o, woken: make(chan struct{}, 1), cancel: cancel, stopped: make(chan struct{}), tasks: make(map[key]*task), peaks: make(map[string]peak), yielding: make(map[string]bool)}
 	go x.run(ctx)
@@ -186,6 +193,9 @@
 	x.cancel()
 	<-x.stopped
 	x.workers.Wait()
+	for _, t := range x.tasks {
+		t.drop()
+	}
 }
 
 // Wake wakes the Executor because load or items changed. It does not block.
@@ -292,6 +302,7 @@
 		if t.running {
 			t.cancel()
 		} else {
+			t.drop()
 			delete(x.tasks, k)
 		}
 	}
@@ -311,7 +322,7 @@
 func (x *Executor) newTask(k key, g Group, j *queuer.Job) *task {
 	t := &task{
 		key: k, group: g, job: j, failedAt: make(map[string]bool), overran: make(witnesses), notContinued: make(witnesses),
-		progress: progress{limit: outputLimit(j.Items[k.ref.Item].Tokens)},
+		progress: progress{limit: min(outputLimit(j.Items[k.ref.Item].Tokens), int(x.options.Memory.MaxBytes())), memory: x.options.Memory.Open()},
 	}
 	names := x.options.Names
 	t.suspect = suspector.Call{
--- a/executor/progress.go
+++ b/executor/progress.go
@@ -1,10 +1,10 @@
 package executor
 
 import (
-	"bytes"
 	"fmt"
 	"sync"
 
+	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/sequencer"
 	"github.com/jackdawgate/jackdawgate/splitter"
@@ -44,6 +44,8 @@
 type progress struct {
 	// limit bounds the output, in bytes. It does not change.
 	limit int
+	// memory is the account from which the output's memory is reserved. It is guarded by outputMu.
+	memory *holder.Account
 
 	// outputMu guards the fields below.
 	outputMu sync.Mutex
@@ -80,11 +82,38 @@
 		p.dropLocked()
 		return false
 	}
-	p.output, p.received, p.saved = bytes.Clone(saved.Output), saved.LastEvent, len(saved.Output)
+	if p.growLocked(len(saved.Output)) != nil {
+		p.dropLocked()
+		return false
+	}
+	p.output = append(p.output, saved.Output...)
+	p.received, p.saved = saved.LastEvent, len(saved.Output)
 	p.confirmLocked()
 	return true
 }
 
+// noMemoryError reports that there is no memory for more output on this host.
+type noMemoryError struct{ Err error }
+
+func (e *noMemoryError) Error() string { return "no memory for output: " + e.Err.Error() }
+
+func (e *noMemoryError) Unwrap() error { return e.Err }
+
+// growLocked makes room for more bytes of output. It returns a *noMemoryError if the host has no
+// memory for them. The caller holds p.outputMu.
+func (p *progress) growLocked(more int) error {
+	need, before := len(p.output)+more, cap(p.output)
+	if need <= before {
+		return nil
+	}
+	after := max(need, min(2*before, p.limit))
+	if err := p.memory.Reserve(int64(after - before)); err != nil {
+		return &noMemoryError{Err: err}
+	}
+	p.output = append(make([]byte, 0, after), p.output...)
+	return nil
+}
+
 // drop discards the output, here and, with the next save, in the log.
 func (p *progress) drop() {
 	p.outputMu.Lock()
@@ -95,14 +124,15 @@
 // dropLocked is drop. The caller holds p.outputMu.
 func (p *progress) dropLocked() {
 	p.output, p.received, p.saved = nil, 0, 0
+	p.memory.Release()
 	p.confirmLocked()
 	p.generation++
 	p.stale = p.offered
 }
 
 // addEvent appends the data of the next event to the output. It returns an error of
-// sequencer.Check if e is not the next event, and an *outputTooLongError if the output would exceed
-// its bound.
+// sequencer.Check if e is not the next event, an *outputTooLongError if the output would exceed its
+// bound, and a *noMemoryError.
 func (p *progress) addEvent(e splitter.Event) error {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
@@ -112,6 +142,9 @@
 	if len(p.output)+len(e.Data) > p.limit {
 		return &outputTooLongError{Limit: p.limit}
 	}
+	if err := p.growLocked(len(e.Data) + 1); err != nil {
+		return err
+	}
 	p.confirmLocked()
 	if p.received > 0 {
 		p.output = append(p.output, '\n')
--- a/holder/budget.go
+++ b/holder/budget.go
@@ -6,11 +6,12 @@
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
-// Shares of a host's memory: for the answers of backend servers, for messages of other hosts
-// while they are received, for the bodies of callers' requests, and for the buffers of
-// connections. None takes the share of another.
+// Shares of a host's memory: for the answers of backend servers, for the output of batch items
+// that are not done, for messages of other hosts while they are received, for the bodies of
+// callers' requests, and for the buffers of connections. None takes the share of another.
 const (
 	answerShare     = 0.125
+	outputShare     = 0.125
 	messageShare    = 0.1875
 	bodyShare       = 0.1875
 	connectionShare = 0.125
@@ -47,18 +48,18 @@
 
 // Budget is the budget of a process for what it holds for others: bytes and connections.
 type Budget struct {
-	Answers, Messages, Bodies *Holder
-	Connections               Connections
-	Reporter                  *Reporter
+	Answers, Outputs, Messages, Bodies *Holder
+	Connections                        Connections
+	Reporter                           *Reporter
 }
 
 // NewBudget returns the budget of a process with these resources. Refusals are reported to r,
 // which may be nil.
 func NewBudget(o Resources, c timer.Clock, r *Reporter) *Budget {
-	b := &Budget{Reporter: r, Answers: New(0), Messages: New(defaultMessages), Bodies: New(defaultBodies)}
+	b := &Budget{Reporter: r, Answers: New(0), Outputs: New(0), Messages: New(defaultMessages), Bodies: New(defaultBodies)}
 	if o.MemoryMB > 0 {
 		part := func(share float64) *Holder { return New(int64(float64(o.MemoryMB) * share * (1 << 20))) }
-		b.Answers, b.Messages, b.Bodies = part(answerShare), part(messageShare), part(bodyShare)
+		b.Answers, b.Outputs, b.Messages, b.Bodies = part(answerShare), part(outputShare), part(messageShare), part(bodyShare)
 	}
 	b.Bodies.clock, b.Bodies.reporter = c, r
 	callers, others := o.connections()
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -6,8 +6,8 @@
 // whose first bytes are free, so that short answers are received whatever other servers do.
 // What goes beyond that is reserved from the memory of all calls together (Holder).
 //
-// A Budget holds all that a process holds for others: the Holders of answers, messages and
-// bodies, and the limits on connections. When the memory for bodies is used up, the body that
+// A Budget holds all that a process holds for others: the Holders of answers, outputs, messages
+// and bodies, and the limits on connections. When the memory for bodies is used up, the body that
 // has held the most for the longest without progress is shed (OpenFor); when the connections
 // are, those that have waited longest are (Group).
 package holder
--- a/hoster/bulk.go
+++ b/hoster/bulk.go
@@ -66,7 +66,7 @@
 	h.executor = executor.New(executor.Options{
 		Host: b.member.Name, Groups: h.groups(), Names: p.Names, Snapshot: b.follower.Snapshot, Digests: b.gossiper.Digests, Hosts: b.gossiper.Hosts,
 		Picker: b.picker, Transporter: b.transporter, Ejector: b.ejector, Departer: b.departer, Tracker: b.tracker, Clock: b.clock, Logger: l, Policy: batchPolicy, Measurer: p.Measurer,
-		Zones: b.zones,
+		Zones: b.zones, Memory: b.budget.Outputs,
 	})
 	close(started)
 	b.serve()
