ejector: bytes that are no part of an answer do not end an ejection

Callers would see: calls and items that go to a server again and again that answers each with other bytes, many and quick: it is never silent and never stalls. Three such answers ejected it, but the bytes of the next call in flight ended the ejection: BytesReceived took any byte as a sign that the server answers.

Now, once a reader has rejected what a server sent (its event, its length, its end), only time, another host that has a complete answer, or a complete answer ends an ejection of this server. After connections that broke, bytes still end it.

Test: TestBytesThatAreNoAnswerDoNotEndAnEjection fails before. Looked at: the suspector (in executor, only broken connections count as crashes; one server counts once for a call), the comparer and forecaster (events are counted after they were checked), the throttler (limits come from signed heads).

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -6,7 +6,8 @@
 // calls wait for it. A server that breaks calls off is ejected only after several
 // consecutive broken calls, so that one which fails a small part of its calls remains in
 // use. The duration of the ejection doubles with each further one until the server
-// answers, and an answer ends the ejection.
+// answers, and any bytes from it end the ejection. If a server broke calls off with bytes that
+// are no part of an answer, only a complete answer does.
 //
 // Hosts report broken calls to each other, since a server that fails every call at
 // once looks idle to each host until it has failed there too. A server for which
@@ -69,6 +70,9 @@
 	// nextEjection is the duration of the next ejection.
 	nextEjection      timer.Millis
 	consecutiveBreaks int
+	// violated is set if the server sent bytes that are no part of an answer, since its last
+	// complete answer.
+	violated bool
 	// waiting counts the calls that wait for the server. lastHeard is when bytes
 	// last came from it, or when calls began to wait without any, or when it was
 	// ejected.
@@ -141,13 +145,17 @@
 	return ok && r.lastHeard <= since && e.lastHeard > since
 }
 
-// BytesReceived records that a server sent bytes. It ends an ejection.
+// BytesReceived records that a server sent bytes. It ends an ejection, unless bytes of this
+// server were no part of an answer.
 func (e *Ejector) BytesReceived(server string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.record(server)
 	r.lastHeard = e.clock.Now()
 	e.lastHeard = r.lastHeard
+	if r.violated {
+		return
+	}
 	r.ejectedUntil = 0
 	r.markRecovered("received bytes")
 }
@@ -161,14 +169,16 @@
 }
 
 // Failed records an exchange that failed with err. A server that could not be reached
-// or was silent counts as unreachable for all calls; otherwise it broke the call off.
+// or was silent counts as unreachable for all calls; otherwise it broke the call off. An error
+// that is not of package transporter means that whoever read the answer rejected its content.
 func (e *Ejector) Failed(server string, err error) {
 	var silent *transporter.SilentError
 	if !transporter.WasSent(err) || errors.As(err, &silent) {
 		e.Unreachable(server)
 		return
 	}
-	e.CallBroken(server)
+	var broken *transporter.BrokenError
+	e.breakCall(server, !errors.As(err, &broken))
 }
 
 // Unreachable records that a server could not be reached or was silent, and ejects it.
@@ -180,10 +190,14 @@
 
 // CallBroken records that a server broke off a call: its connection ended before a
 // complete answer, or carried an invalid one.
-func (e *Ejector) CallBroken(server string) {
+func (e *Ejector) CallBroken(server string) { e.breakCall(server, false) }
+
+// breakCall is CallBroken. violated is set if the server sent bytes that are no part of an answer.
+func (e *Ejector) breakCall(server string, violated bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.record(server)
+	r.violated = r.violated || violated
 	r.consecutiveBreaks++
 	now := e.clock.Now()
 	r.breaks, r.breakAt = r.breaks+1, now
@@ -223,7 +237,7 @@
 
 // reset ends an ejection after a complete answer and clears the record of failures.
 func (r *record) reset(now timer.Millis) {
-	r.ejectedUntil, r.nextEjection, r.consecutiveBreaks = 0, minEjection, 0
+	r.ejectedUntil, r.nextEjection, r.consecutiveBreaks, r.violated = 0, minEjection, 0, false
 	r.lastAnswer, r.recentBreaks = now, nil
 }
 
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -1,11 +1,14 @@
 package ejector_test
 
 import (
+	"errors"
+	"io"
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/ejector"
 	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
+	"github.com/jackdawgate/jackdawgate/transporter"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -206,3 +209,30 @@
 	}
 	require.Equal(t, []string{"server ejected", "server back"}, got)
 }
+
+// A server sent bytes that are no part of an answer to each call. Those that came for one call
+// ended the ejection that others had caused, so that it got calls all the time.
+func TestBytesThatAreNoAnswerDoNotEndAnEjection(t *testing.T) {
+	c, e := start()
+	rejected := errors.New("event without a number")
+	for range 3 {
+		e.Failed("s", rejected)
+		e.BytesReceived("s")
+	}
+	require.False(t, e.Usable("s", false))
+	c.Time += 500
+	require.True(t, e.Usable("s", false), "it is tried again")
+	e.Failed("s", rejected)
+	e.BytesReceived("s")
+	require.False(t, e.Usable("s", false))
+	c.Time += 500
+	require.False(t, e.Usable("s", false), "for longer")
+	c.Time += 500
+	require.True(t, e.Usable("s", false))
+	e.Succeeded("s")
+	for range 3 {
+		e.Failed("s", &transporter.BrokenError{Server: "s", Err: io.ErrUnexpectedEOF})
+	}
+	e.BytesReceived("s")
+	require.True(t, e.Usable("s", false), "bytes end an ejection for connections that broke")
+}
