splitter: an event that readers understand differently has no number

Callers would see: bytes of a faulty server in a stream although the host had checked its events. A browser takes a carriage return alone for the end of a line: in "id: 7", CR, CR, "data: ..." it sees two events, the host saw one; a comment can hold an event that way. Of two ids, "+7" or "07", the host and the caller may keep another one to resume after. An event that a server cut behind its number, completed by a whole event, has two ids.

Now an event has a number only if it has one id, in plain decimal from 1, and no bare carriage return; a comment with one is no filler. Streams with CRLF are read as before. Both cores' tests pass; the servers' events are not concerned.

Test: TestEventThatReadersUnderstandDifferentlyHasNoNumber fails before; FuzzEvents for 10 s: passed.

--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -18,15 +18,17 @@
 type Event struct {
 	// Raw is the event as it was sent, including the blank line that ends it.
 	Raw []byte
-	// ID is the value of the event's id field; HasID is false if the event has no
-	// numeric id.
+	// ID is the value of the event's id field, from 1. HasID is false if the event has no such
+	// number, or none that all readers agree on: it has several ids, or a carriage return that
+	// some readers take for the end of a line.
 	ID    int64
 	HasID bool
 	// Data is the event's data lines joined by line feeds; HasData is false if the
 	// event has none.
 	Data    []byte
 	HasData bool
-	// Filler is set if the event consists of comments and reconnection times only.
+	// Filler is set if the event consists of comments and reconnection times only, for all
+	// readers.
 	Filler bool
 }
 
@@ -163,28 +165,43 @@
 // parse returns the event with these raw bytes. Lines of other fields are ignored.
 func parse(raw []byte) Event {
 	e := Event{Raw: raw, Filler: true}
+	ids, ambiguous := 0, false
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		name, value, ok := bytes.Cut(line, []byte(":"))
+		if bytes.IndexByte(line, '\r') >= 0 {
+			ambiguous = true
+		}
+		name, value, hasValue := bytes.Cut(line, []byte(":"))
 		if len(name) > 0 && string(name) != "retry" {
 			e.Filler = false
 		}
-		if !ok {
-			continue
-		}
 		value = bytes.TrimPrefix(value, []byte(" "))
-		switch string(name) {
-		case "id":
-			if n, err := strconv.ParseInt(string(value), 10, 64); err == nil {
-				e.ID, e.HasID = n, true
-			}
-		case "data":
-			if e.HasData {
-				e.Data = append(append(append([]byte(nil), e.Data...), '\n'), value...)
-			} else {
-				e.Data, e.HasData = value, true
-			}
+		switch {
+		case string(name) == "id":
+			ids++
+			e.ID, e.HasID = parseID(value)
+		case string(name) == "data" && hasValue && e.HasData:
+			e.Data = append(append(append([]byte(nil), e.Data...), '\n'), value...)
+		case string(name) == "data" && hasValue:
+			e.Data, e.HasData = value, true
 		}
 	}
+	if ids > 1 || ambiguous {
+		e.ID, e.HasID = 0, false
+	}
+	e.Filler = e.Filler && !ambiguous
 	return e
 }
+
+// parseID returns the value of an id field if it is a positive decimal number as servers write
+// it, without a sign or leading zeros.
+func parseID(value []byte) (id int64, ok bool) {
+	if len(value) == 0 || value[0] < '1' || value[0] > '9' {
+		return 0, false
+	}
+	id, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil {
+		return 0, false
+	}
+	return id, true
+}
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -75,3 +75,36 @@
 		require.LessOrEqual(t, fed, 1<<20)
 	}
 }
+
+// Readers that take a carriage return for the end of a line, or the first of two ids, saw other
+// events than the host: bytes of a faulty server behind one, or another number.
+func TestEventThatReadersUnderstandDifferentlyHasNoNumber(t *testing.T) {
+	for raw, want := range map[string]splitter.Event{
+		"id: 7\ndata: a\n\n":                {ID: 7, HasID: true},
+		"id:7\r\ndata: a\r\n\r\n":           {ID: 7, HasID: true},
+		"id: 7\ndata: a\r\rdata: b\n\n":     {},
+		"id: 7\rdata: a\n\n":                {},
+		"id: 7\r\r\ndata: a\n\n":            {},
+		"id: 7\nid: 8\ndata: a\n\n":         {},
+		"id: 7\nid\ndata: a\n\n":            {},
+		"id: 7\nid: x\ndata: a\n\n":         {},
+		"id: +7\ndata: a\n\n":               {},
+		"id: -7\ndata: a\n\n":               {},
+		"id: 07\ndata: a\n\n":               {},
+		"id: 0\ndata: a\n\n":                {},
+		"id: 7 \ndata: a\n\n":               {},
+		"id:\ndata: a\n\n":                  {},
+		"id: 9223372036854775808\ndata\n\n": {},
+		": note\n\n":                        {Filler: true},
+		": note\rdata: a\n\n":               {},
+		"retry: 5\r\n: note\r\n\r\n":        {Filler: true},
+	} {
+		var s splitter.Splitter
+		var got []splitter.Event
+		require.NoError(t, s.Feed([]byte(raw), func(e splitter.Event) error {
+			got = append(got, splitter.Event{ID: e.ID, HasID: e.HasID, Filler: e.Filler})
+			return nil
+		}))
+		require.Equal(t, []splitter.Event{want}, got, "%q", raw)
+	}
+}
