exchanger: the report of an error in a stream is no event of the answer

Callers of the OpenAI-compatible API would see: {"error": ...} of a faulty server in the middle of a stream that goes on behind it, at the host that resumed it; a batch item completed with the part of its text that came before the report, if the server still sent the end marker.

Events here have no numbers, and that is legal; any JSON counted as an event. Now a report of an error breaks the call off: it is resumed or sent again where that is allowed, else its caller gets the host's own error.

Tests: three cases more in TestTextThatIsNoEventIsNotPassedOn, which fail before. All tests of server, dispatcher, resumer, emulator and tester pass. Looked at: resumer.Assembler (gets only events that were checked), the state of an evicted call (dropped after any other end), forwarder, experimenter (a caller, believes nothing for others).

--- a/exchanger/parse.go
+++ b/exchanger/parse.go
@@ -125,6 +125,8 @@
 	ID      string       `json:"id"`
 	Usage   *serverUsage `json:"usage"`
 	Choices []choice     `json:"choices"`
+	// Error is what a server that fails in the middle of a stream sends in place of the rest.
+	Error json.RawMessage `json:"error"`
 }
 
 // serverUsage is the usage as the backend server reports it.
@@ -155,7 +157,10 @@
 	return 0
 }
 
-// eventParser yields whole server-sent events.
+// eventParser yields whole server-sent events. Those of the OpenAI-compatible API have no numbers.
+// An event belongs to the answer if its data is JSON without an error and, where it names an answer,
+// names this one; the end marker must come last. Package sequencer has the rule for servers whose
+// protocol numbers events.
 type eventParser struct {
 	// buffer has the bytes received that have not been yielded by an earlier call of
 	// feed. pending is the part of buffer after the events that the current call has
@@ -262,6 +267,9 @@
 	if err := json.Unmarshal(value, &body); err != nil {
 		return 0, eris.Wrap(err, "an event is not valid JSON")
 	}
+	if len(body.Error) > 0 && string(body.Error) != "null" {
+		return 0, eris.New("the server reports an error in place of an event")
+	}
 	if body.ID != "" {
 		if p.answerID == "" {
 			p.answerID = body.ID
--- a/exchanger/stream_test.go
+++ b/exchanger/stream_test.go
@@ -18,6 +18,10 @@
 func TestTextThatIsNoEventIsNotPassedOn(t *testing.T) {
 	for _, body := range []string{
 		"{\"error\":\"overloaded\"}\n\n", "Internal Server Error\n\n", "HTTP/1.1 503 X\r\nRetry-After: 1\r\n\r\n", "overloaded\n\ndata: [DONE]\n\n",
+		// The report of an error was taken for an event: it stood in the middle of a stream that
+		// was resumed behind it, and a batch answer that ended with it counted as whole.
+		"data: {\"error\":{\"message\":\"worker lost\"}}\n\n", "data: {\"error\":\"worker lost\"}\n\ndata: [DONE]\n\n",
+		"event: error\ndata: {\"object\":\"error\",\"error\":{}}\n\ndata: [DONE]\n\n",
 	} {
 		address := harness.Serve(t, func(c net.Conn) {
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
@@ -35,7 +39,7 @@
 
 // Comments and the other fields of events belong to a stream.
 func TestCommentsAndFieldsOfEventsArePassedOn(t *testing.T) {
-	const body = ": waiting\n\nevent: x\nid: 1\nretry: 5\ndata: {}\n\ndata: [DONE]\n\n"
+	const body = ": waiting\n\nevent: x\nid: 1\nretry: 5\ndata: {}\n\ndata: {\"error\":null}\n\ndata: [DONE]\n\n"
 	address := harness.Serve(t, func(c net.Conn) {
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+fmt.Sprint(len(body))+"\r\n\r\n"+body)
