--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -19,8 +19,8 @@
 	// Raw is the event as it was sent, including the blank line that ends it.
 	Raw []byte
 	// ID is the value of the event's id field, from 1. HasID is false if the event has no such
-	// number, or none that all readers agree on: it has several ids, or a carriage return that
-	// some readers take for the end of a line.
+	// number, or none that all readers agree on: it has several ids, a carriage return that
+	// some readers take for the end of a line, or a byte order mark that some leave out.
 	ID    int64
 	HasID bool
 	// Data is the event's data lines joined by line feeds; HasData is false if the
@@ -162,16 +162,19 @@
 	}
 }
 
+// byteOrderMark may precede a stream. Servers do not send it.
+var byteOrderMark = []byte("\ufeff")
+
 // parse returns the event with these raw bytes. Lines of other fields are ignored.
 func parse(raw []byte) Event {
 	e := Event{Raw: raw, Filler: true}
 	ids, ambiguous := 0, false
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		if bytes.IndexByte(line, '\r') >= 0 {
+		if bytes.IndexByte(line, '\r') >= 0 || bytes.HasPrefix(line, byteOrderMark) {
 			ambiguous = true
 		}
-		name, value, hasValue := bytes.Cut(line, []byte(":"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
 		if len(name) > 0 && string(name) != "retry" {
 			e.Filler = false
 		}
@@ -180,9 +183,9 @@
 		case string(name) == "id":
 			ids++
 			e.ID, e.HasID = parseID(value)
-		case string(name) == "data" && hasValue && e.HasData:
+		case string(name) == "data" && e.HasData:
 			e.Data = append(append(append([]byte(nil), e.Data...), '\n'), value...)
-		case string(name) == "data" && hasValue:
+		case string(name) == "data":
 			e.Data, e.HasData = value, true
 		}
 	}
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -95,6 +95,8 @@
 		"id: 7 \ndata: a\n\n":               {},
 		"id:\ndata: a\n\n":                  {},
 		"id: 9223372036854775808\ndata\n\n": {},
+		"id: 3\ndata\n\n":                   {ID: 3, HasID: true},
+		"\ufeffdata:\nid: 3\ndata:\n\n":     {},
 		": note\n\n":                        {Filler: true},
 		": note\rdata: a\n\n":               {},
 		"retry: 5\r\n: note\r\n\r\n":        {Filler: true},
