--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -219,6 +219,13 @@
 	return true
 }
 
+const (
+	// spoilers is how many of the first servers send other bytes than the events of their runs,
+	// as long as they live, in each of spoilEvery streams.
+	spoilers   = 2
+	spoilEvery = 5
+)
+
 // faultScenario generates load and random faults, and then checks that the fleet
 // recovers and that all guarantees held.
 func (s *soak) faultScenario() {
@@ -226,8 +233,16 @@
 	s.load.start(loadCtx, s.options.Seed)
 	faultCtx, stopFaults := context.WithTimeout(context.Background(), s.options.FaultPeriod)
 	f := newFaultInjector(s, s.options.Program)
+	spoilers := s.env.allServers()[:min(spoilers, s.options.Servers)]
+	for _, v := range spoilers {
+		v.Spoil(spoilEvery)
+	}
 	f.run(faultCtx)
 	stopFaults()
+	for _, v := range spoilers {
+		v.Spoil(0)
+		s.recordFault("%s has spoiled %d answers", v.ID, v.Spoiled())
+	}
 	s.env.late.setActive(false)
 	s.recordFault("healed")
 	if !s.awaitReady(recoveryBound) {
