executor: a result that does not follow the log's output is proposed whole

Callers would see: an item that is never listed. A part of its output counts as saved once its entry is committed, but the queue ignores a part, and a result, that begin behind what the log has. That happens if a late part of a former owner's session shortens it. The result is then committed, ignored, the item runs again, and so on. Found while asking who else believes what was saved when output is dropped.

Now a result that is committed while the item is still open is proposed again with the whole output, from its start. Parts know their owner, so that a record has one list of them.

Test: TestResultIsListedIfTheLogHasLessOutputThanWasSaved.

--- a/executor/execute.go
+++ b/executor/execute.go
@@ -157,13 +157,21 @@
 		attemptCtx, cancel := context.WithTimeout(ctx, commitTimeout.Duration())
 		err := t.group.Propose(attemptCtx, entries...)
 		cancel()
-		if err == nil {
+		if err == nil && t.group.Queue.Runnable(t.key.ref) {
+			// The log has less of the output than was known to be saved.
+			x.options.Logger.Warn("result does not follow the saved output; proposing it whole", zap.String("item", t.item().ID), zap.Int("from", f.From))
+			f.From, f.Output = 0, t.wholeOutput()
+			if entries, err = queuer.Encode(f); err != nil {
+				x.options.Logger.Error("encode result", zap.String("item", t.item().ID), zap.Error(err))
+				return
+			}
+		} else if err == nil {
 			x.options.Logger.Info("item listed", zap.String("item", t.item().ID), zap.String("job", f.Job), zap.Bool("dead", f.Dead),
 				zap.String("reason", reason), zap.Int64("events", t.lastEvent()), zap.Int64("before-due-ms", t.job.Due()-unixMillis()))
 			return
 		}
 		var notOwner *mirrorer.NotOwnerError
-		if !errors.As(err, &notOwner) {
+		if err != nil && !errors.As(err, &notOwner) {
 			x.options.Logger.Warn("commit of result not confirmed; proposing it again", zap.String("item", t.item().ID), zap.Error(err))
 		}
 		if !timer.Sleep(ctx, commitRetryInterval) {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -194,7 +194,7 @@
 	<-x.stopped
 	x.workers.Wait()
 	for _, t := range x.tasks {
-		t.drop()
+		t.release()
 	}
 }
 
@@ -302,7 +302,7 @@
 		if t.running {
 			t.cancel()
 		} else {
-			t.drop()
+			t.release()
 			delete(x.tasks, k)
 		}
 	}
--- a/executor/progress.go
+++ b/executor/progress.go
@@ -114,6 +114,14 @@
 	return nil
 }
 
+// release gives the memory of the output back when the host has no more to do for the item.
+func (p *progress) release() {
+	p.outputMu.Lock()
+	defer p.outputMu.Unlock()
+	p.offered = false
+	p.dropLocked()
+}
+
 // drop discards the output, here and, with the next save, in the log.
 func (p *progress) drop() {
 	p.outputMu.Lock()
@@ -170,9 +178,11 @@
 	p.output, p.received = p.output[:p.confirmedBytes], p.confirmed
 }
 
-// unsavedPart is a part of an item's output that is to be saved, of this generation.
+// unsavedPart is a part of an item's output that is to be saved.
 type unsavedPart struct {
 	queuer.Part
+	owner *progress
+	// generation is that of the output.
 	generation int
 }
 
@@ -184,15 +194,16 @@
 	r := queuer.Part{Job: k.ref.Job, Item: k.ref.Item, From: p.saved, Events: int(p.confirmed), LastEvent: p.confirmed}
 	r.Output = append(r.Output, p.output[p.saved:p.confirmedBytes]...)
 	p.offered = p.offered || len(r.Output) > 0
-	return unsavedPart{Part: r, generation: p.generation}, len(r.Output) > 0 || p.stale
+	return unsavedPart{Part: r, owner: p, generation: p.generation}, len(r.Output) > 0 || p.stale
 }
 
-// markSaved records that the log has a part.
-func (p *progress) markSaved(saved unsavedPart) {
+// markSaved records that the log has the part.
+func (u unsavedPart) markSaved() {
+	p := u.owner
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
-	if saved.generation == p.generation {
-		p.saved, p.stale = max(p.saved, saved.From+len(saved.Output)), false
+	if u.generation == p.generation {
+		p.saved, p.stale = max(p.saved, u.From+len(u.Output)), false
 	}
 }
 
@@ -202,3 +213,10 @@
 	defer p.outputMu.Unlock()
 	return p.saved, append([]byte(nil), p.output[p.saved:p.confirmedBytes]...)
 }
+
+// wholeOutput returns the output that counts.
+func (p *progress) wholeOutput() []byte {
+	p.outputMu.Lock()
+	defer p.outputMu.Unlock()
+	return append([]byte(nil), p.output[:p.confirmedBytes]...)
+}
--- a/executor/save.go
+++ b/executor/save.go
@@ -29,9 +29,9 @@
 // savedRecord is a record that saves the progress of some items.
 type savedRecord struct {
 	queuer.Saved
-	// parts are the record's parts. owners and failures are the items of its parts and failures.
-	parts            []unsavedPart
-	owners, failures []*task
+	// parts are the record's parts, failures the items of its failures.
+	parts    []unsavedPart
+	failures []*task
 	// bytes is about how long the record is.
 	bytes int
 }
@@ -40,7 +40,7 @@
 func (r *savedRecord) add(u unsaved) {
 	ref := u.task.key.ref
 	if p, ok := u.task.unsaved(u.task.key); ok {
-		r.Parts, r.parts, r.owners = append(r.Parts, p.Part), append(r.parts, p), append(r.owners, u.task)
+		r.Parts, r.parts = append(r.Parts, p.Part), append(r.parts, p)
 		r.bytes += len(p.Output) + len(ref.Job) + partBytes
 	}
 	if u.failures > 0 {
@@ -105,8 +105,8 @@
 		x.options.Logger.Info("save output of running items", zap.Int("group", g.Number), zap.Error(err))
 		return false
 	}
-	for i, p := range r.parts {
-		r.owners[i].markSaved(p)
+	for _, p := range r.parts {
+		p.markSaved()
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/executor/save_test.go
+++ b/executor/save_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"testing"
@@ -44,3 +45,28 @@
 	require.Eventually(t, func() bool { return total() == 4 }, waitTimeout, pollInterval)
 	require.LessOrEqual(t, slices.Max(f.savedParts()), 2, "2 MB")
 }
+
+// A part of an item's output was committed to the log but not applied, since it did not follow
+// what the log had. The item's result did not follow either, and was never listed.
+func TestResultIsListedIfTheLogHasLessOutputThanWasSaved(t *testing.T) {
+	e := &engine{hold: make(chan struct{}), stallTimeout: 20_000}
+	f := start(t, e)
+	f.executor.Close()
+	f.options.Groups[0].Propose = func(_ context.Context, entries ...[]byte) error {
+		r, err := queuer.Decode(entries[0])
+		if _, saved := r.(queuer.Saved); err != nil || !saved {
+			f.record(entries)
+			return nil
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.records = append(f.records, r)
+		return nil
+	}
+	f.startExecutor()
+	f.submit(1)
+	require.Eventually(t, func() bool { return len(f.savedParts()) > 0 }, waitTimeout, pollInterval)
+	close(e.hold)
+	require.Equal(t, wholeOutput(), string(f.results(1)[0].Output))
+	require.Len(t, e.received(), 1)
+}
