--- a/executor/execute.go
+++ b/executor/execute.go
@@ -257,36 +257,9 @@
 		return x.interrupted(ctx, runCtx, flight, attempt, err)
 	}
 	defer answer.Close()
-	x.options.Ejector.BytesReceived(v.ID)
-	x.options.Tracker.Answered(v.Incarnation())
-	if answer.Header.Get(x.options.Names.Leaving) != "" {
-		x.options.Departer.Record(v.Incarnation(), departer.Leaving)
-	}
-	if answer.Status == http.StatusMisdirectedRequest {
-		reservation.Misdirected()
-	} else {
-		reservation.Answered(answer.Header.Values(x.options.Names.Limit), answer.Status == http.StatusOK && answer.Header.Get(x.options.Names.Signature) != "")
-	}
-	switch {
-	case answer.Status == http.StatusMisdirectedRequest && x.options.Names.MeansOtherServer(v.ID, t.header(x.options.Names), answer.Header):
-		x.options.Departer.Record(v.Incarnation(), departer.Gone)
-		return retry{reason: "address now belongs to another server"}
-	case answer.Status == http.StatusMisdirectedRequest:
-		return retry{reason: "server does not meet the item's expectation", backOff: true, interrupted: true}
-	case answer.Header.Get(x.options.Names.NotRun) != "":
-		if answer.Status == http.StatusTooManyRequests {
-			reservation.Paused(throttler.ParseRetryAfter(answer.Header.Get("Retry-After")))
-		}
-		return retry{reason: "server refused the item without running it", backOff: true}
-	case answer.Status == http.StatusUnprocessableEntity:
-		return abandoned{reason: "server reported that the item can never succeed"}
-	case answer.Status == http.StatusInternalServerError:
-		return failed{status: answer.Status}
-	case isRejection(answer, x.options.Names):
-		return retry{reason: "server rejected the item: status " + strconv.Itoa(answer.Status), interrupted: true, notContinued: true}
-	case answer.Status != http.StatusOK || answer.Header.Get(x.options.Names.Signature) == "":
-		x.options.Ejector.CallBroken(v.ID)
-		return retry{reason: "unusable response: status " + strconv.Itoa(answer.Status), interrupted: true, notContinued: true}
+	x.recordHead(reservation, answer)
+	if o := x.handleHead(t, reservation, answer); o != nil {
+		return o
 	}
 	take := func(e splitter.Event) error {
 		if err := t.addEvent(e); err != nil || e.Filler {
@@ -301,18 +274,7 @@
 	}
 	defer t.discardUnconfirmed()
 	if err := splitter.Read(answer, answer.Memory().Reserve, func() { x.options.Ejector.BytesReceived(v.ID) }, take); err != nil {
-		var noMemory *noMemoryError
-		if errors.As(err, &noMemory) {
-			// Other items, which may have less to go, can have its memory.
-			t.drop()
-			return retry{reason: err.Error(), pause: noMemoryPause}
-		}
-		result := x.interrupted(ctx, runCtx, flight, attempt, err)
-		var tooLong *outputTooLongError
-		if errors.As(err, &tooLong) {
-			return x.afterOverrun(t, v, tooLong, result)
-		}
-		return result
+		return x.handleBreak(t, v, err, func() outcome { return x.interrupted(ctx, runCtx, flight, attempt, err) })
 	}
 	if attempt.Events == 0 {
 		// Runs begin before the last event that was received, so each has one at least.
@@ -324,6 +286,66 @@
 	return completed{}
 }
 
+// recordHead records what the head of an answer tells about the server: that it answers,
+// whether it leaves, and its limit.
+func (x *Executor) recordHead(r *picker.Reservation, a *transporter.Answer) {
+	x.options.Ejector.BytesReceived(r.Server.ID)
+	x.options.Tracker.Answered(r.Server.Incarnation())
+	if a.Header.Get(x.options.Names.Leaving) != "" {
+		x.options.Departer.Record(r.Server.Incarnation(), departer.Leaving)
+	}
+	if a.Status == http.StatusMisdirectedRequest {
+		r.Misdirected()
+		return
+	}
+	r.Answered(a.Header.Values(x.options.Names.Limit), a.Status == http.StatusOK && a.Header.Get(x.options.Names.Signature) != "")
+}
+
+// handleHead returns the outcome of a run by the head of its answer, or nil if the answer is a
+// stream of events.
+func (x *Executor) handleHead(t *task, r *picker.Reservation, a *transporter.Answer) outcome {
+	names := x.options.Names
+	switch {
+	case a.Status == http.StatusMisdirectedRequest && names.MeansOtherServer(r.Server.ID, t.header(names), a.Header):
+		x.options.Departer.Record(r.Server.Incarnation(), departer.Gone)
+		return retry{reason: "address now belongs to another server"}
+	case a.Status == http.StatusMisdirectedRequest:
+		return retry{reason: "server does not meet the item's expectation", backOff: true, interrupted: true}
+	case a.Header.Get(names.NotRun) != "":
+		if a.Status == http.StatusTooManyRequests {
+			r.Paused(throttler.ParseRetryAfter(a.Header.Get("Retry-After")))
+		}
+		return retry{reason: "server refused the item without running it", backOff: true}
+	case a.Status == http.StatusUnprocessableEntity:
+		return abandoned{reason: "server reported that the item can never succeed"}
+	case a.Status == http.StatusInternalServerError:
+		return failed{status: a.Status}
+	case isRejection(a, names):
+		return retry{reason: "server rejected the item: status " + strconv.Itoa(a.Status), interrupted: true, notContinued: true}
+	case a.Status != http.StatusOK || a.Header.Get(names.Signature) == "":
+		x.options.Ejector.CallBroken(r.Server.ID)
+		return retry{reason: "unusable response: status " + strconv.Itoa(a.Status), interrupted: true, notContinued: true}
+	}
+	return nil
+}
+
+// handleBreak returns the outcome of a run whose answer could not be read to its end.
+// interrupted handles a break that server v caused.
+func (x *Executor) handleBreak(t *task, v cataloger.Server, err error, interrupted func() outcome) outcome {
+	var noMemory *noMemoryError
+	if errors.As(err, &noMemory) {
+		// Other items, which may have less to go, can have its memory.
+		t.drop()
+		return retry{reason: err.Error(), pause: noMemoryPause}
+	}
+	result := interrupted()
+	var tooLong *outputTooLongError
+	if errors.As(err, &tooLong) {
+		return x.afterOverrun(t, v, tooLong, result)
+	}
+	return result
+}
+
 // isRejection reports whether an answer may be the consequence of what the item asks for: a
 // status of the classes 2 to 4 other than 200, or a success that is no stream. It says nothing
 // of the server.
