executor: names and messages that a newcomer stumbled on

The count of runs by server has a plain name, the message of an overlong item does not speak of tokens where it states none, and restoring saved output has one condition. No change of behaviour: the tests of what changed pass.

--- a/executor/witness.go
+++ b/executor/agree.go
@@ -8,18 +8,18 @@
 	"go.uber.org/zap"
 )
 
-// minWitnesses is how many runs on different servers must end in the same way before the item,
+// minAgreeing is how many runs on different servers must end in the same way before the item,
 // and not the servers, counts as the cause.
-const minWitnesses = 3
+const minAgreeing = 3
 
-// witnesses counts the runs of an item that ended in the same way, by server.
-type witnesses map[string]int
+// runsByServer counts the runs of an item that ended in the same way, by server.
+type runsByServer map[string]int
 
-// agree reports whether one faulty server cannot be the cause of what list witnessed: there were
-// minWitnesses runs, or as many as the job's MaxAttempts, on as many servers or on all of the
+// agree reports whether so many runs ended in the same way that one faulty server cannot be the
+// cause: minAgreeing, or as many as the job's MaxAttempts, on as many servers or on all of the
 // service on which the item may run. The caller holds x.mu.
-func (x *Executor) agree(t *task, service string, list witnesses) bool {
-	runs, need := 0, max(minWitnesses, t.job.MaxAttempts)
+func (x *Executor) agree(t *task, service string, list runsByServer) bool {
+	runs, need := 0, max(minAgreeing, t.job.MaxAttempts)
 	for _, n := range list {
 		runs += n
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -111,7 +111,7 @@
 	interruptions int
 	// overran counts the runs whose output exceeded the item's bound, notContinued those that
 	// were answered with something else than the events after those held, since these last grew.
-	overran, notContinued witnesses
+	overran, notContinued runsByServer
 	// evicted is positive if the current run was evicted.
 	evicted int
 	// noRouteSince is when the item was first seen to match no route; zero if it
@@ -281,7 +281,7 @@
 			if !ok {
 				t = x.newTask(k, g, p.Spec)
 				if !t.restore(p.Progress) {
-					x.options.Logger.Warn("saved output is not that of a run; the item starts over", zap.String("item", t.item().ID), zap.String("job", t.key.ref.Job),
+					x.options.Logger.Warn("saved output is not that of a run, or too long; the item starts over", zap.String("item", t.item().ID), zap.String("job", t.key.ref.Job),
 						zap.Int("bytes", len(p.Progress.Output)), zap.Int("events", p.Progress.Events), zap.Int64("last-event", p.Progress.LastEvent))
 				}
 				t.failures, t.loggedFailures = p.Progress.Failures, p.Progress.Failures
@@ -321,7 +321,7 @@
 // newTask returns the task of an item.
 func (x *Executor) newTask(k key, g Group, j *queuer.Job) *task {
 	t := &task{
-		key: k, group: g, job: j, failedAt: make(map[string]bool), overran: make(witnesses), notContinued: make(witnesses),
+		key: k, group: g, job: j, failedAt: make(map[string]bool), overran: make(runsByServer), notContinued: make(runsByServer),
 		progress: progress{limit: min(outputLimit(j.Items[k.ref.Item].Tokens), int(x.options.Memory.MaxBytes())), memory: x.options.Memory.Open()},
 	}
 	names := x.options.Names
--- a/executor/overlong_test.go
+++ b/executor/overlong_test.go
@@ -59,7 +59,7 @@
 			f.submitShort()
 			r := f.results(1)
 			require.True(t, r[0].Dead)
-			require.Equal(t, fmt.Sprintf("output exceeds 65536 bytes, the limit for the tokens of the item, on %d servers", min(servers, 3)), string(r[0].Output))
+			require.Equal(t, fmt.Sprintf("output exceeds 65536 bytes, the limit for this item, on %d servers", min(servers, 3)), string(r[0].Output))
 			require.GreaterOrEqual(t, 20-e.answersLeft(), 3)
 		})
 	}
--- a/executor/progress.go
+++ b/executor/progress.go
@@ -32,7 +32,7 @@
 type outputTooLongError struct{ Limit int }
 
 func (e *outputTooLongError) Error() string {
-	return fmt.Sprintf("output exceeds %d bytes, the limit for the tokens of the item", e.Limit)
+	return fmt.Sprintf("output exceeds %d bytes, the limit for this item", e.Limit)
 }
 
 // progress is the output of an item so far. It consists of whole events of the item's runs,
@@ -72,17 +72,14 @@
 }
 
 // restore sets the output to that of the group's log. It returns false, and the item starts over,
-// if that cannot be the first events of a run: earlier versions also saved data without a number,
-// and runs that did not begin with the first event.
+// if that cannot be the first events of a run, or there is no memory for it. Earlier versions also
+// saved data without a number, and runs that did not begin with the first event.
 func (p *progress) restore(saved queuer.Progress) bool {
 	p.outputMu.Lock()
 	defer p.outputMu.Unlock()
 	p.offered = len(saved.Output) > 0 || saved.LastEvent > 0
-	if int64(saved.Events) != saved.LastEvent || len(saved.Output) > p.limit {
-		p.dropLocked()
-		return false
-	}
-	if p.growLocked(len(saved.Output)) != nil {
+	sound := int64(saved.Events) == saved.LastEvent && len(saved.Output) <= p.limit
+	if !sound || p.growLocked(len(saved.Output)) != nil {
 		p.dropLocked()
 		return false
 	}
