--- a/review/third/rig/server.go
+++ b/review/third/rig/server.go
@@ -76,19 +76,6 @@
 	return s, nil
 }
 
-// setGap sets the time between two events.
-func (s *server) setGap(gap time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.gap = gap
-}
-
-func (s *server) currentGap() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.gap
-}
-
 func (s *server) close() { _ = s.http.Close() }
 
 func (s *server) writeEntry() error {
@@ -149,7 +136,7 @@
 	first, _ := strconv.Atoi(r.Header.Get(names.LastEvent))
 	for event := first + 1; event <= s.events; event++ {
 		select {
-		case <-time.After(s.currentGap()):
+		case <-time.After(s.gap):
 		case <-r.Context().Done():
 			return
 		}
