--- a/review/third/rig/client.go
+++ b/review/third/rig/client.go
@@ -51,8 +51,11 @@
 		return answer{}, err
 	}
 	q.Host = batchHost
-	if strings.HasPrefix(path, counterPrefix) {
+	switch {
+	case strings.HasPrefix(path, counterPrefix):
 		q.Host = counterHost
+	case strings.Contains(path, openJob):
+		q.Host = openHost
 	}
 	q.Header.Set(names.Key, key)
 	q.Header.Set(names.RequestID, id)
@@ -76,15 +79,20 @@
 	return a, nil
 }
 
-// submit submits a job.
+// submit submits a job on the route for batch jobs.
 func (w *world) submit(address, job, key string, items []item, timeout time.Duration) (answer, error) {
+	return w.submitAt(address, batchPrefix+job, job, key, items, timeout)
+}
+
+// submitAt submits a job at a path.
+func (w *world) submitAt(address, path, job, key string, items []item, timeout time.Duration) (answer, error) {
 	body, err := json.Marshal(map[string]any{"items": items})
 	if err != nil {
 		return answer{}, err
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, timeout)
 	defer cancel()
-	a, err := call(ctx, http.MethodPost, address, batchPrefix+job, job, key, body, map[string]string{"Content-Type": "application/json"})
+	a, err := call(ctx, http.MethodPost, address, path, job, key, body, map[string]string{"Content-Type": "application/json"})
 	w.logf("job %s of %d items, %d bytes, sent to %s: status %d, error %v", job, len(items), len(body), w.nameOf(address), a.status, err)
 	return a, err
 }
@@ -212,3 +220,34 @@
 	}
 	return w.waitReady()
 }
+
+// handIn submits a job until it is accepted, as clients do: after a refusal or without an answer
+// again at another host. It reports whether the job was accepted in time.
+func (w *world) handIn(job, key string, items []item, first int, within time.Duration) bool {
+	entries := w.entries()
+	until := time.Now().Add(within)
+	for n := first; time.Now().Before(until); n++ {
+		a, err := w.submit(entries[n%len(entries)].callers, job, key, items, 4*time.Second)
+		if err == nil && a.status == http.StatusAccepted {
+			return true
+		}
+		time.Sleep(max(a.retryAfter, 200*time.Millisecond))
+	}
+	return false
+}
+
+// isDone reports whether all results of a job come before the given time.
+func (w *world) isDone(job, key string, items int, until time.Time) bool {
+	for n := 0; ; n++ {
+		entries := w.entries()
+		r, status, err := w.read(entries[n%len(entries)].callers, job, key, items-1)
+		if err == nil && status == http.StatusOK && len(r.Results) == 1 {
+			return true
+		}
+		if time.Now().After(until) {
+			w.logf("job %s: last answer %d, error %v, next %d", job, status, err, r.Next)
+			return false
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/review/third/rig/world.go
+++ b/review/third/rig/world.go
@@ -36,6 +36,9 @@
 const (
 	counterHost   = "counter.example"
 	batchHost     = "dispatch.example"
+	openHost      = "open.example"
+	openPrefix    = "/open/"
+	openJob       = "0be4a1"
 	serviceName   = "desk"
 	counterPrefix = "/counter/"
 	batchPrefix   = "/dispatch/"
