gatekeeper: a job is known to its owner after its route was removed

Cause: exchange.resolve answered a call about an existing job with 404 unless some route of the configuration had the host of the call. The host is not needed: the call is forwarded to no server, the job is found by its name, and the caller's right follows from the key.

The older core's calls about jobs involve no route.

--- a/cataloger/config.go
+++ b/cataloger/config.go
@@ -234,9 +234,6 @@
 	return out
 }
 
-// HasHost reports whether any route has this host.
-func (c *Config) HasHost(host string) bool { return len(c.routes[host]) > 0 }
-
 // WorkspaceByKey returns the workspace that key belongs to.
 func (c *Config) WorkspaceByKey(key string) (*Workspace, bool) {
 	w, ok := c.keys[key]
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -116,18 +116,16 @@
 	return max(relayer.RetryElsewhere, postponer.CallerPatience(x.timeLeft()))
 }
 
-// resolve finds the route or job that the request addresses.
+// resolve finds the route or job that the request addresses. A call about an existing job needs
+// no route: the configuration may have removed or moved the job's since it was accepted.
 func (x *exchange) resolve(c *cataloger.Config) *refusal {
-	host, url := stripPort(x.request.Host), x.request.URL
+	url := x.request.URL
 	if call, ok := x.gatekeeper.options.Names.ParseJobCall(x.request.Method, url.Path, url.RawQuery); ok {
 		x.job = call
-		if !c.HasHost(host) {
-			return x.refuseUnknown(http.StatusNotFound, "no route has this host")
-		}
 		return nil
 	}
 	var ok bool
-	if x.route, ok = c.Match(host, url.Path); !ok {
+	if x.route, ok = c.Match(stripPort(x.request.Host), url.Path); !ok {
 		return x.refuseUnknown(http.StatusNotFound, "no route matches")
 	}
 	return nil
