authorizer: one place decides whose a batch job is, also on public routes

Without a key, or with an unknown one, such a route answered 202 as well, and 401 to every later call.

Cause: the entry host took the owner of a submission from the route (exchange.authorize returned before it looked at the key if the route was public), that of a later call from the key, and the serving host compared both by name.

Package authorizer now identifies the caller by its key alone and decides the owner of a submission, the owner of a later call, what a caller is told of a job that is not its own, and the access of an owner to a job. gatekeeper and broker ask it. A submission to a public route without a known key is refused: "a key of the tenant" comes with every call about a batch job, and no later call has a route that could be public. Ordinary requests on public routes are as before. The messages between hosts are unchanged but for a total that earlier versions left zero, so hosts of both versions serve side by side.

Looked at: all callers of Config.AllowsAnonymous, WorkspaceByKey and Route.Public. The quota and the tenant header of ordinary requests use the workspace that the key admitted, and do not change. The expiry of a job, its attempts and its run objective are stored with it.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -19,6 +19,7 @@
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/authorizer"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/defaulter"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
@@ -143,7 +144,7 @@
 		return refusal(http.StatusBadRequest, err.Error())
 	}
 	m := submitRequest{MaxQueued: s.Route.MaxQueued, Job: queuer.Job{
-		ID: s.ID, Workspace: s.Workspace, Route: s.Route.Name, Host: s.Host, Submitted: int64(b.options.Wall()),
+		ID: s.ID, Workspace: s.Owner.Workspace, Route: s.Route.Name, Host: s.Host, Submitted: int64(b.options.Wall()),
 		RunObjective: s.Route.RunObjective, Retention: s.Route.Retention, MaxAttempts: s.Route.MaxAttempts, Items: items,
 	}}
 	body, err := cbor.Marshal(m)
@@ -180,28 +181,28 @@
 }
 
 // Serve implements gatekeeper.Jobs.
-func (b *Broker) Serve(ctx context.Context, workspace string, call namer.JobCall, wait string) gatekeeper.JobAnswer {
+func (b *Broker) Serve(ctx context.Context, owner authorizer.Owner, call namer.JobCall, wait string) gatekeeper.JobAnswer {
 	switch t := call.(type) {
 	case namer.ReadResults:
-		return b.results(ctx, workspace, t, wait)
+		return b.results(ctx, owner, t, wait)
 	case namer.ReadBody:
-		q := jobRequest{Job: t.Job, Workspace: workspace, Item: t.Item}
-		r := b.callAboutJob(ctx, methodBody, q, b.readingRegions(workspace))
+		q := jobRequest{Job: t.Job, Workspace: owner.Workspace, Item: t.Item}
+		r := b.callAboutJob(ctx, methodBody, q, b.readingRegions(owner.Workspace))
 		return b.answerFor(r, gatekeeper.JobAnswer{Status: http.StatusOK, ContentType: "application/octet-stream", Body: r.Body})
 	case namer.CancelJob:
-		q := jobRequest{Job: t.Job, Workspace: workspace}
+		q := jobRequest{Job: t.Job, Workspace: owner.Workspace}
 		r := b.callAboutJob(ctx, methodEnd, q, localizer.Set{})
 		return b.answerFor(r, gatekeeper.JobAnswer{Status: http.StatusOK})
 	}
 	return refusal(http.StatusNotFound, "no such call")
 }
 
-func (b *Broker) results(ctx context.Context, workspace string, call namer.ReadResults, wait string) gatekeeper.JobAnswer {
-	m := jobRequest{Job: call.Job, Workspace: workspace, From: call.From}
+func (b *Broker) results(ctx context.Context, owner authorizer.Owner, call namer.ReadResults, wait string) gatekeeper.JobAnswer {
+	m := jobRequest{Job: call.Job, Workspace: owner.Workspace, From: call.From}
 	if ms, err := strconv.ParseInt(wait, 10, 64); err == nil {
 		m.Wait = min(timer.Millis(ms), maxResultWait)
 	}
-	r := b.callAboutJob(ctx, methodResults, m, b.readingRegions(workspace))
+	r := b.callAboutJob(ctx, methodResults, m, b.readingRegions(owner.Workspace))
 	if r.Verdict != verdictDone {
 		return b.answerFor(r, gatekeeper.JobAnswer{})
 	}
@@ -220,7 +221,7 @@
 	case verdictDone:
 		return done
 	case verdictNotFound:
-		return refusal(http.StatusNotFound, "no such job or item")
+		return gatekeeper.JobAnswer{Status: http.StatusNotFound, NoSuchJob: r.Results.Total == 0, Reason: "no such job or item"}
 	case verdictNotPermitted:
 		return retryableRefusal(http.StatusServiceUnavailable, string(r.Body))
 	}
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/jackdawgate/jackdawgate/authorizer"
 	"github.com/jackdawgate/jackdawgate/broker"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/executor"
@@ -154,12 +155,12 @@
 
 func (f *fixture) submitAs(workspace, id, items string) gatekeeper.JobAnswer {
 	return f.broker.Submit(f.t.Context(), gatekeeper.Submission{
-		ID: id, Workspace: workspace, Route: &cataloger.Route{Name: "r", MaxQueued: 50}, Host: "h", Body: []byte(items),
+		ID: id, Owner: authorizer.Owner{Workspace: workspace}, Route: &cataloger.Route{Name: "r", MaxQueued: 50}, Host: "h", Body: []byte(items),
 	})
 }
 
 func (f *fixture) read(workspace string, c namer.JobCall) gatekeeper.JobAnswer {
-	return f.broker.Serve(f.t.Context(), workspace, c, "")
+	return f.broker.Serve(f.t.Context(), authorizer.Owner{Workspace: workspace}, c, "")
 }
 
 func TestJobIsAcceptedOnceAndReadByItsWorkspaceOnly(t *testing.T) {
@@ -273,7 +274,7 @@
 			f.queues[broker.GroupOf("j")].Apply(entries[0])
 		}()
 		clock := timer.System()
-		a := f.broker.Serve(t.Context(), "w", namer.ReadResults{Job: "j"}, "1000")
+		a := f.broker.Serve(t.Context(), authorizer.Owner{Workspace: "w"}, namer.ReadResults{Job: "j"}, "1000")
 		require.Equal(t, "11", string(a.Body))
 		require.EqualValues(t, 300, clock.Now())
 	})
--- a/broker/handler.go
+++ b/broker/handler.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/authorizer"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/executor"
 	"github.com/jackdawgate/jackdawgate/gossiper"
@@ -83,7 +85,7 @@
 
 func (d *Handler) submit(ctx context.Context, m submitRequest) reply {
 	s := d.groups[GroupOf(m.Job.ID)]
-	v, ok := whileServing(ctx, s, func(q *queuer.Queue) verdict { return ownership(q, m.Job.ID, m.Job.Workspace) })
+	v, ok := whileServing(ctx, s, func(q *queuer.Queue) verdict { return submissionVerdict(q, &m.Job) })
 	switch {
 	case !ok:
 		return reply{Verdict: verdictNotOwner}
@@ -116,7 +118,7 @@
 // acceptance returns the reply for a submission that was committed. Of two jobs of one name
 // that were submitted at the same time, the first one committed is accepted.
 func (d *Handler) acceptance(ctx context.Context, s LocalGroup, m submitRequest) reply {
-	v, ok := whileServing(ctx, s, func(q *queuer.Queue) verdict { return ownership(q, m.Job.ID, m.Job.Workspace) })
+	v, ok := whileServing(ctx, s, func(q *queuer.Queue) verdict { return submissionVerdict(q, &m.Job) })
 	if !ok {
 		return reply{Verdict: verdictUncertain}
 	}
@@ -156,28 +158,33 @@
 	return reply{Verdict: verdictUncertain}
 }
 
-// ownership returns verdictDone if a workspace has a job, verdictConflict if another one
-// has a job of this name, and verdictNotFound if none has.
-func ownership(q *queuer.Queue, job, workspace string) verdict {
-	owner, ok := q.Workspace(job)
-	switch {
-	case !ok:
-		return verdictNotFound
-	case owner != workspace:
+// access returns the access of an owner to a job of q.
+func access(q *queuer.Queue, job, workspace string) authorizer.Access {
+	of, ok := q.Workspace(job)
+	return authorizer.Check(authorizer.Owner{Workspace: workspace}, authorizer.Owner{Workspace: of}, ok)
+}
+
+// submissionVerdict returns the verdict on the submission of a job; it is verdictNotFound if there
+// is no job of its name yet.
+func submissionVerdict(q *queuer.Queue, j *queuer.Job) verdict {
+	switch access(q, j.ID, j.Workspace).(type) {
+	case authorizer.Granted:
+		return verdictDone
+	case authorizer.Foreign:
 		return verdictConflict
 	}
-	return verdictDone
+	return verdictNotFound
 }
 
 // lookUp calls read for the group of a job. The verdict is verdictDone if this host serves
-// the group and the job belongs to the workspace; only then the result is read's.
+// the group and the job is the owner's; only then the result is read's.
 func lookUp[T any](ctx context.Context, d *Handler, m jobRequest, read func(*queuer.Queue) T) (T, verdict) {
 	type result struct {
 		verdict verdict
 		value   T
 	}
 	r, ok := whileServing(ctx, d.groups[GroupOf(m.Job)], func(q *queuer.Queue) result {
-		if ownership(q, m.Job, m.Workspace) != verdictDone {
+		if access(q, m.Job, m.Workspace) != (authorizer.Granted{}) {
 			return result{verdict: verdictNotFound}
 		}
 		return result{verdictDone, read(q)}
@@ -215,21 +222,17 @@
 }
 
 func (d *Handler) body(ctx context.Context, m jobRequest) reply {
-	type body struct {
-		data []byte
-		ok   bool
-	}
-	b, v := lookUp(ctx, d, m, func(q *queuer.Queue) body {
-		data, ok := q.Body(m.Job, m.Item)
-		return body{data, ok}
+	r, v := lookUp(ctx, d, m, func(q *queuer.Queue) reply {
+		if data, ok := q.Body(m.Job, m.Item); ok {
+			return reply{Verdict: verdictDone, Body: data}
+		}
+		known, _, _ := q.Results(m.Job, math.MaxInt, 0)
+		return reply{Verdict: verdictNotFound, Results: queuer.Results{Total: known.Total}}
 	})
-	switch {
-	case v != verdictDone:
+	if v != verdictDone {
 		return reply{Verdict: v}
-	case !b.ok:
-		return reply{Verdict: verdictNotFound}
 	}
-	return reply{Verdict: verdictDone, Body: b.data}
+	return r
 }
 
 func (d *Handler) end(ctx context.Context, m jobRequest) reply {
--- a/broker/wire.go
+++ b/broker/wire.go
@@ -32,8 +32,9 @@
 }
 
 type jobRequest struct {
-	_         struct{} `cbor:",toarray"`
-	Job       string
+	_   struct{} `cbor:",toarray"`
+	Job string
+	// Workspace is that of the owner whose job the call is about.
 	Workspace string
 	// Item is set for methodBody, From and Wait for methodResults.
 	Item string
@@ -53,7 +54,7 @@
 	verdictUncertain
 	verdictNotFound
 	verdictQueueFull
-	// verdictConflict reports that another workspace has a job of this name.
+	// verdictConflict reports that another owner has a job of this name.
 	verdictConflict
 	// verdictNotPermitted reports that the allowed regions of the job have no place for it.
 	// The Body of the reply is the reason.
@@ -63,6 +64,8 @@
 type reply struct {
 	_       struct{} `cbor:",toarray"`
 	Verdict verdict
+	// Results are those of methodResults. With verdictNotFound, only their Total is set, and
+	// only if the owner has the job but not the item. Earlier versions never set it then.
 	Results queuer.Results
 	Body    []byte
 }
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/jackdawgate/jackdawgate/authorizer"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/holder"
 	"github.com/jackdawgate/jackdawgate/localizer"
@@ -41,9 +42,13 @@
 	id         string
 	// memory is what the request's body takes, nil until it is read. bodyRead is set when the
 	// body has been read whole.
-	memory    *holder.Account
-	bodyRead  bool
+	memory   *holder.Account
+	bodyRead bool
+	caller   authorizer.Caller
+	// workspace is nil for requests that are admitted without a key.
 	workspace *cataloger.Workspace
+	// owner is whom the job of the request belongs to; it is set for calls about jobs only.
+	owner authorizer.Owner
 	// route is nil for calls about existing jobs; job is nil for all other calls.
 	route *cataloger.Route
 	job   namer.JobCall
@@ -90,13 +95,23 @@
 	if refusal := x.resolve(c); refusal != nil {
 		return refusal
 	}
-	if c.AllowsAnonymous() || (x.route != nil && x.route.Public) {
+	x.caller = authorizer.Identify(c, x.request.Header.Get(x.gatekeeper.options.Names.Key))
+	switch {
+	case x.isJobCall():
+		return x.authorizeJob()
+	case c.AllowsAnonymous(), x.route.Public:
 		return nil
 	}
-	w, ok := c.WorkspaceByKey(x.request.Header.Get(x.gatekeeper.options.Names.Key))
+	k, ok := x.caller.(authorizer.Keyholder)
 	if !ok {
-		return x.refuseUnknown(http.StatusUnauthorized, "no workspace has this key")
+		return x.refuseUnknown(http.StatusUnauthorized, authorizer.ErrUnknownKey.Error())
 	}
+	return x.admit(k.Workspace)
+}
+
+// admit admits a request with a key of a workspace, unless the key may have been withdrawn since
+// the configuration was confirmed.
+func (x *exchange) admit(w *cataloger.Workspace) *refusal {
 	x.workspace = w
 	if x.gatekeeper.age(x.snapshot) > x.gatekeeper.options.MaxConfigAge {
 		return &refusal{http.StatusServiceUnavailable, "configuration not confirmed lately", x.retryUnconfirmed()}
--- a/gatekeeper/exchange_job.go
+++ b/gatekeeper/exchange_job.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/jackdawgate/jackdawgate/authorizer"
+	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"go.uber.org/zap"
 )
@@ -16,17 +18,46 @@
 	return x.workspace.Name
 }
 
+// isJobCall reports whether the request is about a batch job, new or existing.
+func (x *exchange) isJobCall() bool {
+	return x.job != nil || x.route.Kind == cataloger.Batch
+}
+
+// authorizeJob determines whose job the request is about. It returns nil if the request may
+// proceed. Whether the route is public plays no part: package authorizer says why.
+func (x *exchange) authorizeJob() *refusal {
+	determine := authorizer.OwnerForCall
+	if x.job == nil {
+		determine = authorizer.OwnerOfSubmission
+	}
+	var err error
+	if x.owner, err = determine(x.caller); err != nil {
+		return x.refuseUnknown(http.StatusUnauthorized, err.Error())
+	}
+	if k, ok := x.caller.(authorizer.Keyholder); ok {
+		return x.admit(k.Workspace)
+	}
+	return nil
+}
+
 // submit submits the request's body as a batch job.
 func (x *exchange) submit(body []byte) {
 	x.answerJob("job submitted", x.gatekeeper.options.Jobs.Submit(x.request.Context(), Submission{
-		ID: x.id, Workspace: x.workspaceName(), Route: x.route, Host: stripPort(x.request.Host), Body: body,
+		ID: x.id, Owner: x.owner, Route: x.route, Host: stripPort(x.request.Host), Body: body,
 	}))
 }
 
 // serveJob answers a call about an existing job.
 func (x *exchange) serveJob() {
 	wait := x.request.Header.Get(x.gatekeeper.options.Names.Wait)
-	x.answerJob("job called", x.gatekeeper.options.Jobs.Serve(x.request.Context(), x.workspaceName(), x.job, wait))
+	a := x.gatekeeper.options.Jobs.Serve(x.request.Context(), x.owner, x.job, wait)
+	if a.NoSuchJob {
+		if err := authorizer.IfAbsent(x.caller); err != nil {
+			x.refuse(x.refuseUnknown(http.StatusUnauthorized, err.Error()))
+			return
+		}
+	}
+	x.answerJob("job called", a)
 }
 
 // answerJob passes a on to the caller and logs message if a is not a refusal.
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
+	"github.com/jackdawgate/jackdawgate/authorizer"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/holder"
@@ -42,6 +44,7 @@
 	return r.outcome
 }
 
+// jobs has the jobs that were submitted, all under one name.
 type jobs struct{ submitted []gatekeeper.Submission }
 
 func (j *jobs) Submit(_ context.Context, s gatekeeper.Submission) gatekeeper.JobAnswer {
@@ -49,8 +52,11 @@
 	return gatekeeper.JobAnswer{Status: http.StatusAccepted}
 }
 
-func (j *jobs) Serve(_ context.Context, workspace string, _ namer.JobCall, _ string) gatekeeper.JobAnswer {
-	return gatekeeper.JobAnswer{Status: http.StatusOK, Body: []byte(workspace)}
+func (j *jobs) Serve(_ context.Context, owner authorizer.Owner, _ namer.JobCall, _ string) gatekeeper.JobAnswer {
+	if !slices.ContainsFunc(j.submitted, func(s gatekeeper.Submission) bool { return s.Owner == owner }) {
+		return gatekeeper.JobAnswer{Status: http.StatusNotFound, NoSuchJob: true, Reason: "no such job"}
+	}
+	return gatekeeper.JobAnswer{Status: http.StatusOK, Body: []byte(owner.Workspace)}
 }
 
 type fixture struct {
@@ -319,7 +325,7 @@
 	f := newFixture()
 	f.configure()
 	require.Equal(t, http.StatusAccepted, f.call("/batch/1", "k").Code)
-	require.Equal(t, "w", f.jobs.submitted[0].Workspace)
+	require.Equal(t, "w", f.jobs.submitted[0].Owner.Workspace)
 	require.Equal(t, "w", f.call("/jobs/1", "k").Body.String())
 	require.Equal(t, http.StatusUnauthorized, f.call("/jobs/1", "wrong").Code)
 	require.Empty(t, f.relay.calls)
--- a/gatekeeper/jobs.go
+++ b/gatekeeper/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/jackdawgate/jackdawgate/authorizer"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/namer"
 )
@@ -11,18 +12,18 @@
 type Jobs interface {
 	// Submit accepts a new job.
 	Submit(ctx context.Context, s Submission) JobAnswer
-	// Serve answers a call about an existing job of the workspace. wait is the
+	// Serve answers a call about an existing job of the owner. wait is the
 	// caller's wait header, unparsed.
-	Serve(ctx context.Context, workspace string, call namer.JobCall, wait string) JobAnswer
+	Serve(ctx context.Context, owner authorizer.Owner, call namer.JobCall, wait string) JobAnswer
 }
 
 // Submission is a job as the caller sent it.
 type Submission struct {
-	ID        string
-	Workspace string
-	Route     *cataloger.Route
-	Host      string
-	Body      []byte
+	ID    string
+	Owner authorizer.Owner
+	Route *cataloger.Route
+	Host  string
+	Body  []byte
 }
 
 // JobAnswer is the answer to a call about a batch job.
@@ -31,6 +32,8 @@
 	// ContentType and Body are the content of a 2xx answer.
 	ContentType string
 	Body        []byte
+	// NoSuchJob is set if the owner of the call has no job of this name, with the status 404.
+	NoSuchJob bool
 	// Reason explains a refusal, in the log and to the caller.
 	Reason string
 	// RetryAfterMillis is when the caller of a refused call may retry; zero
