broker: the repeat of an accepted job is accepted after its route was removed

What callers saw: a caller that got no answer to its submission and repeated it got 404 if the route had been removed in between, 503 if the route's regions had changed, or 413 if other hosts took smaller messages. It took the job for refused, and the job ran.

Cause: the entry host applied its checks of new jobs without asking whether the job exists. The serving host looks for the job first, but such a repeat never reached it.

A POST with a name, a known key and the body of a submission that matches no route is accepted if the owner of the key has a job of that name; otherwise it is answered 404 as before, or 503 if no host can tell. The checks of regions and length, also those of a host that relays, ask before they refuse.

Evidence: TestRepeatedSubmissionIsAcceptedAfterItsRouteWasRemoved and ...ThoughANewJobIsNot fail before (404 and 503 for 202). ...OnAnotherRouteIsNotCountedAgain passes before and now.

Looked at: the other checks before a submission is passed on (format, names and number of items) depend on the body alone. maxQueued is checked by the serving host, after it has looked for the job.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -133,6 +133,9 @@
 
 // Submit implements gatekeeper.Jobs.
 func (b *Broker) Submit(ctx context.Context, s gatekeeper.Submission) gatekeeper.JobAnswer {
+	if s.Route == nil {
+		return b.submitWithoutRoute(ctx, s)
+	}
 	items, err := b.options.Formats.Items(s.Body)
 	switch {
 	case err != nil:
@@ -152,11 +155,11 @@
 		return refusal(http.StatusBadRequest, "job cannot be encoded: "+err.Error())
 	}
 	if size := int64(len(body)); size > b.options.MaxJobBytes {
-		return refusal(http.StatusRequestEntityTooLarge, fmt.Sprintf("job of %d bytes exceeds the %d bytes that one message to another host may take of its memory", size, b.options.MaxJobBytes))
+		return b.submitTooLong(ctx, s, fmt.Sprintf("job of %d bytes exceeds the %d bytes that one message to another host may take of its memory", size, b.options.MaxJobBytes))
 	}
 	allowed, reason := jobRegions(b.options.Snapshot(), b.options.Zones, &m.Job, noRecipients)
 	if reason != "" {
-		return b.refuseNotPermitted(s.ID, allowed, reason)
+		return b.submitNotPermitted(ctx, s, allowed, reason)
 	}
 	r, sent := b.callServingHost(ctx, request{
 		job: s.ID, method: methodSubmit, body: body,
@@ -164,7 +167,7 @@
 	})
 	switch r.Verdict {
 	case verdictDone:
-		return gatekeeper.JobAnswer{Status: http.StatusAccepted}
+		return accepted()
 	case verdictQueueFull:
 		return retryableRefusal(http.StatusTooManyRequests, "too many tokens wait")
 	case verdictConflict:
--- a/broker/relay.go
+++ b/broker/relay.go
@@ -7,8 +7,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jackdawgate/jackdawgate/assigner"
+	"github.com/jackdawgate/jackdawgate/authorizer"
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/messenger"
+	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
@@ -56,7 +58,7 @@
 		if call.allowed, reason = jobRegions(b.options.Snapshot(), b.options.Zones, &m.Job, noRecipients); reason != "" {
 			b.options.Logger.Info("no permitted place", zap.String("job", q.Job),
 				zap.Strings("allowed", call.allowed.Regions()), zap.String("reason", reason))
-			return notPermitted(reason)
+			return b.relayNotPermitted(ctx, q, &m.Job, reason)
 		}
 	}
 	r, uncertain := b.callOwner(ctx, call)
@@ -69,6 +71,20 @@
 	return reply{Verdict: verdictNotOwner}
 }
 
+// relayNotPermitted replies to a relayed submission of a job that cannot be placed within its
+// allowed regions, for a reason, unless it was accepted before.
+func (b *Broker) relayNotPermitted(ctx context.Context, q relayRequest, j *queuer.Job, reason string) reply {
+	body, err := cbor.Marshal(ownedBy(authorizer.Owner{Workspace: j.Workspace}, j.ID))
+	if err != nil {
+		b.options.Logger.Error("cannot encode call about a job", zap.String("job", j.ID), zap.Error(err))
+		return notPermitted(reason)
+	}
+	if r, _ := b.callOwner(ctx, request{job: j.ID, method: methodResults, body: body, timeout: q.Timeout}); r.Verdict == verdictDone {
+		return reply{Verdict: verdictDone}
+	}
+	return notPermitted(reason)
+}
+
 // callThroughRelays sends the call through other entry hosts, one after the other.
 func (b *Broker) callThroughRelays(ctx context.Context, q request, uncertain bool) (reply, bool) {
 	body, err := cbor.Marshal(relayRequest{Job: q.job, Method: q.method, Body: q.body, Timeout: q.timeout})
--- a/gatekeeper/exchange.go
+++ b/gatekeeper/exchange.go
@@ -49,7 +49,8 @@
 	workspace *cataloger.Workspace
 	// owner is whom the job of the request belongs to; it is set for calls about jobs only.
 	owner authorizer.Owner
-	// route is nil for calls about existing jobs; job is nil for all other calls.
+	// route is nil for calls about existing jobs, and for submissions that no route matches.
+	// job is nil for all but calls about existing jobs.
 	route *cataloger.Route
 	job   namer.JobCall
 }
@@ -68,6 +69,9 @@
 		return
 	}
 	body, refusal := x.readBody()
+	if refusal != nil && refusal.status == http.StatusRequestEntityTooLarge && x.isUnrouted() {
+		refusal = x.refuseUnknown(http.StatusNotFound, ReasonNoRoute)
+	}
 	if refusal == nil && x.gatekeeper.admission.Err() != nil {
 		refusal = x.refuseStopping()
 	}
@@ -78,7 +82,7 @@
 	switch {
 	case x.job != nil:
 		x.serveJob()
-	case x.route.Kind == cataloger.Batch:
+	case x.isJobCall():
 		x.submit(body)
 	default:
 		x.relay(body)
@@ -92,10 +96,10 @@
 	if c == nil {
 		return &refusal{http.StatusServiceUnavailable, "no configuration yet", retrySoon}
 	}
+	x.caller = authorizer.Identify(c, x.request.Header.Get(x.gatekeeper.options.Names.Key))
 	if refusal := x.resolve(c); refusal != nil {
 		return refusal
 	}
-	x.caller = authorizer.Identify(c, x.request.Header.Get(x.gatekeeper.options.Names.Key))
 	switch {
 	case x.isJobCall():
 		return x.authorizeJob()
@@ -140,10 +144,14 @@
 		return nil
 	}
 	var ok bool
-	if x.route, ok = c.Match(stripPort(x.request.Host), url.Path); !ok {
-		return x.refuseUnknown(http.StatusNotFound, "no route matches")
+	if x.route, ok = c.Match(stripPort(x.request.Host), url.Path); ok {
+		return nil
 	}
-	return nil
+	refusal := x.refuseUnknown(http.StatusNotFound, ReasonNoRoute)
+	if refusal.status == http.StatusNotFound && x.mayRepeatSubmission() {
+		return nil
+	}
+	return refusal
 }
 
 // refuseStopping refuses a request that came too late in a planned stop. The caller
--- a/gatekeeper/exchange_job.go
+++ b/gatekeeper/exchange_job.go
@@ -20,7 +20,17 @@
 
 // isJobCall reports whether the request is about a batch job, new or existing.
 func (x *exchange) isJobCall() bool {
-	return x.job != nil || x.route.Kind == cataloger.Batch
+	return x.job != nil || x.route == nil || x.route.Kind == cataloger.Batch
+}
+
+// isUnrouted reports whether the request matches no route, and may repeat a submission.
+func (x *exchange) isUnrouted() bool { return x.job == nil && x.route == nil }
+
+// mayRepeatSubmission reports whether the request, which matches no route, may repeat the
+// submission of a job whose route was removed since.
+func (x *exchange) mayRepeatSubmission() bool {
+	_, err := authorizer.OwnerOfSubmission(x.caller)
+	return err == nil && x.id != "" && x.request.Method == http.MethodPost
 }
 
 // authorizeJob determines whose job the request is about. It returns nil if the request may
--- a/gatekeeper/jobs.go
+++ b/gatekeeper/jobs.go
@@ -8,9 +8,13 @@
 	"github.com/jackdawgate/jackdawgate/namer"
 )
 
+// ReasonNoRoute is the reason of the refusal of a request that no route matches.
+const ReasonNoRoute = "no route matches"
+
 // Jobs handles calls about batch jobs, whichever host keeps them.
 type Jobs interface {
-	// Submit accepts a new job.
+	// Submit accepts a new job, or one that the owner has already. It answers with the status
+	// 404 and ReasonNoRoute if there is neither a route nor such a job.
 	Submit(ctx context.Context, s Submission) JobAnswer
 	// Serve answers a call about an existing job of the owner. wait is the
 	// caller's wait header, unparsed.
@@ -21,6 +25,8 @@
 type Submission struct {
 	ID    string
 	Owner authorizer.Owner
+	// Route is nil if none matches. The submission may still repeat that of a job that was
+	// accepted while one did.
 	Route *cataloger.Route
 	Host  string
 	Body  []byte
