executor: items are not given up for a route that an unconfirmed configuration lacks

What callers saw: a bulk host that had read a version without the route of an item, and was then cut off from the store, listed the item as dead after 4 s, although the operators had put the route back by then. A dead item is final.

Cause: the time without a route was counted by the clock alone. It ends now with the latest confirmation of the configuration, which is read from the same clock (hoster gives follower and executor one).

Looked at: what else is given up for what the configuration says. Retention, attempts and expiry are stored with the job; heldBack goes by the retention.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -114,8 +114,7 @@
 	overran, notContinued runsByServer
 	// evicted is positive if the current run was evicted.
 	evicted int
-	// noRouteSince is when the item was first seen to match no route; zero if it
-	// matches one.
+	// noRouteSince is when the item was first seen to match no route; zero if it matches one.
 	noRouteSince timer.Millis
 	// allowed are the regions in which the item may run, as of the last decision.
 	allowed localizer.Set
@@ -356,9 +355,9 @@
 // serviceOf returns the service whose servers should run the item. It returns false
 // if no route matches.
 func (x *Executor) serviceOf(s cataloger.Snapshot, t *task) (string, bool) {
-	r, ok := s.Config.Match(t.job.Host, t.job.Items[t.key.ref.Item].Path)
+	r, ok := t.route(s.Config)
 	if !ok {
-		x.abandonIfNoRoute(t)
+		x.abandonIfNoRoute(s, t)
 		return "", false
 	}
 	t.noRouteSince = 0
@@ -369,17 +368,23 @@
 	return r.Pick(float64(t.key.ref.Item%100) / 100), true
 }
 
+// route returns the route of an item: the one that matches its path, as for a request of a
+// caller. The route that its job was submitted on may have been moved or split since.
+func (t *task) route(c *cataloger.Config) (*cataloger.Route, bool) {
+	return c.Match(t.job.Host, t.item().Path)
+}
+
 // noRouteTimeout is how long an item may match no route before it is abandoned.
 const noRouteTimeout = 4 * timer.Second
 
-// abandonIfNoRoute abandons an item that has matched no route for noRouteTimeout
-// because its route was removed.
-func (x *Executor) abandonIfNoRoute(t *task) {
-	now := x.options.Clock.Now()
+// abandonIfNoRoute abandons an item that has matched no route for noRouteTimeout because its
+// route was removed. The time ends with the latest confirmation of the configuration: a host
+// that is cut off from the store does not know whether the route is there again.
+func (x *Executor) abandonIfNoRoute(s cataloger.Snapshot, t *task) {
 	switch {
 	case t.noRouteSince == 0:
-		t.noRouteSince = now
-	case now-t.noRouteSince > noRouteTimeout && !t.running:
+		t.noRouteSince = x.options.Clock.Now()
+	case s.ConfirmedAt-t.noRouteSince > noRouteTimeout && !t.running:
 		x.abandon(t, "no route")
 	}
 }
