executor: the time without a route starts anew when the route is there again

What callers saw: an item that was held back for a part of its prompt while its route was there for a time was listed as dead as soon as the route was removed again and the part released, without the 4 s of grace.

Cause: the time without a route was reset only when the item was about to start. It is reset now for each item that matches a route, in each decision.

Evidence: TestTimeWithoutARouteCountsFromItsLastRemoval fails before (1 item listed, none wanted). No run with processes showed the fault.

Looked at: noRouteSince has no other reader. A host that takes a group over counts from its own first sight.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -286,6 +286,7 @@
 				t.failures, t.loggedFailures = p.Progress.Failures, p.Progress.Failures
 				x.tasks[k] = t
 			}
+			t.noteRoute(s.Config)
 			if !t.running && now >= t.notBefore && !(refusing && x.heldBack(t)) {
 				if t.readySince == 0 {
 					t.readySince = now
@@ -360,7 +361,6 @@
 		x.abandonIfNoRoute(s, t)
 		return "", false
 	}
-	t.noRouteSince = 0
 	job := localizer.Job{Host: t.job.Host, Route: t.job.Route, Workspace: t.job.Workspace}
 	t.allowed = localizer.AllowedForItem(job.Allowed(s.Config), r)
 	// The item's number modulo 100 takes the place of a random draw. The service is
@@ -374,6 +374,17 @@
 	return c.Match(t.job.Host, t.item().Path)
 }
 
+// noteRoute ends the time without a route of an item that has one again, also while the item may
+// not start for another reason.
+func (t *task) noteRoute(c *cataloger.Config) {
+	if t.noRouteSince == 0 {
+		return
+	}
+	if _, ok := t.route(c); ok {
+		t.noRouteSince = 0
+	}
+}
+
 // noRouteTimeout is how long an item may match no route before it is abandoned.
 const noRouteTimeout = 4 * timer.Second
 
--- a/executor/route_test.go
+++ b/executor/route_test.go
@@ -1,11 +1,13 @@
 package executor_test
 
 import (
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
+	"github.com/jackdawgate/jackdawgate/suspector"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 )
@@ -81,3 +83,32 @@
 	f.configure(false)
 	require.True(t, f.results(1)[0].Dead)
 }
+
+// An item that was held back while its route was there for a time was given up at once when the
+// route was removed again: the time without a route counted from the first removal.
+func TestTimeWithoutARouteCountsFromItsLastRemoval(t *testing.T) {
+	f := start(t, &engine{})
+	clock := f.withAdvancedClock()
+	f.configure(false)
+	f.submitPrompts("j", "crashing,own")
+	letDecide()
+	part := suspector.Parts([]string{"crashing"})
+	for n := range 10 {
+		f.options.Tracker.Merge(suspector.Records{Crashes: []suspector.Crash{{
+			ID: strconv.Itoa(n), Server: strconv.Itoa(n), Age: timer.Second * timer.Millis(n), Prompts: []suspector.Prompt{{Call: uint64(n), Parts: part}},
+		}}})
+	}
+	require.True(t, f.options.Tracker.RefusesParts())
+	f.configure(true)
+	letDecide()
+	clock.advance(noRouteTimeout + timer.Second)
+	f.configure(false)
+	letDecide()
+	f.options.Tracker.Merge(suspector.Records{AnsweredParts: []suspector.AnsweredPart{{Part: part[0]}}})
+	require.False(t, f.options.Tracker.RefusesParts())
+	letDecide()
+	require.Zero(t, f.listed(), "removed less than the timeout ago")
+	clock.advance(noRouteTimeout + timer.Second)
+	f.configure(false)
+	require.True(t, f.results(1)[0].Dead)
+}
