localizer: a removed route or workspace does not free its jobs of their regions

What callers saw: nothing in their answers. Once a version lacked the route or workspace of a restricted job, a disk of any region could become a holder of its group, and items whose paths matched another route by then could run in any region.

Cause: localizer.Job.Allowed looked the names up in the configuration in force, and a name that it lacks restricted nothing. For requests, what was admitted applied already.

What route, workspace and items allowed is now stored in the record of the acceptance, and applies for what the configuration has no more. The record of a job without restrictions is as before, byte for byte; earlier versions skip the new field.

Evidence: TestJobKeepsItsRegionsAfterItsRouteAndWorkspaceWereRemoved fails before (no regions, us wanted).

BarredDisks and the executor go through the same lookup now. AllowedForReads, for relays, knows no removed route: docs/design/residency.md, Open.

--- a/broker/handler.go
+++ b/broker/handler.go
@@ -93,7 +93,8 @@
 		return reply{Verdict: v}
 	}
 	recipients := func() []string { return s.Recipients(ctx) }
-	if allowed, reason := jobRegions(d.fleet.Snapshot(), d.fleet.Zones, &m.Job, recipients); reason != "" {
+	snapshot := d.fleet.Snapshot()
+	if allowed, reason := jobRegions(snapshot, d.fleet.Zones, &m.Job, recipients); reason != "" {
 		d.logger.Info("no permitted place", zap.String("job", m.Job.ID),
 			zap.Strings("allowed", allowed.Regions()), zap.String("reason", reason))
 		return notPermitted(reason)
@@ -106,7 +107,8 @@
 		return reply{Verdict: verdictQueueFull}
 	}
 	defer s.Queue.Reserve(key, tokens)()
-	r := d.commit(ctx, s, queuer.Accepted{Job: m.Job})
+	m.Job.Regions = m.Job.Subject().AtAcceptance(snapshot.Config, m.Job.Paths())
+	r := d.commit(ctx, s, queuer.NewAccepted(m.Job))
 	if r.Verdict == verdictDone {
 		r = d.acceptance(ctx, s, m)
 	}
--- a/broker/region_test.go
+++ b/broker/region_test.go
@@ -153,3 +153,31 @@
 		requireRefused(t, f, f.submit("j", "a"), "group has a holder outside")
 	})
 }
+
+// A group with a job of a removed route or workspace could get a replica in any region, and its
+// items could run there.
+func TestJobKeepsItsRegionsAfterItsRouteAndWorkspaceWereRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startInRegions(t, regions{route: []string{"eu", "us"}, workspace: []string{"us", "asia"}, holder: "z-us", server: "z-us"})
+		require.Equal(t, http.StatusAccepted, f.submit("j", "a b").Status)
+		list := f.queues[broker.GroupOf("j")].Jobs()
+		require.Len(t, list, 1)
+		other := batchRoute("other", "h", "/other/")
+		other.AllowedRegions = []string{"eu"}
+		moved := batchRoute("r", "elsewhere", "/")
+		lifted := batchRoute("r", "h", "/")
+		for _, c := range []struct {
+			why    string
+			routes []cataloger.Route
+			want   []string
+		}{
+			{"no route and no workspace", nil, []string{"us"}},
+			{"another route", []cataloger.Route{other}, []string{"us"}},
+			{"a route of the same name of another host", []cataloger.Route{moved}, []string{"us"}},
+			{"the route itself without regions", []cataloger.Route{lifted}, []string{"us", "asia"}},
+		} {
+			now := cataloger.NewConfig(cataloger.ConfigParts{Version: 2, Routes: c.routes})
+			require.Equal(t, c.want, broker.StoredIn(now, list[0]).Regions(), c.why)
+		}
+	})
+}
--- a/broker/regions.go
+++ b/broker/regions.go
@@ -21,34 +21,17 @@
 // StoredIn returns the regions in which a job may be stored under configuration c. The job is
 // stored as a whole, so these are the regions that the routes of all its items allow.
 func StoredIn(c *cataloger.Config, j *queuer.Job) localizer.Set {
-	allowed, _, _ := storedIn(c, j)
+	allowed, _ := j.Subject().AllowedWithItems(c, j.Paths())
 	return allowed
 }
 
-// storedIn returns the same as StoredIn, the regions without regard to the paths of items, and
-// the routes of the items.
-func storedIn(c *cataloger.Config, j *queuer.Job) (allowed, submitted localizer.Set, routes map[*cataloger.Route]bool) {
-	if c == nil || len(c.Regions()) == 0 {
-		return allowed, submitted, nil
-	}
-	submitted = localizer.Job{Host: j.Host, Route: j.Route, Workspace: j.Workspace}.Allowed(c)
-	allowed, routes = submitted, make(map[*cataloger.Route]bool)
-	for i := range j.Items {
-		if r, ok := c.Match(j.Host, j.Items[i].Path); ok && !routes[r] {
-			routes[r] = true
-			allowed = allowed.Intersect(localizer.Allowed(r, nil))
-		}
-	}
-	return allowed, submitted, routes
-}
-
 // jobRegions returns the regions in which a job may be stored, and why it cannot be placed
 // there; the reason is empty if it can. recipients returns further disks that would receive the
 // job; it is called only for a job that is restricted to regions.
 func jobRegions(
 	s cataloger.Snapshot, z localizer.Zones, j *queuer.Job, recipients func() []string,
 ) (allowed localizer.Set, reason string) {
-	allowed, submitted, routes := storedIn(s.Config, j)
+	allowed, routes := j.Subject().AllowedWithItems(s.Config, j.Paths())
 	if !allowed.Restricted() {
 		return allowed, ""
 	}
@@ -61,6 +44,7 @@
 			return allowed, reasonHolder
 		}
 	}
+	submitted := j.Subject().Allowed(s.Config)
 	for r := range routes {
 		if !hasServers(s, z, r, localizer.AllowedForItem(submitted, r)) {
 			return allowed, reasonServer
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -361,8 +361,7 @@
 		x.abandonIfNoRoute(s, t)
 		return "", false
 	}
-	job := localizer.Job{Host: t.job.Host, Route: t.job.Route, Workspace: t.job.Workspace}
-	t.allowed = localizer.AllowedForItem(job.Allowed(s.Config), r)
+	t.allowed = localizer.AllowedForItem(t.job.Subject().Allowed(s.Config), r)
 	// The item's number modulo 100 takes the place of a random draw. The service is
 	// picked again before each start, from the route in force then.
 	return r.Pick(float64(t.key.ref.Item%100) / 100), true
--- a/executor/region_test.go
+++ b/executor/region_test.go
@@ -1,7 +1,9 @@
 package executor_test
 
 import (
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
 	"github.com/jackdawgate/jackdawgate/gossiper"
@@ -64,6 +66,25 @@
 	require.Equal(t, free, e.addresses())
 }
 
+// The route of a job was replaced by one without regions that matches its items. They ran in any
+// region.
+func TestItemsKeepTheRegionsOfARemovedRoute(t *testing.T) {
+	e := &engine{}
+	f, eu, _ := startInRegions(t, e)
+	f.restrict(2)
+	j := queuer.Job{ID: "j", Host: "h", Route: "removed", Submitted: time.Now().UnixMilli(), RunObjective: 18000, Retention: 60000, MaxAttempts: 3}
+	for i := range 12 {
+		j.Items = append(j.Items, queuer.Item{ID: strconv.Itoa(i), Path: "/b/x"})
+	}
+	j.Regions.Route = []string{"eu"}
+	entries, err := queuer.Encode(queuer.NewAccepted(j))
+	require.NoError(t, err)
+	f.queue.Apply(entries[0])
+	f.executor.Wake()
+	f.results(12)
+	require.Equal(t, map[string]bool{eu: true}, e.addresses())
+}
+
 // Another host has many more items, none of which may run in the region of this host's items.
 // It was to fill the region's server, and left it idle.
 func TestItemsOfOtherRegionsOnOtherHostsDoNotKeepAServerIdle(t *testing.T) {
--- a/hoster/regions.go
+++ b/hoster/regions.go
@@ -56,7 +56,7 @@
 	return func(g cataloger.Group) mirrorer.View {
 		v := h.fleet.view(g)
 		s := h.follower.Snapshot()
-		if s.Config == nil || g.Owner != h.member.Disk || (len(s.Config.Regions()) == 0 && logged == nil) {
+		if s.Config == nil || g.Owner != h.member.Disk || (len(s.Config.Regions()) == 0 && logged == nil && !h.queues[n].MayBeRestricted()) {
 			return v
 		}
 		var allowed localizer.Set
--- a/localizer/localizer_test.go
+++ b/localizer/localizer_test.go
@@ -1,6 +1,7 @@
 package localizer_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/jackdawgate/jackdawgate/cataloger"
@@ -70,6 +71,38 @@
 	require.False(t, free.Allowed(config(route("us"), nil)).Permits("eu"))
 }
 
+// A job obeys the configuration in force, as a request does. Where that has its route, its
+// workspace or the route of an item no more, what they allowed as of its acceptance applies.
+func TestConfigurationThatLacksTheRouteOfAJobDoesNotFreeIt(t *testing.T) {
+	paths := slices.Values([]string{"/r/1", "/items/1"})
+	at := func(prefix, name string, regions ...string) cataloger.Route {
+		return cataloger.Route{Name: name, Host: "h", Prefix: prefix, Kind: cataloger.Batch, AllowedRegions: regions}
+	}
+	configured := func(w []string, routes ...cataloger.Route) *cataloger.Config {
+		return cataloger.NewConfig(cataloger.ConfigParts{Routes: routes, Workspaces: []cataloger.Workspace{{Name: "w", AllowedRegions: w}}})
+	}
+	job := localizer.Job{Host: "h", Route: "r", Workspace: "w"}
+	job.Accepted = job.AtAcceptance(configured([]string{"a", "b", "c"}, at("/r/", "r", "b", "c", "d"), at("/items/", "i", "c", "d", "e")), paths)
+	require.Equal(t, localizer.JobRegions{Route: []string{"b", "c", "d"}, Workspace: []string{"a", "b", "c"}, Items: []string{"c", "d"}}, job.Accepted)
+	for _, c := range []struct {
+		why           string
+		now           *cataloger.Config
+		stored, whole []string
+	}{
+		{"no configuration", nil, []string{"b", "c"}, []string{"c"}},
+		{"all removed", cataloger.NewConfig(cataloger.ConfigParts{}), []string{"b", "c"}, []string{"c"}},
+		{"the route of the items removed", configured([]string{"a", "b", "c"}, at("/r/", "r", "b", "c", "d")), []string{"b", "c"}, []string{"c"}},
+		{"all lifted", configured(nil, at("/r/", "r"), at("/items/", "i")), nil, nil},
+		{"the workspace lifted, the route moved", configured(nil, at("/moved/", "r", "e"), at("/items/", "i", "d", "e")), []string{"e"}, nil},
+	} {
+		require.Equal(t, c.stored, job.Allowed(c.now).Regions(), c.why)
+		whole, _ := job.AllowedWithItems(c.now, paths)
+		require.Equal(t, c.whole, whole.Regions(), c.why)
+	}
+	require.True(t, localizer.Job{}.AtAcceptance(nil, paths).None())
+	require.True(t, job.AtAcceptance(configured(nil, at("/r/", "r")), paths).None())
+}
+
 // The callers of a host name are sent to regions that suit all of its restricted routes, or
 // else some of them, and to their own. A query without a region, or for a host name that no
 // route has, is answered too.
--- a/queuer/checkpoint.go
+++ b/queuer/checkpoint.go
@@ -33,7 +33,7 @@
 
 // checkpointRecords returns the records that restore the state of a job.
 func (s *jobState) checkpointRecords() []Record {
-	out := []Record{Accepted{Job: *s.job}}
+	out := []Record{NewAccepted(*s.job)}
 	for n, r := range s.results {
 		f := Finished{Job: s.job.ID, Item: s.resultItems[n], Dead: r.Dead, Output: r.Output}
 		if r.Dead {
--- a/queuer/checkpoint_test.go
+++ b/queuer/checkpoint_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/queuer"
 	"github.com/stretchr/testify/require"
 )
@@ -95,3 +97,34 @@
 		require.Fail(t, "the reader was not notified")
 	}
 }
+
+// The regions of a job are kept across checkpoints, and a version that does not know them reads
+// the record as before.
+func TestRegionsOfAJobOutliveCheckpoints(t *testing.T) {
+	regions := localizer.JobRegions{Route: []string{"eu"}, Workspace: []string{"eu", "us"}, Items: []string{"eu"}}
+	restricted := job("j", 1)
+	restricted.Regions = regions
+	q := newQueue()
+	apply(t, q, queuer.NewAccepted(restricted))
+	for range 2 {
+		require.True(t, q.MayBeRestricted())
+		require.Equal(t, regions, q.Jobs()[0].Regions)
+		list := q.Checkpoint()
+		q = newQueue()
+		require.False(t, q.MayBeRestricted())
+		applyData(q, list)
+	}
+	entries, err := queuer.Encode(queuer.NewAccepted(restricted))
+	require.NoError(t, err)
+	var earlier struct {
+		Accepted struct{ Job queuer.Job } `cbor:"1,keyasint"`
+	}
+	require.NoError(t, cbor.Unmarshal(entries[0], &earlier))
+	require.Equal(t, job("j", 1), earlier.Accepted.Job)
+
+	free, err := queuer.Encode(queuer.NewAccepted(job("j", 1)))
+	require.NoError(t, err)
+	before, err := cbor.Marshal(map[int]any{1: map[string]any{"Job": job("j", 1)}})
+	require.NoError(t, err)
+	require.Equal(t, before, free[0], "the record of an unrestricted job is as it was")
+}
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -93,6 +93,8 @@
 	missing int
 	// reserved are the tokens of jobs whose acceptance is in flight.
 	reserved map[QueueKey]int64
+	// restricted is set if any job was accepted with Regions since the last Reset.
+	restricted bool
 }
 
 // New returns an empty Queue. changed is called after each change, without the lock.
@@ -104,7 +106,7 @@
 func (q *Queue) Reset() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.jobs, q.restoring, q.pieces, q.serving = make(jobTable), nil, nil, false
+	q.jobs, q.restoring, q.pieces, q.serving, q.restricted = make(jobTable), nil, nil, false, false
 }
 
 // StartServing implements mirrorer.Machine.
@@ -172,18 +174,26 @@
 
 func (q *Queue) apply(r Record) {
 	if t, ok := r.(CheckpointRecord); ok {
+		q.noteRegions(t.Record)
 		q.restore(t)
 		return
 	}
+	q.noteRegions(r)
 	q.restoring = nil
 	q.jobs.apply(r)
 }
 
+func (q *Queue) noteRegions(r Record) {
+	if a, ok := r.(Accepted); ok && a.Regions != nil {
+		q.restricted = true
+	}
+}
+
 func (j jobTable) apply(r Record) {
 	switch t := r.(type) {
 	case Accepted:
 		if _, ok := j[t.Job.ID]; !ok {
-			j[t.Job.ID] = &jobState{job: &t.Job, done: make([]bool, len(t.Job.Items)), progress: make(map[int]Progress), updated: make(chan struct{})}
+			j[t.Job.ID] = &jobState{job: t.job(), done: make([]bool, len(t.Job.Items)), progress: make(map[int]Progress), updated: make(chan struct{})}
 		}
 	case Finished:
 		j.finish(t)
@@ -286,6 +296,13 @@
 	return s.job.Workspace, true
 }
 
+// MayBeRestricted reports whether any job that is kept may have Regions.
+func (q *Queue) MayBeRestricted() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.restricted
+}
+
 // Jobs returns all jobs that are kept, which must not be modified.
 func (q *Queue) Jobs() []*Job {
 	q.mu.Lock()
--- a/queuer/record.go
+++ b/queuer/record.go
@@ -1,7 +1,10 @@
 package queuer
 
 import (
+	"iter"
+
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jackdawgate/jackdawgate/localizer"
 	"github.com/jackdawgate/jackdawgate/mirrorer"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/rotisserie/eris"
@@ -33,6 +36,24 @@
 	// MaxAttempts is how often an item may fail at backend servers.
 	MaxAttempts int
 	Items       []Item
+	// Regions are what restricted the job when it was accepted. They are set from Accepted.
+	Regions localizer.JobRegions `cbor:"-"`
+}
+
+// Subject returns what the allowed regions of the job depend on.
+func (j *Job) Subject() localizer.Job {
+	return localizer.Job{Host: j.Host, Route: j.Route, Workspace: j.Workspace, Accepted: j.Regions}
+}
+
+// Paths returns the paths of the job's items.
+func (j *Job) Paths() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for i := range j.Items {
+			if !yield(j.Items[i].Path) {
+				return
+			}
+		}
+	}
 }
 
 // Tokens returns the sum of the tokens of all items.
@@ -51,7 +72,29 @@
 type Record interface{ record() }
 
 // Accepted adds a job.
-type Accepted struct{ Job Job }
+type Accepted struct {
+	Job Job
+	// Regions are those of the job; nil if nothing restricts it. Earlier versions do not know
+	// them.
+	Regions *localizer.JobRegions `cbor:",omitempty"`
+}
+
+// NewAccepted returns the record of a job's acceptance.
+func NewAccepted(j Job) Accepted {
+	a := Accepted{Job: j}
+	if !j.Regions.None() {
+		a.Regions = &j.Regions
+	}
+	return a
+}
+
+// job returns the job as it is kept.
+func (a Accepted) job() *Job {
+	if a.Regions != nil {
+		a.Job.Regions = *a.Regions
+	}
+	return &a.Job
+}
 
 // Finished adds the result of an item at the next position of its job's results.
 type Finished struct {
