broker: the property test of job owners does not depend on the clock

Under the race detector, in a run on a busy machine, the configuration of an entry host became older than 1.5 s by the clock between two steps, and the host answered 503, as it should. The clock of the entry hosts in these tests stands still now.

--- a/broker/owner_property_test.go
+++ b/broker/owner_property_test.go
@@ -201,7 +201,7 @@
 
 // Jobs were unknown to their owners after versions that removed their route, made it public, or
 // brought the first workspace or took the last. With -rapid.seed other sequences are drawn. No
-// call waits for anything, so the verdict does not depend on the clock.
+// call waits, and the clock of the entry hosts stands still, so the verdict is the same each time.
 func TestJobAnswersToItsOwnerAloneWhateverVersionsCome(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		f := start(t)
--- a/broker/owner_test.go
+++ b/broker/owner_test.go
@@ -13,6 +13,7 @@
 	"github.com/jackdawgate/jackdawgate/gatekeeper"
 	"github.com/jackdawgate/jackdawgate/namer"
 	"github.com/jackdawgate/jackdawgate/rationer"
+	"github.com/jackdawgate/jackdawgate/tester/harness"
 	"github.com/jackdawgate/jackdawgate/timer"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -20,26 +21,27 @@
 
 // entry is an entry host as callers see it: the checks of package gatekeeper in front of a broker.
 type entry struct {
-	t        *testing.T
+	t *testing.T
+	// clock stands still, so that a configuration stays as old as configure made it.
+	clock    *harness.Clock
 	snapshot cataloger.Snapshot
 	gate     *gatekeeper.Gatekeeper
 }
 
 // entry returns an entry host that calls through b.
 func (f *fixture) entry(b *broker.Broker) *entry {
-	clock := timer.System()
-	e := &entry{t: f.t}
+	e := &entry{t: f.t, clock: &harness.Clock{Time: 100 * timer.Second}}
 	e.gate = gatekeeper.New(gatekeeper.Options{
 		Names:    namer.Names{RequestID: "Id", Key: "Key", Wait: "Wait", ParseJobCall: jobCall},
-		Snapshot: func() cataloger.Snapshot { return e.snapshot }, Rationer: rationer.New(clock), Jobs: b,
-		OthersReady: func() bool { return false }, Clock: clock, Logger: zap.NewNop(),
+		Snapshot: func() cataloger.Snapshot { return e.snapshot }, Rationer: rationer.New(e.clock), Jobs: b,
+		OthersReady: func() bool { return false }, Clock: e.clock, Logger: zap.NewNop(),
 	})
 	return e
 }
 
 // configure puts a configuration in force that was confirmed age ago.
 func (e *entry) configure(p cataloger.ConfigParts, age timer.Millis) {
-	e.snapshot = cataloger.Snapshot{Config: cataloger.NewConfig(p), ConfirmedAt: timer.System().Now() - age}
+	e.snapshot = cataloger.Snapshot{Config: cataloger.NewConfig(p), ConfirmedAt: e.clock.Time - age}
 }
 
 // jobCall recognizes /results/JOB, /body/JOB/ITEM and /end/JOB.
