--- a/soaker/load.go
+++ b/soaker/load.go
@@ -40,6 +40,10 @@
 	mu     sync.Mutex
 	jobs   []*job
 	lastID int
+	// jobRoutes are the routes on which jobs are submitted in turn; Batch if there are none.
+	jobRoutes []standin.Route
+	// removed are routes that the configuration lacks, or will soon.
+	removed map[standin.Route]bool
 }
 
 func newCaller() *standin.Caller {
@@ -121,7 +125,7 @@
 	for ctx.Err() == nil {
 		time.Sleep(jobInterval)
 		key, _ := g.env.pickKey(r, plainWorkspace)
-		j := standin.Job{ID: g.nextID("j"), Key: key}
+		j := standin.Job{ID: g.nextID("j"), Key: key, Route: g.nextJobRoute()}
 		for i := range itemsPerJob {
 			j.Items = append(j.Items, fmt.Sprintf("%s-%d", j.ID, i))
 		}
@@ -151,7 +155,9 @@
 	for ctx.Err() == nil {
 		time.Sleep(40 * time.Millisecond)
 		if jobs := g.acceptedJobs(); len(jobs) > 0 {
-			g.readJob(ctx, c, r, jobs[r.IntN(len(jobs))])
+			j := jobs[r.IntN(len(jobs))]
+			g.readJob(ctx, c, r, j)
+			g.readAsStranger(ctx, c, r, j)
 		}
 	}
 }
@@ -191,6 +197,7 @@
 		switch {
 		case i < len(j.results) && r != j.results[i]:
 			g.env.checker.report("listed results keep their position and content", "job %s at position %d", j.ID, i)
+		case i >= len(j.results) && r.State == deadLetter && g.isRemoved(j.Route):
 		case i >= len(j.results) && r != j.ExpectedResult(r.ID):
 			g.env.checker.report("results are complete and as servers sent them", "job %s item %s: state %s, output %q", j.ID, r.ID, r.State, r.Output)
 		}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -71,7 +71,7 @@
 // Run runs one soak with random faults. It returns an error if the soak could not be
 // run; violations of guarantees are in the Report.
 func Run(o Options) (Report, error) {
-	return run(o, func(*soak) {}, (*soak).faultScenario)
+	return run(o, ownedJobs, (*soak).faultScenario)
 }
 
 // run runs a soak with the given scenario. It calls setUp before any servers or hosts
@@ -231,6 +231,10 @@
 func (s *soak) faultScenario() {
 	loadCtx, stopLoad := context.WithCancel(context.Background())
 	s.load.start(loadCtx, s.options.Seed)
+	removalCtx, stopRemoval := context.WithTimeout(context.Background(), s.options.FaultPeriod+jobBound)
+	defer stopRemoval()
+	var removal sync.WaitGroup
+	removal.Go(func() { s.removeTemporaryRoute(removalCtx) })
 	faultCtx, stopFaults := context.WithTimeout(context.Background(), s.options.FaultPeriod)
 	f := newFaultInjector(s, s.options.Program)
 	spoilers := s.env.allServers()[:min(spoilers, s.options.Servers)]
@@ -248,8 +252,10 @@
 	if !s.awaitReady(recoveryBound) {
 		s.env.checker.report("the fleet recovers within the bound", "not every host is ready and listed after %v", recoveryBound)
 	}
+	removal.Wait()
 	stopLoad()
 	s.checkAfterLoad()
+	s.checkRepeats()
 }
 
 // checkAfterLoad waits until the load, which was stopped, has ended, and checks the
