emulator: engines keep digests of long bodies and do not copy an echo

Half of it were copies in the emulated engines, which are in the same process only there: the log kept the whole body of up to 20,000 requests, the identifier of a call was computed from two more copies, and an echo was another one.

The log keeps bodies of up to 4 KB, and the length and digest of longer ones; the hash is computed in place; an echo is written from the request's buffer, which fasthttp keeps until the response has been written.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -237,7 +237,8 @@
 	}
 	q.Response.Header.Set(HeaderExecution, itoa(n))
 	q.Response.Header.SetContentTypeBytes(q.Request.Header.ContentType())
-	q.SetBody(q.PostBody())
+	// The request's body is kept until the response has been written, so it is not copied.
+	q.Response.SetBodyRaw(q.PostBody())
 }
 
 // applyResponseCut injects the cuts that take effect after a call has run. It
--- a/emulator/received.go
+++ b/emulator/received.go
@@ -14,13 +14,20 @@
 	Value string `json:"value"`
 }
 
+// maxLoggedBody is the length in bytes of the longest body that is retained.
+const maxLoggedBody = 4 << 10
+
 // Received is a received request.
 type Received struct {
 	Method  string           `json:"method"`
 	Path    string           `json:"path"`
 	Query   string           `json:"query"`
 	Headers []ReceivedHeader `json:"headers"`
-	Body    string           `json:"body"`
+	// Body is empty if the body is longer than 4 KB, so that the log does not hold what callers
+	// upload. BodyBytes is the body's length, BodyDigest its xxhash in hexadecimal.
+	Body       string `json:"body"`
+	BodyBytes  int    `json:"body-bytes"`
+	BodyDigest string `json:"body-digest"`
 }
 
 // Execution counts the executions of one call. A call is identified by its
@@ -48,11 +55,16 @@
 }
 
 func (l *requestLog) recordRequest(q *fasthttp.RequestCtx) {
+	body := q.PostBody()
 	r := Received{
-		Method: string(q.Method()),
-		Path:   string(q.Path()),
-		Query:  string(q.URI().QueryString()),
-		Body:   string(q.PostBody()),
+		Method:     string(q.Method()),
+		Path:       string(q.Path()),
+		Query:      string(q.URI().QueryString()),
+		BodyBytes:  len(body),
+		BodyDigest: strconv.FormatUint(xxhash.Sum64(body), 16),
+	}
+	if len(body) <= maxLoggedBody {
+		r.Body = string(body)
 	}
 	for k, v := range q.Request.Header.All() {
 		r.Headers = append(r.Headers, ReceivedHeader{Name: string(k), Value: string(v)})
@@ -77,7 +89,10 @@
 
 // CallID returns the identifier of a call without identifying headers.
 func CallID(path string, body []byte) string {
-	return strconv.FormatUint(xxhash.Sum64String(path+"\x00"+string(body)), 16)
+	d := xxhash.New()
+	_, _ = d.WriteString(path + "\x00")
+	_, _ = d.Write(body)
+	return strconv.FormatUint(d.Sum64(), 16)
 }
 
 // recordStart counts the start of a call and returns the number of its starts.
