--- a/gatekeeper/exchange_job.go
+++ b/gatekeeper/exchange_job.go
@@ -18,7 +18,8 @@
 	return x.workspace.Name
 }
 
-// isJobCall reports whether the request is about a batch job, new or existing.
+// isJobCall reports whether the request is about a batch job, new or existing. One that matches no
+// route can only repeat a submission.
 func (x *exchange) isJobCall() bool {
 	return x.job != nil || x.route == nil || x.route.Kind == cataloger.Batch
 }
