soaker: a repeat with a withdrawn key is no check of an accepted job

A request with an unknown key that no route matches gets 404 ("If no route matches, the response is 404"), so the check asks with the keys of the workspace only, as before the fault it guards against.

--- a/soaker/owner.go
+++ b/soaker/owner.go
@@ -106,6 +106,9 @@
 			}
 			request := j.Job
 			request.Key, _ = s.env.pickKey(r, plainWorkspace)
+			if !s.env.hasKey(plainWorkspace, request.Key) {
+				continue // Without a route, a withdrawn key is answered 404 as for any request.
+			}
 			status, _ = c.Submit(context.Background(), address, request)
 			if status == http.StatusNotFound || status == http.StatusConflict {
 				break
