--- a/soaker/load.go
+++ b/soaker/load.go
@@ -197,7 +197,7 @@
 		switch {
 		case i < len(j.results) && r != j.results[i]:
 			g.env.checker.report("listed results keep their position and content", "job %s at position %d", j.ID, i)
-		case i >= len(j.results) && r.State == deadLetter && g.isRemoved(j.Route):
+		case i >= len(j.results) && r.Dead() && g.isRemoved(j.Route):
 		case i >= len(j.results) && r != j.ExpectedResult(r.ID):
 			g.env.checker.report("results are complete and as servers sent them", "job %s item %s: state %s, output %q", j.ID, r.ID, r.State, r.Output)
 		}
--- a/soaker/owner.go
+++ b/soaker/owner.go
@@ -10,9 +10,6 @@
 	"github.com/jackdawgate/jackdawgate/timer"
 )
 
-// deadLetter is the state of an item that was given up.
-const deadLetter = "dead_letter"
-
 // ownedJobs makes the load submit jobs on a public route, and on one that is removed as soon as a
 // job on it is complete.
 func ownedJobs(s *soak) {
