--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -268,6 +268,9 @@
 	s.env.checker.checkLostAnswers()
 }
 
+// maxOutcomes is how many of the last attempts a report about an entry host names.
+const maxOutcomes = 4
+
 // checkEntryHosts checks that each entry host answers a request within recoveryBound.
 func (s *soak) checkEntryHosts() {
 	c, r := newCaller(), rand.New(rand.NewPCG(s.options.Seed, 3))
@@ -275,15 +278,18 @@
 		if h.role != entryRole {
 			continue
 		}
+		var outcomes []string
 		answered := false
 		for end := time.Now().Add(recoveryBound); !answered && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			key, _ := s.env.pickKey(r, plainWorkspace)
 			a := standin.Attempt{ID: s.load.nextID("e"), Key: key, Address: h.callersAddr, Route: standin.Idempotent}
 			a.Path = a.Route.Prefix + a.ID
-			answered = c.Do(context.Background(), a, []byte(a.ID), callTimeout).Status == http.StatusOK
+			a = c.Do(context.Background(), a, []byte(a.ID), callTimeout)
+			answered = a.Status == http.StatusOK
+			outcomes = append(outcomes, fmt.Sprintf("%s with key %s: status %d, %v", a.ID, key, a.Status, a.Err))
 		}
 		if !answered {
-			s.env.checker.report("the fleet recovers within the bound", "%s answers no request", h.name)
+			s.env.checker.report("the fleet recovers within the bound", "%s answers no request in %d, the last %v", h.name, len(outcomes), outcomes[max(0, len(outcomes)-maxOutcomes):])
 		}
 	}
 }
