--- a/relayer/admission_test.go
+++ b/relayer/admission_test.go
@@ -87,6 +87,18 @@
 	require.Empty(t, f.seen())
 }
 
+// A host that was paused while it served its first calls took them for slower than callers wait. It
+// refused every call of the service from then on, also with idle servers, and so measured none.
+func TestHostWhoseFirstCallsWereSlowServesAgain(t *testing.T) {
+	f := newFixture(t, 1, text("200 OK", signed, "ok"))
+	f.observe(3200, 3200)
+	require.Eventually(t, func() bool {
+		o, _ := f.runFor(4*timer.Second, route(cataloger.Idempotent, false, 1))
+		_, delivered := o.(relayer.Delivered)
+		return delivered
+	}, 15*time.Second, 50*time.Millisecond)
+}
+
 // A slow server has a free slot, but the call has no time for it. Guards against its refusal
 // while it would end in time at a busy server of the mean pace.
 func TestCallIsNotRefusedForASlowServersPace(t *testing.T) {
